--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target sets up .venv on its own; only Python 3.11 and make are needed.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := core node client standins replay
+SEED ?= 1
+STEPS ?= 2000
+
+.PHONY: setup demo test bench soak lint format check clean
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt \
+		--requirement requirements-dev.txt $(PACKAGES:%=--editable packages/%)
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m trefoilroad_standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest packages
+
+lint: $(STAMP)
+	$(BIN)/yapf --diff --recursive packages
+	$(BIN)/ruff check packages
+	$(BIN)/mypy packages/*/src
+
+format: $(STAMP)
+	$(BIN)/yapf --in-place --recursive packages
+	$(BIN)/ruff check --fix packages
+
+check: lint test
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/client/src/trefoilroad_client/__init__.py
@@ -0,0 +1,1 @@
+"""Python API and command line of trefoilroad."""
--- /dev/null
+++ b/packages/core/src/trefoilroad_core/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions of trefoilroad: no sockets, no clock, no I/O."""
--- /dev/null
+++ b/packages/node/src/trefoilroad_node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry node daemon of trefoilroad."""
--- /dev/null
+++ b/packages/replay/src/trefoilroad_replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces, replay, reports and the history checker."""
