--- a/packages/core/src/trefoilroad_core/contract.py
+++ b/packages/core/src/trefoilroad_core/contract.py
@@ -75,12 +75,15 @@
         templates: Templates by name.
         teams: Teams by name.
         drained: Workers that operators have drained.
+        operators: Hexadecimal digest of each operator's access token, by
+            name.
     """
 
     version: int
     templates: dict[str, Template]
     teams: dict[str, Team]
     drained: frozenset[str] = frozenset()
+    operators: dict[str, str] = {}  # noqa: RUF012
 
     def resolve_template(self, team: str, name: str) -> Template:
         """Returns a template with a team's overrides applied.
