--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/tables.py
@@ -0,0 +1,170 @@
+"""The platform's table service and VM list, without sockets or clock."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+
+class Row(TypedDict):
+    """One row.
+
+    Attributes:
+        key: Name of the row.
+        version: Version of the commit that wrote or deleted it.
+        value: Any JSON value, null if the row is deleted.
+    """
+
+    key: str
+    version: int
+    value: Any
+
+
+class Condition(NamedTuple):
+    """What must hold for a commit to take effect.
+
+    Attributes:
+        key: Name of the row.
+        version: Version that the row must have, 0 if it must be absent.
+    """
+
+    key: str
+    version: int
+
+
+class Write(NamedTuple):
+    """One change of a commit.
+
+    Attributes:
+        key: Name of the row.
+        value: New value, None to delete the row.
+    """
+
+    key: str
+    value: Any
+
+
+class Commit(NamedTuple):
+    """What became of a commit.
+
+    Attributes:
+        version: Version of the commit, 0 if it was refused.
+        conflicts: Conditions that did not hold, with the versions that the
+            rows have.
+    """
+
+    version: int
+    conflicts: tuple[Condition, ...] = ()
+
+
+class Table:
+    """Rows with atomic conditional commits."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        # Ordered by version, so that recent changes are at the end.
+        self._rows: dict[str, Row] = {}
+
+    def commit(self, conditions: list[Condition],
+               writes: list[Write]) -> Commit:
+        """Applies all writes, or none if a condition does not hold.
+
+        Args:
+            conditions: What must hold.
+            writes: The changes; each key occurs once.
+
+        Returns:
+            The version of the commit or the conflicts.
+        """
+        conflicts = tuple(
+            Condition(condition.key, self.get_version(condition.key))
+            for condition in conditions
+            if self.get_version(condition.key) != condition.version)
+        if conflicts:
+            return Commit(0, conflicts)
+        self.version += 1
+        for write in writes:
+            self._rows.pop(write.key, None)
+            self._rows[write.key] = Row(key=write.key,
+                                        version=self.version,
+                                        value=write.value)
+        return Commit(self.version)
+
+    def get_version(self, key: str) -> int:
+        """Returns the version of a row, 0 if it is absent or deleted."""
+        return self.get_row(key)["version"]
+
+    def get_row(self, key: str) -> Row:
+        """Returns a row; version 0 and value None if it is absent."""
+        row = self._rows.get(key)
+        if row is None or row["value"] is None:
+            return Row(key=key, version=0, value=None)
+        return row
+
+    def list_rows(self, prefix: str, since: int) -> list[Row]:
+        """Lists changed rows.
+
+        Args:
+            prefix: Beginning of the keys.
+            since: Version of the last change that the reader knows.
+
+        Returns:
+            Rows changed later, in order of change; deleted ones have the value
+            None.
+        """
+        rows = []
+        for row in reversed(self._rows.values()):
+            if row["version"] <= since:
+                break
+            if row["key"].startswith(prefix):
+                rows.append(row)
+        rows.reverse()
+        return rows
+
+
+class VmList:
+    """The list of VMs, which readers see with a delay."""
+
+    def __init__(self, *, lag_s: float, entries: list[dict[str, Any]]):
+        """Starts with entries that are visible at once.
+
+        Args:
+            lag_s: Seconds until a change becomes visible.
+            entries: One object for each VM, with `id` and `state`.
+        """
+        self._lag_s = lag_s
+        self._current = {entry["id"]: entry for entry in entries}
+        self._visible = dict(self._current)
+        self._changes: list[tuple[float, dict[str, Any]]] = []
+
+    def change(self, entry: Mapping[str, Any], now_s: float) -> bool:
+        """Adds a VM or changes fields of one.
+
+        Args:
+            entry: Fields to change, with the VM's `id`.
+            now_s: The time, on the monotonic clock.
+
+        Returns:
+            False if the VM is unknown and the entry has no address.
+        """
+        known = self._current.get(entry["id"])
+        if known is None and "address" not in entry:
+            return False
+        changed = {"state": "live", **(known or {}), **entry}
+        self._current[entry["id"]] = changed
+        self._changes.append((now_s, changed))
+        return True
+
+    def list_entries(self, now_s: float) -> list[dict[str, Any]]:
+        """Returns the VMs that readers see; gone ones are left out.
+
+        Args:
+            now_s: The time, on the monotonic clock.
+        """
+        while self._changes and self._changes[0][0] + self._lag_s <= now_s:
+            _, entry = self._changes.pop(0)
+            self._visible[entry["id"]] = entry
+        return [
+            entry for _, entry in sorted(self._visible.items())
+            if entry["state"] != "gone"
+        ]
