--- /dev/null
+++ b/packages/core/src/trefoilroad_core/attempt.py
@@ -0,0 +1,164 @@
+"""One attempt to run a gang, and what is known of each of its members."""
+
+from collections.abc import Iterable
+import enum
+from typing import Any
+
+from trefoilroad_core import request
+
+# Attempt numbers of different owners never meet: an owner counts from its
+# epoch times this number.
+ATTEMPTS_PER_EPOCH = 1_000_000
+
+
+class Phase(enum.Enum):
+    """What an attempt is doing as a whole."""
+
+    RESERVING = "reserving"
+    CLAIMING = "claiming"
+    STARTING = "starting"
+    RUNNING = "running"
+    STORING = "storing"
+    STOPPING = "stopping"
+    RECOVERING = "recovering"
+
+
+class MemberState(enum.Enum):
+    """What is known of one member."""
+
+    UNSENT = "unsent"
+    RESERVED = "reserved"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    LOST = "lost"
+    RECOVERING = "recovering"
+    NEVER_STARTED = "never_started"
+    STOPPED = "stopped"
+
+
+class StopReason(enum.Enum):
+    """Why an attempt was stopped before it completed."""
+
+    NOT_RESERVED = "a worker did not reserve"
+    CLAIM_LOST = "the claim was not confirmed in time"
+    CLAIM_REFUSED = "the claim was refused"
+    NOT_STARTED = "a worker did not start"
+    MEMBER_LOST = "a worker was lost"
+    TASK_FAILED = "a task failed"
+    EVICTED = "evicted for guaranteed work"
+    DRAINED = "moved away from a leaving worker"
+    CANCELLED = "cancelled by the caller"
+    RECOVERED = "not running as a whole when a new owner took over"
+
+
+class Member:
+    """The tasks of a gang that share one worker.
+
+    Attributes:
+        worker_id: The worker.
+        ranks: Ranks of the gang's tasks on this worker.
+        state: What is known of them.
+        boot: Boot id of the worker when it reserved, or None.
+        start_sent: Whether a start may have reached the worker.
+        basis_s: Owner's time at which the worker was last known to be before
+            the clock reading that the latest reservation, start or renewal
+            referred to; reservation and lease end at a fixed time after it.
+        acknowledged_s: Owner's time when the start was acknowledged.
+        retry_s: Owner's time for the next try of a stop.
+        command_id: Outstanding command, or None.
+        answer: Length and digest of the answer, once finished.
+        error: Error text of a failed task.
+        checkpointed: Whether the stop took a checkpoint.
+    """
+
+    def __init__(self, *, worker_id: str, ranks: list[int], state: MemberState):
+        self.worker_id = worker_id
+        self.ranks = ranks
+        self.state = state
+        self.boot: str | None = None
+        self.start_sent = False
+        self.basis_s = float("-inf")
+        self.acknowledged_s = float("inf")
+        self.retry_s = float("-inf")
+        self.command_id: int | None = None
+        self.answer: dict[str, Any] | None = None
+        self.error = ""
+        self.checkpointed = False
+
+
+class Attempt:
+    """One try to run a gang.
+
+    Attributes:
+        attempt_id: Identifier that workers see.
+        number: Number inside the request.
+        placement: Worker of each rank.
+        guaranteed: Whether it is inside its team's guarantee.
+        phase: What it is doing.
+        members: Member by worker id.
+        deadline_s: Owner's time when the phase must have ended.
+        started_s: Owner's time when it began to run.
+        stop_reason: Why it is being stopped.
+        checkpoint: Whether the stop takes checkpoints.
+    """
+
+    def __init__(self, *, request_id: str, number: int, placement: Iterable[str],
+                 guaranteed: bool, phase: Phase, now_s: float):
+        self.attempt_id = request.build_attempt_id(request_id, number)
+        self.number = number
+        self.placement = tuple(placement)
+        self.guaranteed = guaranteed
+        self.phase = phase
+        self.deadline_s = float("inf")
+        self.created_s = now_s
+        self.started_s = now_s
+        self.stop_reason: StopReason | None = None
+        self.checkpoint = False
+        initial = (MemberState.RECOVERING
+                   if phase is Phase.RECOVERING else MemberState.UNSENT)
+        self.members: dict[str, Member] = {}
+        for rank, worker_id in enumerate(self.placement):
+            member = self.members.get(worker_id)
+            if member is None:
+                member = Member(worker_id=worker_id, ranks=[], state=initial)
+                self.members[worker_id] = member
+            member.ranks.append(rank)
+
+    @property
+    def leader(self) -> Member:
+        """The member that holds rank 0 and gives the answer."""
+        return self.members[self.placement[0]]
+
+    def all_in(self, *states: MemberState) -> bool:
+        """Tells whether each member is in one of the given states."""
+        return all(member.state in states for member in self.members.values())
+
+    def any_in(self, *states: MemberState) -> bool:
+        """Tells whether some member is in one of the given states."""
+        return any(member.state in states for member in self.members.values())
+
+    def judge_ran(self) -> request.Ran:
+        """Tells whether the attempt ran, once each member is resolved.
+
+        Returns:
+            NO only if every member is proved never to have started.
+        """
+        if self.all_in(MemberState.NEVER_STARTED):
+            return request.Ran.NO
+        if self.any_in(MemberState.STOPPED, MemberState.FINISHED,
+                       MemberState.FAILED):
+            return request.Ran.YES
+        return request.Ran.MAYBE
+
+
+RESOLVED = (MemberState.NEVER_STARTED, MemberState.STOPPED,
+            MemberState.FINISHED, MemberState.FAILED, MemberState.LOST)
+
+
+def combine_ran(first: request.Ran, second: request.Ran) -> request.Ran:
+    """Combines what two attempts prove about whether a request ran."""
+    for ran in (request.Ran.YES, request.Ran.MAYBE):
+        if ran in (first, second):
+            return ran
+    return request.Ran.NO
--- a/packages/core/src/trefoilroad_core/errors.py
+++ b/packages/core/src/trefoilroad_core/errors.py
@@ -92,6 +92,10 @@
     """The store gave no answer; a write may or may not have taken effect."""
 
 
+class StoreRefused(StoreError):
+    """A call to the store was not sent; nothing was written by it."""
+
+
 class CommitConflict(StoreError):
     """A condition of a commit did not hold; nothing was written.
 
--- /dev/null
+++ b/packages/core/src/trefoilroad_core/job.py
@@ -0,0 +1,86 @@
+"""A request that is not finished yet, as the owner sees it."""
+
+import enum
+from typing import Any
+
+from trefoilroad_core import attempt as attempts
+from trefoilroad_core import request
+
+
+class CommitKind(enum.Enum):
+    """What a commit on a request's row records."""
+
+    CLAIM = "claim"
+    RUNNING = "running"
+    REQUEUE = "requeue"
+    UNKNOWN = "unknown"
+    FINAL = "final"
+
+
+class PendingCommit:
+    """A commit that has no result yet.
+
+    Attributes:
+        commit_id: Identifier of the commit.
+        kind: What it records.
+        changes: Fields that it changes.
+        record: The row that it writes, with a unique token.
+        tries: Number of sends.
+        retry_s: Owner's time for the next send, infinite while one is open.
+    """
+
+    def __init__(self, *, commit_id: int, kind: CommitKind,
+                 changes: dict[str, Any], record: request.Record):
+        self.commit_id = commit_id
+        self.kind = kind
+        self.changes = changes
+        self.record = record
+        self.tries = 0
+        self.retry_s = float("inf")
+
+
+class Job:
+    """A request with its row, its attempt and its open commit.
+
+    Attributes:
+        record: The row as last known.
+        version: Version of the row.
+        received_s: Owner's time that its wait counts from.
+        not_before_s: Owner's time before which it is not tried again.
+        attempt: The attempt under way, or None while it waits.
+        commit: The commit under way, or None.
+        next_commit: Commit to begin once the one under way has a result.
+    """
+
+    def __init__(self, *, record: request.Record, version: int, now_s: float):
+        self.record = record
+        self.version = version
+        self.received_s = now_s - record["waited_s"]
+        self.not_before_s = float("-inf")
+        self.backoffs = 0
+        self.attempt: attempts.Attempt | None = None
+        self.commit: PendingCommit | None = None
+        self.next_commit: tuple[CommitKind, dict[str, Any]] | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request."""
+        return self.record["request_id"]
+
+    @property
+    def key(self) -> str:
+        """Key of the request's row."""
+        return f"request/{self.request_id}"
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the scheduler may start it."""
+        return self.attempt is None and self.commit is None
+
+    @property
+    def is_evictable(self) -> bool:
+        """Whether a running attempt may be stopped for guaranteed work."""
+        running = (self.attempt is not None and
+                   self.attempt.phase is attempts.Phase.RUNNING)
+        restartable = self.record["idempotent"] or self.record["checkpoint"]
+        return running and restartable
--- a/packages/core/src/trefoilroad_core/request.py
+++ b/packages/core/src/trefoilroad_core/request.py
@@ -94,8 +94,11 @@
         reason: Why the state is what it is, for the caller.
         cancel: Whether the caller asked to cancel it.
         attempt: Number of the latest attempt, 0 before the first.
+        tries: Attempts that count against the retry budget.
         epoch: Epoch of the owner that made the claim.
         placement: Worker of each task of the latest attempt.
+        boots: Boot id of each worker of the placement, when it reserved.
+        resume: Attempt whose checkpoint the next one continues, or None.
         guaranteed: Whether the latest attempt is inside its team's guarantee.
         answer: The answer of a completed request.
         token: Unique token of the latest write, to recognise it when its
@@ -123,8 +126,11 @@
     reason: str
     cancel: bool
     attempt: int
+    tries: int
     epoch: int
     placement: list[str]
+    boots: dict[str, str]
+    resume: str | None
     guaranteed: bool
     answer: AnswerReference | None
     token: str
--- /dev/null
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -0,0 +1,279 @@
+"""Links between nodes: websocket frames that hold CBOR maps.
+
+Each node dials every other node and sends on the link that it dialled; what
+it accepts is only read. A pair of nodes so needs no agreement on which of two
+links counts.
+"""
+
+from collections.abc import Callable
+import hmac
+import itertools
+from typing import Any
+
+import cbor2
+import circuits
+from circuits.net import events as net_events
+from circuits.net import sockets
+import structlog
+from websockets import client as ws_client
+from websockets import frames
+from websockets import http11
+from websockets import protocol
+from websockets import server as ws_server
+from websockets import uri as ws_uri
+
+from trefoilroad_core import errors
+from trefoilroad_node import timer
+
+MAX_MESSAGE_BYTES = 4 << 20
+CONNECT_TIMEOUT_S = 1.0
+REDIAL_INTERVAL_S = 1.0
+# A link that has been silent for longer is closed and dialled again; each
+# node sends a beat twice a second.
+SILENCE_LIMIT_S = 5.0
+
+_log = structlog.get_logger()
+
+Message = dict[str, Any]
+OnMessage = Callable[[Message], None]
+
+
+def decode_message(data: bytes) -> Message:
+    """Decodes a message of another node.
+
+    Args:
+        data: A CBOR map with a text under "type".
+
+    Returns:
+        The message.
+
+    Raises:
+        ProtocolError: If the data is something else.
+    """
+    try:
+        message = cbor2.loads(data)
+    except Exception as error:
+        raise errors.ProtocolError(f"not CBOR: {error}") from error
+    if not isinstance(message, dict) or not isinstance(
+            message.get("type"), str):
+        raise errors.ProtocolError("not a map with a type")
+    return message
+
+
+class Dialler(circuits.BaseComponent):
+    """The link that this node dialled to one other node."""
+
+    _serial = itertools.count()
+
+    def __init__(self, *, address: str, secret: str):
+        channel = f"dialler-{next(self._serial)}"
+        super().__init__(channel=channel)
+        self.address = address
+        self._secret = secret
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._protocol: ws_client.ClientProtocol | None = None
+        self._socket = sockets.TCPClient(channel=channel)
+        self._socket.connect_timeout = CONNECT_TIMEOUT_S
+        self._socket.register(self)
+        self._dialling = False
+        self.bytes_sent = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return (self._protocol is not None and
+                self._protocol.state is protocol.State.OPEN)
+
+    def dial(self) -> None:
+        """Connects, unless the link is up or being set up."""
+        if not self._socket.connected and not self._dialling:
+            self._dialling = True
+            self.fire(net_events.connect(self._host, self._port), self.channel)
+
+    def send(self, message: Message) -> bool:
+        """Sends a message.
+
+        Args:
+            message: The message.
+
+        Returns:
+            False if the link is down; the message is then dropped.
+        """
+        if not self.is_open or self._protocol is None:
+            return False
+        self._protocol.send_binary(cbor2.dumps(message))
+        self._flush()
+        return True
+
+    def _flush(self) -> None:
+        if self._protocol is None:
+            return
+        for data in self._protocol.data_to_send():
+            if data:
+                self.bytes_sent += len(data)
+                self.fire(net_events.write(data), self.channel)
+
+    @circuits.handler("connected")
+    def _on_connected(self, *_: Any) -> None:
+        self._dialling = False
+        target = ws_uri.parse_uri(f"ws://{self.address}/link")
+        self._protocol = ws_client.ClientProtocol(target)
+        request = self._protocol.connect()
+        request.headers["Authorization"] = f"Bearer {self._secret}"
+        self._protocol.send_request(request)
+        self._flush()
+
+    @circuits.handler("read")
+    def _on_read(self, data: bytes) -> None:
+        if self._protocol is not None:
+            self._protocol.receive_data(data)
+            self._protocol.events_received()
+            self._flush()
+
+    @circuits.handler("disconnected", "unreachable", "error")
+    def _on_down(self, *_: Any) -> None:
+        self._dialling = False
+        self._protocol = None
+
+
+class Acceptor(circuits.BaseComponent):
+    """Accepts links of other nodes and reads their messages."""
+
+    channel = "links"
+
+    def __init__(self, *, listen: str, secret: str, on_message: OnMessage,
+                 timers: timer.TimerService):
+        """Binds the address.
+
+        Args:
+            listen: "host:port".
+            secret: Secret that other nodes must show.
+            on_message: Gets each message.
+            timers: Closes silent links.
+        """
+        super().__init__()
+        host, _, port = listen.rpartition(":")
+        self._secret = secret
+        self._on_message = on_message
+        self._timers = timers
+        self._protocols: dict[Any, ws_server.ServerProtocol] = {}
+        self._last_read_s: dict[Any, float] = {}
+        self._server = sockets.TCPServer((host, int(port)),
+                                         channel=self.channel)
+        self._server.register(self)
+        self.bytes_received = 0
+        timers.call_every(SILENCE_LIMIT_S / 2, self._close_silent)
+
+    @property
+    def port(self) -> int:
+        """Port that was bound."""
+        return int(self._server.port)
+
+    @circuits.handler("connect")
+    def _on_connect(self, sock: Any, *_: Any) -> None:
+        self._protocols[sock] = ws_server.ServerProtocol(
+            max_size=MAX_MESSAGE_BYTES)
+        self._last_read_s[sock] = self._timers.read_clock()
+
+    @circuits.handler("disconnect")
+    def _on_disconnect(self, sock: Any) -> None:
+        self._protocols.pop(sock, None)
+        self._last_read_s.pop(sock, None)
+
+    @circuits.handler("read")
+    def _on_read(self, sock: Any, data: bytes) -> None:
+        link = self._protocols.get(sock)
+        if link is None:
+            return
+        self.bytes_received += len(data)
+        self._last_read_s[sock] = self._timers.read_clock()
+        link.receive_data(data)
+        for event in link.events_received():
+            self._take(link, event)
+        for out in link.data_to_send():
+            if out:
+                self.fire(net_events.write(sock, out), self.channel)
+            else:
+                self.fire(net_events.close(sock), self.channel)
+
+    def _take(self, link: ws_server.ServerProtocol, event: Any) -> None:
+        if isinstance(event, http11.Request):
+            self._take_handshake(link, event)
+        elif isinstance(event, frames.Frame) and event.opcode in (
+                frames.Opcode.BINARY, frames.Opcode.CONT):
+            self._take_frame(link, event)
+
+    def _take_handshake(self, link: ws_server.ServerProtocol,
+                        request: http11.Request) -> None:
+        shown = request.headers.get("Authorization", "")
+        expected = f"Bearer {self._secret}"
+        if hmac.compare_digest(shown.encode(), expected.encode()):
+            link.send_response(link.accept(request))
+        else:
+            link.send_response(link.reject(403, "wrong link secret\n"))
+
+    def _take_frame(self, link: ws_server.ServerProtocol,
+                    frame: frames.Frame) -> None:
+        if not frame.fin or frame.opcode is frames.Opcode.CONT:
+            link.fail(frames.CloseCode.UNSUPPORTED_DATA, "fragmented message")
+            return
+        try:
+            message = decode_message(bytes(frame.data))
+            self._on_message(message)
+        except (errors.ProtocolError, KeyError, TypeError, ValueError) as error:
+            _log.warning("malformed link message", error=repr(error))
+            link.fail(frames.CloseCode.INVALID_DATA, "malformed message")
+
+    def _close_silent(self) -> None:
+        now_s = self._timers.read_clock()
+        for sock, last_s in list(self._last_read_s.items()):
+            if now_s - last_s > SILENCE_LIMIT_S:
+                self.fire(net_events.close(sock), self.channel)
+
+
+class Links(circuits.BaseComponent):
+    """All links to the other nodes of the region."""
+
+    channel = "links-out"
+
+    def __init__(self, *, secret: str, timers: timer.TimerService):
+        super().__init__()
+        self._secret = secret
+        self._diallers: dict[str, Dialler] = {}
+        timers.call_every(REDIAL_INTERVAL_S, self._redial)
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent on all links so far."""
+        return sum(dialler.bytes_sent for dialler in self._diallers.values())
+
+    def set_addresses(self, addresses: set[str]) -> None:
+        """Dials new addresses and drops links to the others."""
+        for address in addresses - self._diallers.keys():
+            dialler = Dialler(address=address, secret=self._secret)
+            self._diallers[address] = dialler
+            dialler.register(self)
+            dialler.dial()
+        for address in self._diallers.keys() - addresses:
+            self._diallers.pop(address).unregister()
+
+    def is_open(self, address: str) -> bool:
+        """Tells whether messages can be sent to an address."""
+        dialler = self._diallers.get(address)
+        return dialler is not None and dialler.is_open
+
+    def send(self, address: str, message: Message) -> bool:
+        """Sends to one node; returns False if the link is down."""
+        dialler = self._diallers.get(address)
+        return dialler is not None and dialler.send(message)
+
+    def broadcast(self, message: Message) -> None:
+        """Sends to all nodes whose link is up."""
+        for dialler in self._diallers.values():
+            dialler.send(message)
+
+    def _redial(self) -> None:
+        for dialler in self._diallers.values():
+            dialler.dial()
--- /dev/null
+++ b/packages/node/src/trefoilroad_node/store.py
@@ -0,0 +1,234 @@
+"""Client of the platform's table service, object store and VM list."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import json
+import random
+from typing import Any, NamedTuple
+from urllib import parse
+
+from trefoilroad_core import backoff
+from trefoilroad_core import errors
+from trefoilroad_node import httpclient
+from trefoilroad_node import timer
+
+TIMEOUT_S = 2.0
+# After this many losses in a row the store gets a rest.
+BREAKER_LOSSES = 5
+BREAKER_BASE_S = 0.25
+BREAKER_MAX_S = 5.0
+
+
+class Row(NamedTuple):
+    """One row of the table service.
+
+    Attributes:
+        key: Key of the row.
+        version: Version of the commit that wrote it, 0 if absent.
+        value: Decoded value, None if absent.
+    """
+
+    key: str
+    version: int
+    value: Any
+
+
+class Rows(NamedTuple):
+    """Rows that changed, and the version up to which they are complete."""
+
+    version: int
+    rows: list[Row]
+
+
+class Breaker:
+    """Stops calls to a store that does not answer, for a jittered time.
+
+    Without it, every node would add its waiting calls to the load that keeps
+    the store from coming back.
+    """
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self._losses = 0
+        self._closed_until_s = float("-inf")
+
+    def allows(self, now_s: float) -> bool:
+        """Tells whether a call may be made now."""
+        if now_s < self._closed_until_s:
+            return False
+        if self._losses >= BREAKER_LOSSES:
+            # One call probes the store; the others wait for its result.
+            self._rest(now_s)
+        return True
+
+    def note_success(self) -> None:
+        """Takes note of an answer."""
+        self._losses = 0
+        self._closed_until_s = float("-inf")
+
+    def note_loss(self, now_s: float) -> None:
+        """Takes note of a call without an answer."""
+        self._losses += 1
+        if self._losses >= BREAKER_LOSSES:
+            self._rest(now_s)
+
+    def _rest(self, now_s: float) -> None:
+        self._closed_until_s = now_s + backoff.compute_delay(
+            tries=self._losses - BREAKER_LOSSES + 1,
+            base_s=BREAKER_BASE_S,
+            max_s=BREAKER_MAX_S,
+            rng=self._rng)
+
+
+OnValue = Callable[[Any], None]
+
+
+class Store:
+    """Calls the platform's services.
+
+    Each method takes `on_done`, which gets the value, or an instance of
+    CommitConflict (nothing was written), StoreRefused (nothing was sent) or
+    StoreUnavailable (a write may have taken effect).
+    """
+
+    def __init__(self, *, address: str, client: httpclient.HttpClient,
+                 timers: timer.TimerService, rng: random.Random):
+        self._address = address
+        self._client = client
+        self._timers = timers
+        self._breaker = Breaker(rng=rng)
+        self.reads = 0
+        self.writes = 0
+
+    def commit(self, conditions: Mapping[str, int], writes: Mapping[str, Any],
+               on_done: OnValue) -> None:
+        """Writes rows if every condition holds.
+
+        Args:
+            conditions: Required version by key, 0 for absent.
+            writes: New value by key, None to delete.
+            on_done: Gets the version of the commit, or an error.
+        """
+        self.writes += 1
+        body = {
+            "conditions": [{
+                "key": key,
+                "version": version
+            } for key, version in conditions.items()],
+            "writes": [{
+                "key": key,
+                "value": value
+            } for key, value in writes.items()]
+        }
+        self._call("POST", "/v1/commit",
+                   json.dumps(body).encode(), lambda reply: on_done(
+                       _read_commit(reply)))
+
+    def read_row(self, key: str, on_done: OnValue) -> None:
+        """Reads one row; `on_done` gets a Row or an error."""
+        self.reads += 1
+        self._call(
+            "GET", f"/v1/row?key={parse.quote(key, safe='')}", b"", lambda
+            reply: on_done(_decode(reply, lambda body: _read_row(body, key))))
+
+    def read_rows(self, prefix: str, since: int, on_done: OnValue) -> None:
+        """Reads rows that changed; `on_done` gets Rows or an error."""
+        self.reads += 1
+        query = parse.urlencode({"prefix": prefix, "since": since})
+        self._call("GET", f"/v1/rows?{query}", b"",
+                   lambda reply: on_done(_decode(reply, _read_rows)))
+
+    def list_vms(self, on_done: OnValue) -> None:
+        """Reads the VM list; `on_done` gets the entries or an error."""
+        self.reads += 1
+        self._call(
+            "GET", "/v1/vms", b"", lambda reply: on_done(
+                _decode(reply, lambda body: body["vms"])))
+
+    def put_object(self, key: str, data: bytes, on_done: OnValue) -> None:
+        """Stores an object; `on_done` gets its key or an error."""
+        self.writes += 1
+        self._call("PUT", f"/v1/objects/{parse.quote(key)}", data,
+                   lambda reply: on_done(_decode(reply, lambda _: key)))
+
+    def get_object(self, key: str, on_done: OnValue) -> None:
+        """Reads an object; `on_done` gets bytes, None if absent, or an error."""
+        self.reads += 1
+        self._call("GET", f"/v1/objects/{parse.quote(key)}", b"",
+                   lambda reply: on_done(_read_object(reply)))
+
+    def _call(self, method: str, path: str, body: bytes,
+              on_reply: Callable[[httpclient.Reply | Exception], None]) -> None:
+        if not self._breaker.allows(self._timers.read_clock()):
+            error = errors.StoreRefused("the store does not answer")
+            self._timers.call_later(0, lambda: on_reply(error))
+            return
+
+        def take(result: httpclient.Reply | httpclient.Lost) -> None:
+            on_reply(self._judge(result))
+
+        self._client.send(address=self._address,
+                          method=method,
+                          path=path,
+                          body=body,
+                          timeout_s=TIMEOUT_S,
+                          on_done=take)
+
+    def _judge(
+        self, result: httpclient.Reply | httpclient.Lost
+    ) -> httpclient.Reply | Exception:
+        if isinstance(result, httpclient.Lost):
+            self._breaker.note_loss(self._timers.read_clock())
+            if result.sent:
+                return errors.StoreUnavailable(result.reason)
+            return errors.StoreRefused(result.reason)
+        if result.status >= 500:
+            self._breaker.note_loss(self._timers.read_clock())
+            return errors.StoreUnavailable(f"status {result.status}")
+        self._breaker.note_success()
+        return result
+
+
+def _decode(reply: httpclient.Reply | Exception,
+            read: Callable[[Any], Any]) -> Any:
+    if isinstance(reply, Exception):
+        return reply
+    if reply.status != 200:
+        return errors.StoreUnavailable(f"status {reply.status}")
+    try:
+        return read(json.loads(reply.body))
+    except (ValueError, KeyError, TypeError) as error:
+        return errors.StoreUnavailable(f"malformed answer: {error!r}")
+
+
+def _read_commit(reply: httpclient.Reply | Exception) -> Any:
+    if isinstance(reply, httpclient.Reply) and reply.status == 409:
+        conflict = _decode(
+            reply._replace(status=200), lambda body:
+            {item["key"]: item["version"] for item in body["conflicts"]})
+        if isinstance(conflict, Exception):
+            return conflict
+        return errors.CommitConflict(conflict)
+    return _decode(reply, lambda body: int(body["version"]))
+
+
+def _read_row(body: Any, key: str) -> Row:
+    return Row(key=key, version=int(body["version"]), value=body["value"])
+
+
+def _read_rows(body: Any) -> Rows:
+    rows = [
+        Row(key=row["key"], version=int(row["version"]), value=row["value"])
+        for row in body["rows"]
+    ]
+    return Rows(version=int(body["version"]), rows=rows)
+
+
+def _read_object(reply: httpclient.Reply | Exception) -> Any:
+    if isinstance(reply, Exception):
+        return reply
+    if reply.status == 404:
+        return None
+    if reply.status != 200:
+        return errors.StoreUnavailable(f"status {reply.status}")
+    return reply.body
--- /dev/null
+++ b/packages/node/src/trefoilroad_node/timer.py
@@ -0,0 +1,95 @@
+"""The timer service: calls at points of the monotonic clock.
+
+The library's own timer follows the wall clock, which operators and time
+synchronisation may set back.
+"""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+import time
+
+import circuits
+
+Callback = Callable[[], None]
+
+
+class Subscription:
+    """A call that will be made, once or again and again."""
+
+    def __init__(self, *, callback: Callback, interval_s: float | None):
+        self.callback = callback
+        self.interval_s = interval_s
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Makes no further call."""
+        self.cancelled = True
+
+
+class TimerService(circuits.BaseComponent):
+    """Lets components subscribe to points in time."""
+
+    channel = "timer"
+
+    def __init__(self, *, rng: random.Random):
+        super().__init__()
+        self._rng = rng
+        self._serial = itertools.count()
+        self._heap: list[tuple[float, int, Subscription]] = []
+
+    def read_clock(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return time.monotonic()
+
+    def call_later(self, delay_s: float, callback: Callback) -> Subscription:
+        """Calls once.
+
+        Args:
+            delay_s: Delay in seconds.
+            callback: What to call.
+
+        Returns:
+            The subscription.
+        """
+        subscription = Subscription(callback=callback, interval_s=None)
+        self._push(self.read_clock() + delay_s, subscription)
+        return subscription
+
+    def call_every(self, interval_s: float, callback: Callback) -> Subscription:
+        """Calls again and again, first after a random part of the interval.
+
+        The random start keeps nodes that began together from acting together.
+
+        Args:
+            interval_s: Time between two calls in seconds.
+            callback: What to call.
+
+        Returns:
+            The subscription.
+        """
+        subscription = Subscription(callback=callback, interval_s=interval_s)
+        delay_s = interval_s * self._rng.random()
+        self._push(self.read_clock() + delay_s, subscription)
+        return subscription
+
+    def _push(self, due_s: float, subscription: Subscription) -> None:
+        heapq.heappush(self._heap, (due_s, next(self._serial), subscription))
+
+    @circuits.handler("generate_events")
+    def _on_generate_events(self, event: circuits.Event) -> None:
+        now_s = self.read_clock()
+        while self._heap and self._heap[0][0] <= now_s:
+            _, _, subscription = heapq.heappop(self._heap)
+            self._run(subscription, now_s)
+            event.reduce_time_left(0)
+        if self._heap:
+            event.reduce_time_left(max(0.0, self._heap[0][0] - now_s))
+
+    def _run(self, subscription: Subscription, now_s: float) -> None:
+        if subscription.cancelled:
+            return
+        if subscription.interval_s is not None:
+            self._push(now_s + subscription.interval_s, subscription)
+        subscription.callback()
