--- /dev/null
+++ b/packages/core/src/trefoilroad_core/accounting.py
@@ -0,0 +1,182 @@
+"""Charges of gangs to their teams and estimates of when gangs end."""
+
+from typing import NamedTuple
+
+from trefoilroad_core import estimate
+from trefoilroad_core import fleet as fleet_module
+from trefoilroad_core import placement
+from trefoilroad_core import queue
+from trefoilroad_core import request
+from trefoilroad_core import snapshot
+
+
+class _Charge(NamedTuple):
+    """What a gang is charged.
+
+    Attributes:
+        team: Team that is charged.
+        caller: Caller that is charged.
+        template: Name of the gang's template.
+        rate: Charge for one second.
+        started_s: When it was started, in seconds.
+        declared_s: Declared run time in seconds.
+        charged_s: Run time charged so far, in seconds.
+    """
+
+    team: str
+    caller: str
+    template: str
+    rate: float
+    started_s: float
+    declared_s: float
+    charged_s: float
+
+
+class Accounting:
+    """Charges gangs at their start by estimated use, and by real use later.
+
+    The charge is the dominant share of the fleet (Ghodsi et al., "Dominant
+    Resource Fairness", NSDI 2011) for the run time, expressed in accelerator
+    seconds, so that tasks without accelerators are charged as well.
+    """
+
+    def __init__(self, *, order: queue.QueueOrder,
+                 estimator: estimate.Estimator):
+        self._order = order
+        self._estimator = estimator
+        self._charges: dict[str, _Charge] = {}
+        self._fleet: fleet_module.Fleet | None = None
+        self._prices: list[float] = []
+        self._rates: dict[request.Shape, float] = {}
+
+    def update(self, state: snapshot.Snapshot) -> None:
+        """Follows the fleet and the running gangs."""
+        if state.fleet is not self._fleet:
+            self._fleet = state.fleet
+            self._prices = _compute_prices(state.fleet)
+            self._rates = {}
+        running = set()
+        for item in state.running:
+            running.add(item.request_id)
+            charge = self._charges.get(item.request_id)
+            if charge is None:
+                self._adopt(item, state)
+            elif state.now_s - charge.started_s >= charge.charged_s:
+                self._extend(item.request_id, charge, state.now_s)
+        for request_id in self._charges.keys() - running:
+            elapsed = state.now_s - self._charges[request_id].started_s
+            self._settle(request_id, elapsed)
+
+    def _adopt(self, item: snapshot.Running, state: snapshot.Snapshot) -> None:
+        """Charges a gang that another owner started."""
+        declared_s = item.declared_s
+        if declared_s is None:
+            template = state.configuration.templates.get(item.template)
+            declared_s = template.declared_s if template else 0.0
+        charge = self._build(item, declared_s, item.started_s)
+        self._charges[item.request_id] = charge
+        self._order.charge(charge.team,
+                           charge.caller,
+                           charge.rate * charge.charged_s,
+                           lent=False)
+        if state.now_s - charge.started_s >= charge.charged_s:
+            self._extend(item.request_id, charge, state.now_s)
+
+    def _build(self, item: snapshot.Pending | snapshot.Running,
+               declared_s: float, started_s: float) -> _Charge:
+        estimated_s = self._estimator.estimate(item.team, item.template,
+                                               declared_s)
+        return _Charge(item.team, item.caller, item.template,
+                       self.compute_rate(item.shape), started_s, declared_s,
+                       estimated_s)
+
+    def _extend(self, request_id: str, charge: _Charge, now_s: float) -> None:
+        """Charges a gang that runs longer than estimated for longer.
+
+        Doubling moves the estimated end of a gang seldom, so that plans based
+        on it stay stable between rounds.
+        """
+        charged_s = charge.charged_s
+        while charged_s <= now_s - charge.started_s:
+            charged_s *= 2
+        self._order.charge(charge.team,
+                           charge.caller,
+                           charge.rate * (charged_s - charge.charged_s),
+                           lent=False)
+        self._charges[request_id] = charge._replace(charged_s=charged_s)
+
+    def _settle(self, request_id: str, ran_s: float) -> _Charge:
+        charge = self._charges.pop(request_id)
+        self._order.charge(charge.team,
+                           charge.caller,
+                           charge.rate * (ran_s - charge.charged_s),
+                           lent=False)
+        return charge
+
+    def record_start(self, item: snapshot.Pending, now_s: float, *,
+                     lent: bool) -> None:
+        """Charges a start by its estimated use.
+
+        Args:
+            item: The request that starts.
+            now_s: Current time in seconds.
+            lent: Whether it starts in the fair order, beyond its guarantee.
+        """
+        charge = self._build(item, item.declared_s, now_s)
+        self._charges[item.request_id] = charge
+        self._order.charge(charge.team,
+                           charge.caller,
+                           charge.rate * charge.charged_s,
+                           lent=lent)
+
+    def record_end(self, request_id: str, *, ran_s: float,
+                   completed: bool) -> None:
+        """Corrects a charge by the real use, and learns from it.
+
+        Args:
+            request_id: The request whose gang ended; unknown ones are ignored.
+            ran_s: Real run time in seconds.
+            completed: Whether the gang completed, so that its run time tells
+                about later ones.
+        """
+        if request_id not in self._charges:
+            return
+        charge = self._settle(request_id, ran_s)
+        if completed:
+            self._estimator.observe(charge.team, charge.template,
+                                    charge.declared_s, ran_s)
+
+    def compute_rate(self, shape: request.Shape) -> float:
+        """Computes the charge for one second of a shape."""
+        rate = self._rates.get(shape)
+        if rate is None:
+            need = placement.get_need(shape)
+            rate = shape.tasks * max(
+                amount * price
+                for amount, price in zip(need, self._prices, strict=True))
+            self._rates[shape] = rate
+        return rate
+
+    def estimate_s(self, item: snapshot.Pending) -> float:
+        """Estimates the run time of a waiting request, in seconds."""
+        return self._estimator.estimate(item.team, item.template,
+                                        item.declared_s)
+
+    def compute_cost(self, item: snapshot.Pending) -> float:
+        """Computes the charge of a waiting request, in accelerator seconds."""
+        return self.compute_rate(item.shape) * self.estimate_s(item)
+
+    def estimate_end_s(self, item: snapshot.Running) -> float:
+        """Estimates when a running gang ends, in seconds, always later."""
+        charge = self._charges[item.request_id]
+        return charge.started_s + charge.charged_s
+
+
+def _compute_prices(fleet: fleet_module.Fleet) -> list[float]:
+    """Returns the accelerators that one unit of each resource is worth."""
+    rows = [(worker.accelerators, worker.cores, worker.memory_gb, worker.slots,
+             worker.connections) for worker in fleet.workers.values()]
+    totals = [sum(column) for column in zip(*rows, strict=True)]
+    totals = totals or [0] * len(placement.RESOURCES)
+    accelerators = totals[placement.ACCELERATORS] or 1
+    return [accelerators / total if total else 0.0 for total in totals]
