--- a/packages/core/src/trefoilroad_core/errors.py
+++ b/packages/core/src/trefoilroad_core/errors.py
@@ -110,3 +110,88 @@
 
 class AnswerCorrupt(TrefoilroadError):
     """An answer's length or digest differs from the one on record."""
+
+
+class ClientError(TrefoilroadError):
+    """A call to a node did not do what was asked; the text says what to do."""
+
+
+class SettingsError(ClientError):
+    """Nodes or token of the client are absent or invalid."""
+
+
+class AccessRefused(ClientError):
+    """The token is not valid, or does not allow the call."""
+
+
+class NotFound(ClientError):
+    """What the call names does not exist, or belongs to another team."""
+
+
+class CallRefused(ClientError):
+    """A node found the call invalid; repeating it unchanged is of no use."""
+
+
+class KeyReused(ClientError):
+    """The idempotency key belongs to a request with another body."""
+
+
+class NotRun(ClientError):
+    """The request was not recorded and did not run.
+
+    Attributes:
+        key: Idempotency key of the request.
+        retry_after_s: Least time until the next try in seconds, 0 if the
+            node named none.
+    """
+
+    def __init__(self, message: str, *, key: str, retry_after_s: float = 0.0):
+        super().__init__(message)
+        self.key = key
+        self.retry_after_s = retry_after_s
+
+
+class OutcomeUnknown(ClientError):
+    """A call may or may not have taken effect.
+
+    Attributes:
+        key: Idempotency key to repeat a request with; empty for other calls.
+    """
+
+    def __init__(self, message: str, *, key: str = ""):
+        super().__init__(message)
+        self.key = key
+
+
+class Unavailable(ClientError):
+    """No node answered within the time and retry limits."""
+
+
+class NotCompleted(ClientError):
+    """The request has no answer.
+
+    Attributes:
+        state: State of the request, empty if the node did not name it.
+    """
+
+    def __init__(self, message: str, *, state: str):
+        super().__init__(message)
+        self.state = state
+
+
+class StillPending(ClientError):
+    """The outcome of a request was not final within the time to wait."""
+
+
+class VersionConflict(ClientError):
+    """The configuration changed after the version that a publish is based on.
+
+    Attributes:
+        keys: Keys that changed since.
+        version: Version in force, 0 if the node did not name it.
+    """
+
+    def __init__(self, message: str, *, keys: tuple[str, ...], version: int):
+        super().__init__(message)
+        self.keys = keys
+        self.version = version
