Count worker-side times from a clock reading that the sender knows

A command that is delayed in the network could renew a lease after its sender had counted the worker out. Each answer now names the worker's clock and each command refers to it, so that the owner knows an upper bound for every reservation and lease, whatever the delay. Comparing wall clocks was ruled out: no promise may depend on them.

--- a/packages/core/src/trefoilroad_core/attempt.py
+++ b/packages/core/src/trefoilroad_core/attempt.py
@@ -103,8 +103,9 @@
         checkpoint: Whether the stop takes checkpoints.
     """
 
-    def __init__(self, *, request_id: str, number: int, placement: Iterable[str],
-                 guaranteed: bool, phase: Phase, now_s: float):
+    def __init__(self, *, request_id: str, number: int,
+                 placement: Iterable[str], guaranteed: bool, phase: Phase,
+                 now_s: float):
         self.attempt_id = request.build_attempt_id(request_id, number)
         self.number = number
         self.placement = tuple(placement)
--- a/packages/core/src/trefoilroad_core/events.py
+++ b/packages/core/src/trefoilroad_core/events.py
@@ -1,6 +1,7 @@
 """Events that reach the owner and effects that it asks for."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from trefoilroad_core import contract
 from trefoilroad_core import fleet
--- a/packages/core/src/trefoilroad_core/limits.py
+++ b/packages/core/src/trefoilroad_core/limits.py
@@ -23,6 +23,9 @@
         sync_interval_s: Time between two syncs of one worker.
         sync_rate: Most syncs a second over all workers.
         suspect_s: Silence after which a worker gets no new work.
+        unlisted_s: Time for which a worker that has left the VM list still
+            counts as part of the fleet that a shape could fit; a lost rack
+            or failure domain comes back or is replaced in that time.
         round_interval_s: Longest time between two scheduling rounds.
         retry_s: First delay before a repeat; doubles, with jitter.
         max_retry_s: Longest delay before a repeat.
@@ -40,6 +43,7 @@
     sync_interval_s: float = 1.0
     sync_rate: float = 150.0
     suspect_s: float = 3.0
+    unlisted_s: float = 3600.0
     round_interval_s: float = 1.0
     retry_s: float = 0.25
     max_retry_s: float = 8.0
--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -5,6 +5,7 @@
 that the daemon, the replay and the tests drive the same code.
 """
 
+import collections
 from collections.abc import Callable
 import random
 from typing import Any
@@ -14,7 +15,6 @@
 from trefoilroad_core import contract
 from trefoilroad_core import events
 from trefoilroad_core import fleet
-from trefoilroad_core import health
 from trefoilroad_core import job as jobs
 from trefoilroad_core import limits
 from trefoilroad_core import request
@@ -44,7 +44,6 @@
                  epoch: int,
                  owner_version: int,
                  policy: scheduler.Scheduler,
-                 tracker: health.HealthTracker,
                  rng: random.Random,
                  now_s: float,
                  bounds: limits.Limits | None = None):
@@ -55,7 +54,6 @@
             epoch: Epoch of the takeover.
             owner_version: Version of the row `owner/<region>`.
             policy: Decides which requests start where.
-            tracker: Tells bad workers from bad requests.
             rng: Source of jitter and tokens.
             now_s: Owner's time in seconds.
             bounds: Time limits; the defaults if absent.
@@ -71,7 +69,6 @@
         self._owner_key = f"owner/{region}"
         self._owner_version = owner_version
         self._policy = policy
-        self._tracker = tracker
         self._rng = rng
         self._bounds = bounds or limits.Limits()
         self._taken_over_s = now_s
@@ -99,8 +96,7 @@
             events.Tick: self._tick,
         }
 
-    def handle(self, event: events.Event,
-               now_s: float) -> list[events.Effect]:
+    def handle(self, event: events.Event, now_s: float) -> list[events.Effect]:
         """Takes one event.
 
         Args:
@@ -135,6 +131,12 @@
             return f"is tried again in {delay_s:.1f} s: {job.record['reason']}"
         return self._policy.explain(request_id)
 
+    def count_waiting(self) -> dict[tuple[str, str], int]:
+        """Returns the number of waiting requests by team and caller."""
+        return collections.Counter((job.record["team"], job.record["caller"])
+                                   for job in self.jobs.values()
+                                   if job.attempt is None)
+
     # Rows and lists that were read.
 
     def _see_request(self, event: events.RequestSeen) -> None:
@@ -185,16 +187,18 @@
             self._cancel(job)
 
     def _see_workers(self, event: events.WorkersSeen) -> None:
-        self.links.update(event.workers)
-        self._fleet = fleet.Fleet(workers=event.workers)
+        self.links.update(event.workers, self._now_s)
         needed = {
-            worker_id for job in self.jobs.values()
-            if job.attempt is not None for worker_id in job.attempt.members
+            worker_id for job in self.jobs.values() if job.attempt is not None
+            for worker_id in job.attempt.members
         }
         self.links.discard([
             worker_id for worker_id, link in self.links.links.items()
-            if not link.listed and worker_id not in needed
+            if not link.listed and worker_id not in needed and self._now_s -
+            link.listed_s > self._bounds.unlisted_s
         ])
+        self._fleet = fleet.Fleet(
+            workers=[link.worker for link in self.links.links.values()])
         self._dirty = True
 
     def _see_configuration(self, event: events.ConfigurationSeen) -> None:
@@ -246,7 +250,7 @@
                           writes={job.key: commit.record}))
 
     def _find_commit(
-            self, commit_id: int
+        self, commit_id: int
     ) -> tuple[jobs.Job, jobs.PendingCommit] | tuple[None, None]:
         job = self.jobs.get(self._commits.get(commit_id, ""))
         if job is None or job.commit is None:
@@ -300,8 +304,7 @@
                 commit.record = self._build_row(job, commit.changes)
                 self._send_commit(job, commit)
 
-    def _abandon_claim(self, job: jobs.Job,
-                       commit: jobs.PendingCommit) -> None:
+    def _abandon_claim(self, job: jobs.Job, commit: jobs.PendingCommit) -> None:
         """Gives up a claim that was refused and so was not written."""
         self._commits.pop(commit.commit_id, None)
         job.commit = None
@@ -502,7 +505,8 @@
         attempt.phase = Phase.CLAIMING
         attempt.deadline_s = self._now_s + self._bounds.claim_timeout_s
         boots = {
-            member.worker_id: member.boot for member in attempt.members.values()
+            member.worker_id: member.boot
+            for member in attempt.members.values()
         }
         self._commit(
             job, CommitKind.CLAIM, {
@@ -519,8 +523,7 @@
         attempt.deadline_s = self._now_s + self._bounds.start_timeout_s
         for member in attempt.members.values():
             member.start_sent = True
-            member.basis_s = self.links.get_basis(member.worker_id,
-                                                  self._now_s)
+            member.basis_s = self.links.get_basis(member.worker_id, self._now_s)
             self._send_member(
                 job, attempt, member, "/v1/start", {
                     "lease_s": self._bounds.lease_s,
@@ -760,25 +763,22 @@
         elif task["state"] == "finished":
             member.state = MemberState.FINISHED
             member.answer = task["answer"]
-            self._note_health(job, member, True)
             if attempt.all_in(MemberState.FINISHED):
                 self._store_answer(job, attempt)
+        elif task["state"] == "failed" and task["error"] == "lease_lapsed":
+            self._stop(job, attempt, StopReason.MEMBER_LOST)
         elif task["state"] == "failed":
             member.state = MemberState.FAILED
             member.error = str(task.get("error", ""))
-            self._note_health(job, member, False)
             self._stop(job, attempt, StopReason.TASK_FAILED)
 
-    def _note_health(self, job: jobs.Job, member: attempts.Member,
-                     succeeded: bool) -> None:
-        self._tracker.note_result(worker_id=member.worker_id,
-                                  request_id=job.request_id,
-                                  succeeded=succeeded,
-                                  now_s=self._now_s)
-
     # Answers.
 
     def _store_answer(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        if attempt.phase is Phase.RUNNING:
+            self._policy.record_end(job.request_id,
+                                    ran_s=self._now_s - attempt.started_s,
+                                    completed=True)
         attempt.phase = Phase.STORING
         attempt.deadline_s = float("inf")
         self._storing[attempt.attempt_id] = job.request_id
@@ -913,6 +913,8 @@
     def _run_round(self) -> None:
         self._dirty = False
         self._last_round_s = self._now_s
+        if not self._fleet.workers:
+            return
         decisions = self._policy.decide(self._build_snapshot())
         for refusal in decisions.refusals:
             self._close_waiting(refusal.request_id, request.State.NOT_RUN,
@@ -944,18 +946,15 @@
     def _build_snapshot(self) -> scheduler.Snapshot:
         excluded = self.links.get_excluded(self._now_s)
         excluded |= self.configuration.drained
-        excluded |= self._tracker.get_quarantined(
-            now_s=self._now_s, fleet_size=len(self._fleet.workers))
-        pending = [
+        pending = tuple(
             self._describe_pending(job)
             for job in self.jobs.values()
-            if job.is_waiting and job.not_before_s <= self._now_s
-        ]
-        running = [
+            if job.is_waiting and job.not_before_s <= self._now_s)
+        running = tuple(
             self._describe_running(job, job.attempt)
             for job in self.jobs.values()
-            if job.attempt is not None and job.attempt.phase is not Phase.STORING
-        ]
+            if job.attempt is not None and
+            job.attempt.phase is not Phase.STORING)
         return scheduler.Snapshot(now_s=self._now_s,
                                   fleet=self._fleet,
                                   pending=pending,
@@ -995,4 +994,5 @@
                                  guaranteed=attempt.guaranteed,
                                  evictable=job.is_evictable and
                                  not attempt.guaranteed,
-                                 priority=record["priority"])
+                                 priority=record["priority"],
+                                 declared_s=record["declared_s"])
--- a/packages/core/src/trefoilroad_core/submission.py
+++ b/packages/core/src/trefoilroad_core/submission.py
@@ -6,6 +6,7 @@
 import json
 from typing import Any
 
+from trefoilroad_core import admission
 from trefoilroad_core import contract
 from trefoilroad_core import errors
 from trefoilroad_core import request
@@ -74,34 +75,58 @@
             f"{name!r} is not one of the team's templates {list(allowed)}"
         ) from error
     record: request.Record = {
-        "request_id": request.derive_request_id(team, key),
-        "team": team,
-        "caller": caller,
-        "template": str(name),
-        "body_sha256": hash_body(body),
-        "payload": body.get("payload"),
-        "shape": list(_read_shape(body, template.shape)),
-        "priority": template.priority,
-        "idempotent": template.idempotent,
-        "checkpoint": template.checkpoint,
-        "wait_s": _read_time(body, "wait_s", template.wait_s, template.wait_s),
-        "declared_s": _read_time(body, "declared_s", template.declared_s,
-                                 MAX_RUN_S),
-        "state": request.State.QUEUED,
-        "ran": request.Ran.NO,
-        "reason": "",
-        "cancel": False,
-        "attempt": 0,
-        "tries": 0,
-        "epoch": 0,
+        "request_id":
+            request.derive_request_id(team, key),
+        "team":
+            team,
+        "caller":
+            caller,
+        "template":
+            str(name),
+        "body_sha256":
+            hash_body(body),
+        "payload":
+            body.get("payload"),
+        "shape":
+            list(_read_shape(body, template.shape)),
+        "priority":
+            template.priority,
+        "idempotent":
+            template.idempotent,
+        "checkpoint":
+            template.checkpoint,
+        "wait_s":
+            _read_time(body, "wait_s", template.wait_s, template.wait_s),
+        "declared_s":
+            _read_time(body, "declared_s", template.declared_s, MAX_RUN_S),
+        "state":
+            request.State.QUEUED,
+        "ran":
+            request.Ran.NO,
+        "reason":
+            "",
+        "cancel":
+            False,
+        "attempt":
+            0,
+        "tries":
+            0,
+        "epoch":
+            0,
         "placement": [],
         "boots": {},
-        "resume": None,
-        "guaranteed": False,
-        "answer": None,
-        "token": token,
-        "submitted_at": now,
-        "waited_s": 0.0
+        "resume":
+            None,
+        "guaranteed":
+            False,
+        "answer":
+            None,
+        "token":
+            token,
+        "submitted_at":
+            now,
+        "waited_s":
+            0.0
     }
     return record
 
@@ -227,9 +252,5 @@
         caller = counts[record["team"], record["caller"]]
         total = sum(
             count for (name, _), count in counts.items() if name == team.name)
-        if total >= team.max_queued:
-            return f"team {team.name} has {total} requests waiting already"
-        if caller >= team.max_queued_per_caller:
-            return (f"caller {record['caller']!r} has {caller} requests "
-                    "waiting already")
-        return None
+        return admission.check(team, record["caller"],
+                               admission.Counts(team=total, caller=caller))
--- a/packages/core/src/trefoilroad_core/workerlinks.py
+++ b/packages/core/src/trefoilroad_core/workerlinks.py
@@ -1,7 +1,8 @@
 """The owner's view of each worker: reachability, boot id, open commands."""
 
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from trefoilroad_core import events
 from trefoilroad_core import fleet
@@ -32,6 +33,7 @@
     Attributes:
         worker: Latest entry of the VM list.
         listed: Whether the VM list still names the worker.
+        listed_s: Owner's time when the VM list named it last.
         leaving: Whether the worker itself said that it is leaving.
         boot: Boot id of the latest answer, or None.
         clock_s: Worker's clock in the latest answer, or None.
@@ -44,6 +46,7 @@
     def __init__(self, *, worker: fleet.Worker):
         self.worker = worker
         self.listed = True
+        self.listed_s = float("-inf")
         self.leaving = False
         self.boot: str | None = None
         self.clock_s: float | None = None
@@ -74,16 +77,16 @@
         self._open: dict[int, OpenCommand] = {}
         self.links: dict[str, WorkerLink] = {}
 
-    def update(self, workers: Iterable[fleet.Worker]) -> None:
+    def update(self, workers: Iterable[fleet.Worker], now_s: float) -> None:
         """Takes over a new reading of the VM list."""
         listed = {worker.worker_id: worker for worker in workers}
         for worker_id, worker in listed.items():
             link = self.links.get(worker_id)
             if link is None:
-                self.links[worker_id] = WorkerLink(worker=worker)
-                continue
+                link = WorkerLink(worker=worker)
+                self.links[worker_id] = link
             link.worker = worker
-            link.listed = True
+            link.listed_s = now_s
         for worker_id, link in self.links.items():
             link.listed = worker_id in listed
 
--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -5,7 +5,8 @@
 import hmac
 import json
 import re
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import circuits
 from circuits.web import events as web_events
@@ -121,8 +122,8 @@
         return int(self._server.port)
 
     @circuits.handler("request", priority=10)
-    def _on_request(self, event: Any, request: Any, response: Any,
-                    *_: Any) -> bool:
+    def _on_request(self, event: Any, request: Any, response: Any, *_:
+                    Any) -> bool:
         event.stop()
         self.open_requests += 1
         sent = False
@@ -173,9 +174,9 @@
             return
         if self.open_requests > self._max_open:
             respond(
-                Response(503, {
-                    **edges.describe_refusal("the node is overloaded")
-                }, {"Retry-After": "1"}))
+                Response(503,
+                         {**edges.describe_refusal("the node is overloaded")},
+                         {"Retry-After": "1"}))
             return
         identity = self._authenticate(request)
         if identity is None:
@@ -205,8 +206,7 @@
             respond(Response(403, {"error": "needs the token of a team"}))
         elif kind == "status":
             respond(Response(200, self._actions.describe_node()))
-        elif kind in ("config", "audit",
-                      "workers") and call.identity.operator:
+        elif kind in ("config", "audit", "workers") and call.identity.operator:
             self._route_operator(call, respond)
         elif kind in ("config", "audit", "workers"):
             respond(Response(403, {"error": "needs the token of an operator"}))
@@ -269,8 +269,7 @@
             else:
                 self._actions.publish(who, body, respond)
         elif call.parts == ("audit",) and call.method == "GET":
-            self._actions.show_audit(str(call.query.get("since", "0")),
-                                     respond)
+            self._actions.show_audit(str(call.query.get("since", "0")), respond)
         elif (len(call.parts) == 3 and call.method == "POST" and
               call.parts[2] in ("drain", "undrain") and
               _WORKER_ID.fullmatch(call.parts[1])):
--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -63,11 +63,10 @@
                                    rng=rng)
         self._links = node_links.Links(secret=settings.link_secret,
                                        timers=self._timers).register(self)
-        self._acceptor = node_links.Acceptor(
-            listen=settings.link,
-            secret=settings.link_secret,
-            on_message=self._take_message,
-            timers=self._timers).register(self)
+        self._acceptor = node_links.Acceptor(listen=settings.link,
+                                             secret=settings.link_secret,
+                                             on_message=self._take_message,
+                                             timers=self._timers).register(self)
         self._link_address = _with_port(settings.link, self._acceptor.port)
         self._counts = submission.QueueCounts()
         self._edge = edges.Edge(store=self._store,
@@ -90,15 +89,14 @@
             rng=rng,
             on_change=self._take_configuration)
         self._edge.refresh_configuration = self._publication.refresh
-        self._ownership = owners.Ownership(
-            region=settings.region,
-            node_id=settings.node_id,
-            link=self._link_address,
-            store=self._store,
-            timers=self._timers,
-            rng=rng,
-            on_gain=self._region.begin,
-            on_loss=lambda _: self._region.end())
+        self._ownership = owners.Ownership(region=settings.region,
+                                           node_id=settings.node_id,
+                                           link=self._link_address,
+                                           store=self._store,
+                                           timers=self._timers,
+                                           rng=rng,
+                                           on_gain=self._region.begin,
+                                           on_loss=lambda _: self._region.end())
         self._membership = members.Membership(
             node_id=settings.node_id,
             link=self._link_address,
@@ -184,10 +182,8 @@
         if core is not None:
             counts = core.count_waiting()
             self._counts.announce(counts)
-            message["waiting"] = [
-                [team, caller, count]
-                for (team, caller), count in counts.items()
-            ]
+            message["waiting"] = [[team, caller, count]
+                                  for (team, caller), count in counts.items()]
         self._links.broadcast(message)
 
     def _take_message(self, message: node_links.Message) -> None:
@@ -222,8 +218,7 @@
 
     # Explanations, which only the owner can give.
 
-    def _ask_owner(self, request_id: str,
-                   take: Callable[[str], None]) -> None:
+    def _ask_owner(self, request_id: str, take: Callable[[str], None]) -> None:
         if self._region.core is not None:
             take(self._explain(request_id))
             return
--- a/packages/node/src/trefoilroad_node/edge.py
+++ b/packages/node/src/trefoilroad_node/edge.py
@@ -7,7 +7,8 @@
 from collections.abc import Mapping
 import random
 import time
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import structlog
 
@@ -148,8 +149,9 @@
         reason = self._counts.check(self.configuration, record)
         if reason is not None:
             self._metrics.count("edge.refused")
-            self._answer_repeat_or(record, Response(
-                429, describe_refusal(reason)), respond)
+            self._answer_repeat_or(record,
+                                   Response(429, describe_refusal(reason)),
+                                   respond)
             return
         self._send(
             Submission(record=record,
@@ -179,7 +181,7 @@
         key = PREFIX + item.record["request_id"]
         conditions = {key: 0, CONFIG_KEY: self.published.row_version}
         self.store.commit(conditions, {key: item.record},
-                           lambda result: self._take_commit(item, result))
+                          lambda result: self._take_commit(item, result))
 
     def _take_commit(self, item: Submission, result: Any) -> None:
         key = PREFIX + item.record["request_id"]
@@ -250,8 +252,7 @@
             item.respond(
                 Response(503, describe_refusal("the store does not answer")))
 
-    def call_after_backoff(self, tries: int, call: Callable[[],
-                                                            None]) -> None:
+    def call_after_backoff(self, tries: int, call: Callable[[], None]) -> None:
         """Calls after a jittered delay that grows with the tries so far."""
         delay_s = backoff.compute_delay(tries=tries,
                                         base_s=RETRY_BASE_S,
@@ -281,8 +282,8 @@
     def show(self, team: str, request_id: str, respond: Respond) -> None:
         """Responds with the status of a request."""
         self._with_record(
-            team, request_id, respond, lambda record, _: respond(
-                Response(200, describe_record(record))))
+            team, request_id, respond,
+            lambda record, _: respond(Response(200, describe_record(record))))
 
     def list_requests(self, team: str, respond: Respond) -> None:
         """Responds with the requests of a team."""
@@ -363,7 +364,10 @@
         else:
             # The token stays: it marks the owner's latest write, which the
             # owner must be able to recognise.
-            self._write({**result.value, "cancel": True}, result.version)
+            changed: request.Record = dict(
+                result.value)  # type: ignore[assignment]
+            changed["cancel"] = True
+            self._write(changed, result.version)
 
     def _write(self, record: request.Record, version: int) -> None:
         key = PREFIX + self._request_id
@@ -407,5 +411,3 @@
             "X-Answer-Length": str(reference["length"]),
             "X-Answer-Sha256": reference["sha256"]
         })
-
-
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import itertools
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import circuits
 from circuits.net import events as net_events
@@ -69,8 +70,7 @@
 
     _serial = itertools.count()
 
-    def __init__(self, *, host: str, port: int,
-                 on_idle: Callable[["Connection"], None]):
+    def __init__(self, *, host: str, port: int, on_idle: Callable[[], Any]):
         channel = f"httpclient-{next(self._serial)}"
         super().__init__(channel=channel)
         self._host = host
@@ -153,7 +153,7 @@
     def _finish(self, result: Reply | Lost) -> None:
         exchange = self._exchange
         self._exchange = None
-        self._on_idle(self)
+        self._on_idle()
         if exchange is not None:
             exchange.end(result)
 
@@ -186,14 +186,8 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
-    def send(self,
-             *,
-             address: str,
-             method: str,
-             path: str,
-             body: bytes,
-             timeout_s: float,
-             on_done: OnDone) -> None:
+    def send(self, *, address: str, method: str, path: str, body: bytes,
+             timeout_s: float, on_done: OnDone) -> None:
         """Sends a request.
 
         Args:
@@ -247,7 +241,7 @@
         host, _, port = address.rpartition(":")
         connection = Connection(host=host,
                                 port=int(port),
-                                on_idle=lambda _: self._timers.call_later(
+                                on_idle=lambda: self._timers.call_later(
                                     0, lambda: self._pump(address, peer)))
         connection.register(self)
         peer.connections.append(connection)
--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -54,8 +54,8 @@
         message = cbor2.loads(data)
     except Exception as error:
         raise errors.ProtocolError(f"not CBOR: {error}") from error
-    if not isinstance(message, dict) or not isinstance(
-            message.get("type"), str):
+    if not isinstance(message, dict) or not isinstance(message.get("type"),
+                                                       str):
         raise errors.ProtocolError("not a map with a type")
     return message
 
@@ -201,8 +201,9 @@
     def _take(self, link: ws_server.ServerProtocol, event: Any) -> None:
         if isinstance(event, http11.Request):
             self._take_handshake(link, event)
-        elif isinstance(event, frames.Frame) and event.opcode in (
-                frames.Opcode.BINARY, frames.Opcode.CONT):
+        elif isinstance(event,
+                        frames.Frame) and event.opcode in (frames.Opcode.BINARY,
+                                                           frames.Opcode.CONT):
             self._take_frame(link, event)
 
     def _take_handshake(self, link: ws_server.ServerProtocol,
--- a/packages/node/src/trefoilroad_node/logs.py
+++ b/packages/node/src/trefoilroad_node/logs.py
@@ -17,14 +17,14 @@
     renderer: structlog.types.Processor = structlog.processors.JSONRenderer()
     if log_format == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=False)
-    structlog.configure(processors=[
-        structlog.contextvars.merge_contextvars,
-        structlog.processors.add_log_level,
-        structlog.processors.TimeStamper(fmt="iso", utc=True),
-        structlog.processors.format_exc_info, renderer
-    ],
-                        wrapper_class=structlog.make_filtering_bound_logger(
-                            logging.getLevelNamesMapping()[level.upper()]),
-                        logger_factory=structlog.PrintLoggerFactory(
-                            file=sys.stderr))
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info, renderer
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr))
     structlog.contextvars.bind_contextvars(node=node_id)
--- a/packages/node/src/trefoilroad_node/operations.py
+++ b/packages/node/src/trefoilroad_node/operations.py
@@ -156,9 +156,11 @@
             if not isinstance(result, stores.Rows):
                 respond(Response(503, {"error": "the store does not answer"}))
                 return
-            entries = sorted((row.value for row in result.rows if row.value and
-                              row.value["version"] > int(since)),
-                             key=lambda entry: entry["version"])
+            entries = sorted(
+                (row.value
+                 for row in result.rows
+                 if row.value and row.value["version"] > int(since)),
+                key=lambda entry: entry["version"])
             respond(Response(200, {"audit": entries}))
 
         self._store.read_rows(AUDIT_PREFIX, 0, take)
--- a/packages/node/src/trefoilroad_node/ownership.py
+++ b/packages/node/src/trefoilroad_node/ownership.py
@@ -9,7 +9,8 @@
 
 from collections.abc import Callable
 import random
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import structlog
 
@@ -90,7 +91,9 @@
         if self._mine:
             self._mine = False
             self._beat_changed_s = self._timers.read_clock()
-            _log.warning("ownership lost", reason=reason, epoch=self.owner.epoch)
+            _log.warning("ownership lost",
+                         reason=reason,
+                         epoch=self.owner.epoch)
             self._on_loss(reason)
 
     def release(self, on_done: Callable[[], None]) -> None:
--- a/packages/node/src/trefoilroad_node/publication.py
+++ b/packages/node/src/trefoilroad_node/publication.py
@@ -4,7 +4,8 @@
 from collections.abc import Mapping
 import random
 import time
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import structlog
 
@@ -109,9 +110,9 @@
         _log.info("configuration in force", version=configuration.version)
         self._on_change(self.current)
 
-    def publish(self, *, documents: Mapping[str, str], base_version: int,
-                who: str, workers: fleet.Fleet,
-                on_done: Callable[[Any], None]) -> None:
+    def publish(self, *, documents: Mapping[str,
+                                            str], base_version: int, who: str,
+                workers: fleet.Fleet, on_done: Callable[[Any], None]) -> None:
         """Publishes a new version, if nobody else has meanwhile.
 
         Args:
@@ -125,17 +126,18 @@
         self.refresh(lambda: self._publish(documents, base_version, who,
                                            workers, on_done))
 
-    def _publish(self, documents: Mapping[str, str], base_version: int,
-                 who: str, workers: fleet.Fleet,
-                 on_done: Callable[[Any], None]) -> None:
+    def _publish(self, documents: Mapping[str,
+                                          str], base_version: int, who: str,
+                 workers: fleet.Fleet, on_done: Callable[[Any], None]) -> None:
         if base_version != self.current.configuration.version:
             on_done(self._describe_clash(base_version))
             return
         try:
             configuration = document.parse_documents(documents,
                                                      base_version + 1)
-            findings = guarantee.find_shortfalls(
-                workers, configuration, excluded=configuration.drained)
+            findings = guarantee.find_shortfalls(workers,
+                                                 configuration,
+                                                 excluded=configuration.drained)
             if findings:
                 raise errors.InvalidDocuments.from_findings(findings)
         except errors.InvalidDocuments as error:
--- a/packages/node/src/trefoilroad_node/region.py
+++ b/packages/node/src/trefoilroad_node/region.py
@@ -10,7 +10,6 @@
 from trefoilroad_core import errors
 from trefoilroad_core import events
 from trefoilroad_core import fleet
-from trefoilroad_core import health
 from trefoilroad_core import owner as owners
 from trefoilroad_core import request
 from trefoilroad_core import scheduler
@@ -67,7 +66,6 @@
                                  epoch=owner.epoch,
                                  owner_version=owner.version,
                                  policy=scheduler.build_default(),
-                                 tracker=health.HealthTracker(),
                                  rng=self._rng,
                                  now_s=self._timers.read_clock())
         self._since = 0
--- a/packages/node/src/trefoilroad_node/store.py
+++ b/packages/node/src/trefoilroad_node/store.py
@@ -4,7 +4,8 @@
 from collections.abc import Mapping
 import json
 import random
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 from urllib import parse
 
 from trefoilroad_core import backoff
@@ -121,15 +122,16 @@
             } for key, value in writes.items()]
         }
         self._call("POST", "/v1/commit",
-                   json.dumps(body).encode(), lambda reply: on_done(
-                       _read_commit(reply)))
+                   json.dumps(body).encode(),
+                   lambda reply: on_done(_read_commit(reply)))
 
     def read_row(self, key: str, on_done: OnValue) -> None:
         """Reads one row; `on_done` gets a Row or an error."""
         self.reads += 1
         self._call(
-            "GET", f"/v1/row?key={parse.quote(key, safe='')}", b"", lambda
-            reply: on_done(_decode(reply, lambda body: _read_row(body, key))))
+            "GET", f"/v1/row?key={parse.quote(key, safe='')}", b"",
+            lambda reply: on_done(
+                _decode(reply, lambda body: _read_row(body, key))))
 
     def read_rows(self, prefix: str, since: int, on_done: OnValue) -> None:
         """Reads rows that changed; `on_done` gets Rows or an error."""
@@ -142,8 +144,8 @@
         """Reads the VM list; `on_done` gets the entries or an error."""
         self.reads += 1
         self._call(
-            "GET", "/v1/vms", b"", lambda reply: on_done(
-                _decode(reply, lambda body: body["vms"])))
+            "GET", "/v1/vms", b"",
+            lambda reply: on_done(_decode(reply, lambda body: body["vms"])))
 
     def put_object(self, key: str, data: bytes, on_done: OnValue) -> None:
         """Stores an object; `on_done` gets its key or an error."""
@@ -152,7 +154,7 @@
                    lambda reply: on_done(_decode(reply, lambda _: key)))
 
     def get_object(self, key: str, on_done: OnValue) -> None:
-        """Reads an object; `on_done` gets bytes, None if absent, or an error."""
+        """Reads an object; `on_done` gets bytes, None or an error."""
         self.reads += 1
         self._call("GET", f"/v1/objects/{parse.quote(key)}", b"",
                    lambda reply: on_done(_read_object(reply)))
@@ -189,8 +191,8 @@
         return result
 
 
-def _decode(reply: httpclient.Reply | Exception,
-            read: Callable[[Any], Any]) -> Any:
+def _decode(reply: httpclient.Reply | Exception, read: Callable[[Any],
+                                                                Any]) -> Any:
     if isinstance(reply, Exception):
         return reply
     if reply.status != 200:
--- a/packages/node/src/trefoilroad_node/workers.py
+++ b/packages/node/src/trefoilroad_node/workers.py
@@ -17,8 +17,8 @@
 
     def send(
         self, command: events.Command,
-        on_done: Callable[[events.CommandAnswered | events.CommandLost],
-                          None]) -> None:
+        on_done: Callable[[events.CommandAnswered | events.CommandLost], None]
+    ) -> None:
         """Sends a command.
 
         Args:
@@ -74,7 +74,7 @@
 
 
 def _decode_object(
-    result: httpclient.Reply | httpclient.Lost) -> dict[str, Any] | None:
+        result: httpclient.Reply | httpclient.Lost) -> dict[str, Any] | None:
     if isinstance(result, httpclient.Lost):
         return None
     try:
--- a/packages/standins/src/trefoilroad_standins/tasks.py
+++ b/packages/standins/src/trefoilroad_standins/tasks.py
@@ -309,6 +309,8 @@
     def _clear(self, boot: str) -> None:
         self.boot = boot
         self._epoch = 0
+        self._now_s = 0.0
+        self._asof_s = 0.0
         self._tasks: dict[str, Task] = {}
         self._tombstones: dict[str, Tombstone] = {}
         self._usage: list[tuple[float, Capacity]] = [(-math.inf, Capacity())]
@@ -440,18 +442,29 @@
             raise errors.ProtocolError(f"unknown command {verb}")
         epoch = fields.read_field(body, "epoch", int)
         self.advance(now_s)
+        self._now_s = now_s
         if epoch < self._epoch:
             return self._refuse("stale_epoch", epoch=self._epoch)
+        asof_s = fields.read_seconds(body, "asof_s", default=now_s)
+        asof_boot = fields.read_field(body, "asof_boot", str, default=self.boot)
+        if asof_boot != self.boot:
+            return self._refuse("stale_clock")
+        # Times count from the clock reading that the sender knew, so that a
+        # command that was delayed cannot grant more than its sender meant.
+        self._asof_s = min(asof_s, now_s)
         reply = commands[verb](body, now_s, epoch)
         # Tasks without run time end with the command that starts them.
         self.advance(now_s)
         return reply
 
     def _accept(self, **document: Any) -> Reply:
-        return Reply(200, {**document, "boot": self.boot})
+        return Reply(200, {**document, **self._identify()})
 
     def _refuse(self, error: str, status: int = 409, **document: Any) -> Reply:
-        return Reply(status, {"error": error, **document, "boot": self.boot})
+        return Reply(status, {"error": error, **document, **self._identify()})
+
+    def _identify(self) -> dict[str, Any]:
+        return {"boot": self.boot, "clock_s": self._now_s}
 
     def _reserve(self, body: Mapping[str, Any], now_s: float,
                  epoch: int) -> Reply:
@@ -460,9 +473,11 @@
         task = Task(attempt=attempt,
                     ranks=fields.read_integers(body, "ranks"),
                     shape=parse_shape(fields.read_field(body, "shape", dict)),
-                    until_s=now_s + ttl_s)
+                    until_s=self._asof_s + ttl_s)
         check_ranks(task)
         self._epoch = epoch
+        if task.until_s <= now_s:
+            return self._refuse("stale_clock")
         if attempt in self._tombstones:
             return self._refuse("refused")
         known = self._tasks.get(attempt)
@@ -473,7 +488,7 @@
         if self.leaving:
             return self._refuse("leaving")
         if known:
-            known.until_s = task.until_s
+            known.until_s = max(known.until_s, task.until_s)
             return self._accept(ok=True)
         if not self._capacity.covers(self._count_usage().add(task.capacity)):
             return self._refuse("no_room")
@@ -497,6 +512,8 @@
             return self._refuse("no_reservation")
         if task.state != RESERVED:
             return self._accept(ok=True)
+        if self._asof_s + lease_s <= now_s:
+            return self._refuse("stale_clock")
         done_s = 0.0 if resume is None else self._checkpoints.load(resume)
         parsed = parse_payload(payload, attempt=attempt, ranks=task.ranks)
         if done_s is None:
@@ -506,7 +523,7 @@
         task.begin(payload=parsed,
                    resumed_s=done_s or 0.0,
                    now_s=now_s,
-                   lease_s=lease_s)
+                   lease_s=self._asof_s + lease_s - now_s)
         self._record("start", task, now_s, lease_s=lease_s, resume=resume)
         return self._accept(ok=True)
 
@@ -544,7 +561,7 @@
         for attempt in renew:
             task = self._tasks.get(attempt)
             if task and task.state == RUNNING:
-                task.until_s = now_s + lease_s
+                task.until_s = max(task.until_s, self._asof_s + lease_s)
         return self._accept(
             leaving=self.leaving,
             tasks=[describe_task(task, now_s) for task in self._tasks.values()],
