--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -7,10 +7,12 @@
 import re
 from typing import Any
 from typing import NamedTuple
+from urllib import parse
 
 import circuits
 from circuits.web import events as web_events
 from circuits.web import servers
+import structlog
 
 from trefoilroad_core import contract
 from trefoilroad_node import edge as edges
@@ -19,6 +21,8 @@
 Response = edges.Response
 Respond = edges.Respond
 
+_log = structlog.get_logger()
+
 _REQUEST_ID = re.compile(r"[0-9a-f]{32}")
 _WORKER_ID = re.compile(r"[!-.0-~]{1,128}")
 
@@ -86,6 +90,14 @@
     return found
 
 
+class Server(servers.BaseServer):
+    """The library's server without its banner, which is not a log line."""
+
+    @circuits.handler("ready")
+    def _on_ready(self, *_: Any) -> None:
+        pass
+
+
 class Api(circuits.BaseComponent):
     """Routes requests to the edge and to the operators' actions."""
 
@@ -105,9 +117,9 @@
         """
         super().__init__()
         host, _, port = listen.rpartition(":")
-        self._server = servers.BaseServer((host, int(port)),
-                                          channel=self.channel,
-                                          display_banner=False)
+        self._server = Server((host, int(port)),
+                              channel=self.channel,
+                              display_banner=False)
         self._server.register(self)
         self._edge = edge
         self._actions = actions
@@ -140,12 +152,15 @@
         return True
 
     @circuits.handler("httperror", priority=10)
-    def _on_httperror(self, event: Any, request: Any, response: Any, code: int,
-                      **kwargs: Any) -> None:
+    def _on_httperror(self, event: Any, request: Any, response: Any, *_: Any,
+                      **__: Any) -> None:
         event.stop()
-        description = kwargs.get("description") or "malformed request"
+        status = event.code or 500
+        if event.error:
+            _log.error("request failed", error=repr(event.error[1]))
         response.close = True
-        self._send(request, response, Response(code, {"error": description}))
+        error = "internal error" if status >= 500 else event.description
+        self._send(request, response, Response(status, {"error": error}))
 
     def _send(self, request: Any, response: Any, result: Response) -> None:
         if request.sock.fileno() < 0:
@@ -184,7 +199,7 @@
             return
         call = Call(method=request.method,
                     parts=parts[1:] if parts[:1] == ("v1",) else (),
-                    query=dict(request.params),
+                    query=dict(parse.parse_qsl(request.qs)),
                     headers=request.headers,
                     body=request.body.read(),
                     identity=identity)
--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import itertools
+import json
 import pathlib
 import random
 import sys
@@ -307,6 +308,9 @@
     daemon = Daemon(settings=settings)
     pollers.EPoll().register(daemon)
     _log.info("ready", **daemon.addresses)
+    # For a supervisor that had the kernel choose the ports.
+    click.echo(json.dumps(daemon.addresses))
+    sys.stdout.flush()
     daemon.run()
 
 
