Add tests of the stand-ins

The pure parts run on a virtual clock; the platform and worker processes run on ports that the kernel chooses. Run times beyond 30 years and answers that are not valid text fail the task: they raised an unexpected error before.

--- a/packages/standins/src/trefoilroad_standins/fields.py
+++ b/packages/standins/src/trefoilroad_standins/fields.py
@@ -7,6 +7,9 @@
 
 from trefoilroad_core import errors
 
+# About 30 years; keeps sums of times exact to less than a microsecond.
+MAX_SECONDS = 1e9
+
 
 def parse_object(body: bytes) -> dict[str, Any]:
     """Decodes a body that must be a JSON object.
@@ -71,11 +74,11 @@
         Seconds, at least 0.
 
     Raises:
-        ProtocolError: If the field is absent, not a number or negative.
+        ProtocolError: If the field is absent, not a number or out of range.
     """
     value = read_field(document, name, (int, float), **default)
-    if value < 0:
-        raise errors.ProtocolError(f"{name} is negative")
+    if not 0 <= value <= MAX_SECONDS:
+        raise errors.ProtocolError(f"{name} is negative or too long")
     return float(value)
 
 
--- a/packages/standins/src/trefoilroad_standins/tasks.py
+++ b/packages/standins/src/trefoilroad_standins/tasks.py
@@ -274,10 +274,11 @@
         answer = fields.read_field(payload, "answer", str, default=default)
         fail = fields.read_field(payload, "fail", bool, default=False)
         fail_ranks = fields.read_integers(payload, "fail_ranks", default=[])
-    except errors.ProtocolError as error:
+        encoded = answer.encode()
+    except (errors.ProtocolError, UnicodeEncodeError) as error:
         return Payload(0.0, b"", True, str(error))
     fails = bool(set(fail_ranks) & set(ranks)) if fail_ranks else fail
-    return Payload(run_s, answer.encode(), fails, "")
+    return Payload(run_s, encoded, fails, "")
 
 
 class Machine:
--- /dev/null
+++ b/packages/standins/tests/test_faults.py
@@ -0,0 +1,83 @@
+"""Tests of fault rules."""
+
+import json
+
+import pytest
+
+from trefoilroad_core import errors
+from trefoilroad_standins import exchange
+from trefoilroad_standins import faults
+
+KINDS = frozenset({"reads", "writes"})
+
+
+def parse(**rule):
+    return faults.parse_rules(json.dumps({"faults": [rule]}).encode(), KINDS)
+
+
+def test_filters_cut_one_node_only():
+    """Guards against a cut of one node that also hits the others."""
+    rules = faults.Faults(seed=1)
+    rules.replace(parse(mode="drop", kinds=["reads"], nodes=["n1"]))
+    assert rules.pick("reads", "n1") is not None
+    assert rules.pick("reads", "n2") is None
+    assert rules.pick("writes", "n1") is None
+
+
+def test_next_limits_and_probability_is_seeded():
+    """Guards against faults that cannot be repeated with the same seed."""
+
+    def draw(seed):
+        rules = faults.Faults(seed=seed)
+        rules.replace(parse(mode="down", probability=0.5, next=10))
+        return [rules.pick("reads") is not None for _ in range(60)]
+
+    assert draw(1) == draw(1) != draw(2)
+    assert draw(1).count(True) == 10
+
+
+@pytest.mark.parametrize(("mode", "takes_effect", "answer"), [
+    ("down", False, 503),
+    ("drop", False, exchange.Drop()),
+    ("hang", False, exchange.Hold()),
+    ("lose_answers", True, exchange.Drop()),
+    ("slow", True, 200),
+])
+def test_inject_decides_effect_and_answer(mode, takes_effect, answer):
+    """Guards against a lost answer without effect, or an effect while down."""
+    effects = []
+
+    def serve():
+        effects.append(1)
+        return exchange.build_reply(200, {})
+
+    action = faults.inject(parse(mode=mode, delay_s=3)[0], serve)
+    assert isinstance(action, exchange.Later)
+    assert action.delay_s == 3
+    assert not effects
+    final = action.decide()
+    assert bool(effects) == takes_effect
+    assert final == answer or getattr(final, "status", None) == answer
+
+
+@pytest.mark.parametrize("rule", [{
+    "mode": "other"
+}, {
+    "mode": "slow"
+}, {
+    "mode": "down",
+    "kinds": ["vms"]
+}, {
+    "mode": "down",
+    "node": "n1"
+}, {
+    "mode": "down",
+    "probability": 2
+}, {
+    "mode": "down",
+    "next": True
+}])
+def test_wrong_rules_are_refused(rule):
+    """Guards against a misspelt fault that silently never shows."""
+    with pytest.raises(errors.ProtocolError):
+        parse(**rule)
--- /dev/null
+++ b/packages/standins/tests/test_platform.py
@@ -0,0 +1,135 @@
+"""Tests of the platform process."""
+
+import httpx
+import pytest
+
+
+def set_faults(platform, *rules):
+    reply = platform.post("/control/faults", json={"faults": rules})
+    assert reply.status_code == 200, reply.text
+
+
+def commit(client, key, version, value, **options):
+    return client.post("/v1/commit",
+                       json={
+                           "conditions": [{
+                               "key": key,
+                               "version": version
+                           }],
+                           "writes": [{
+                               "key": key,
+                               "value": value
+                           }]
+                       },
+                       **options)
+
+
+def test_protocol(platform):
+    """Guards against answers that differ from the published protocol."""
+    assert commit(platform, "a", 0, {"x": 1}).json() == {"version": 1}
+    clash = commit(platform, "a", 0, None)
+    assert (clash.status_code, clash.json()) == (409, {
+        "conflicts": [{
+            "key": "a",
+            "version": 1
+        }]
+    })
+    row = {"key": "a", "version": 1, "value": {"x": 1}}
+    assert platform.get("/v1/rows?prefix=&since=0").json() == {
+        "version": 1,
+        "rows": [row]
+    }
+    assert platform.get("/v1/row?key=a").json() == row
+    blob = bytes(range(256)) * 4096
+    assert platform.put("/v1/objects/a/b.1", content=blob).status_code == 200
+    assert platform.get("/v1/objects/a/b.1").content == blob
+    assert platform.get("/v1/objects/none").status_code == 404
+    counters = platform.get("/control/counters").json()
+    assert counters["kinds"]["table"] == {"reads": 2, "writes": 2}
+
+
+def test_connection_is_kept_open(platform):
+    """Guards against a connection for each request and unbounded bodies."""
+    replies = [platform.get("/v1/row?key=a") for _ in range(3)]
+    streams = {
+        reply.extensions["network_stream"].get_extra_info("client_addr")
+        for reply in replies
+    }
+    assert len(streams) == 1
+    assert all("content-length" in reply.headers for reply in replies)
+
+
+@pytest.mark.parametrize(("method", "path", "content", "status"), [
+    ("POST", "/v1/commit", b"{", 400),
+    ("POST", "/v1/commit", b"[]", 400),
+    ("POST", "/v1/commit", b'{"writes": [{"key": 1, "value": 1}]}', 400),
+    ("POST", "/v1/commit", b'{"conditions": []}', 400),
+    ("GET", "/v1/rows?since=x", b"", 400),
+    ("GET", "/v1/row", b"", 400),
+    ("POST", "/v1/vms", b'{"id": "w", "state": "odd"}', 400),
+    ("POST", "/v1/vms", b'{"id": "w", "state": "gone"}', 404),
+    ("POST", "/control/faults", b'{"faults": [{"mode": "refuse"}]}', 400),
+    ("DELETE", "/v1/objects/a", b"", 404),
+    ("GET", "/other", b"", 404),
+])
+def test_bad_requests_get_json_errors(platform, method, path, content, status):
+    """Guards against wrong input that takes effect or gets an error page."""
+    reply = platform.request(method, path, content=content)
+    assert reply.status_code == status
+    assert reply.json()["error"]
+
+
+def test_lost_answer_takes_effect(platform):
+    """Guards against a lost answer that also loses the write."""
+    set_faults(platform, {
+        "mode": "lose_answers",
+        "kinds": ["table_writes"],
+        "next": 1
+    })
+    with pytest.raises(httpx.RemoteProtocolError):
+        commit(platform, "a", 0, 1)
+    assert platform.get("/v1/row?key=a").json()["value"] == 1
+    assert commit(platform, "a", 1, 2).status_code == 200
+
+
+def test_node_is_cut_off_alone(platform):
+    """Guards against a cut of one node that hits the others."""
+    set_faults(platform, {
+        "mode": "drop",
+        "nodes": ["n1"]
+    }, {
+        "mode": "down",
+        "nodes": ["n2"]
+    })
+    with pytest.raises(httpx.RemoteProtocolError):
+        platform.get("/v1/vms", headers={"X-Node": "n1"})
+    assert platform.get("/v1/vms", headers={"X-Node": "n2"}).status_code == 503
+    assert platform.get("/v1/vms").status_code == 200
+
+
+def test_slow_write_takes_effect_after_the_client_gave_up(platform):
+    """Guards against delays that block other requests or drop the write."""
+    set_faults(platform, {
+        "mode": "slow",
+        "delay_s": 0.4,
+        "kinds": ["table_writes"]
+    })
+    with pytest.raises(httpx.ReadTimeout):
+        commit(platform, "a", 0, 1, timeout=0.1)
+    assert platform.get("/v1/row?key=a").json()["version"] == 0
+    assert commit(platform, "b", 0, 1).elapsed.total_seconds() >= 0.4
+    assert platform.get("/v1/row?key=a").json()["version"] == 1
+
+
+def test_vm_list_is_loaded_and_changed(launch, tmp_path):
+    """Guards against a list file that is ignored and states that are lost."""
+    path = tmp_path / "vms.toml"
+    path.write_text('[[vms]]\nid = "w1"\naddress = "h:1"\n')
+    port = launch("platform", "--vms", path)["port"]
+    url = f"http://127.0.0.1:{port}/v1/vms"
+    httpx.post(url, json={"id": "w1", "state": "leaving"})
+    assert httpx.get(url).json()["vms"] == [{
+        "id": "w1",
+        "address": "h:1",
+        "state": "leaving"
+    }]
--- /dev/null
+++ b/packages/standins/tests/test_tasks.py
@@ -0,0 +1,338 @@
+"""Tests of the worker's state machine."""
+
+import hashlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from trefoilroad_core import errors
+from trefoilroad_standins import tasks
+
+CAPACITY = tasks.Capacity(8, 64, 256, 8, 64)
+SHAPE = {"tasks": 2, "accelerators": 4, "cores": 1, "memory_gb": 1}
+
+
+class Driver:
+    """Sends commands to a machine on a virtual clock."""
+
+    def __init__(self, **options):
+        self.checkpoints = options.pop("checkpoints", tasks.Checkpoints())
+        self.machine = tasks.Machine(worker_id="w1",
+                                     capacity=CAPACITY,
+                                     boot="b1",
+                                     checkpoints=self.checkpoints,
+                                     **options)
+        self.now_s = 100.0
+
+    def send(self, verb, **body):
+        return self.machine.handle(verb, {"epoch": 1, **body}, self.now_s)
+
+    def reserve(self,
+                attempt="a.1",
+                ranks=(0, 1),
+                ttl_s=5,
+                shape=SHAPE,
+                **more):
+        return self.send("reserve",
+                         attempt=attempt,
+                         ranks=list(ranks),
+                         ttl_s=ttl_s,
+                         shape=shape,
+                         **more)
+
+    def start(self, attempt="a.1", payload=None, resume=None, lease_s=10):
+        return self.send("start",
+                         attempt=attempt,
+                         lease_s=lease_s,
+                         answer=True,
+                         payload={"run_s": 4} if payload is None else payload,
+                         resume=resume)
+
+    def run(self, **options):
+        assert self.reserve().status == 200
+        return self.start(**options)
+
+    def sync(self, renew=()):
+        reply = self.send("sync", lease_s=10, renew=list(renew))
+        return {task["attempt"]: task for task in reply.document["tasks"]}
+
+    def list_events(self):
+        return [entry["event"] for entry in self.machine.take_history()]
+
+
+def read_error(reply):
+    return reply.document["error"]
+
+
+def test_task_runs_and_answers_once():
+    """Guards against a second run of a finished or forgotten attempt."""
+    driver = Driver()
+    driver.run(payload={"run_s": 4, "answer": "whole"})
+    assert driver.start().status == 200
+    driver.now_s += 4
+    task = driver.sync()["a.1"]
+    assert (task["state"], task["ran_s"]) == ("finished", 4.0)
+    assert task["answer"] == {
+        "length": 5,
+        "sha256": hashlib.sha256(b"whole").hexdigest()
+    }
+    assert driver.send("answer", attempt="a.1").document == b"whole"
+    assert driver.start().status == 200
+    assert driver.send("stop", attempt="a.1",
+                       checkpoint=False).document["state"] == "finished"
+    assert driver.send("forget", attempts=["a.1"]).status == 200
+    assert driver.send("answer", attempt="a.1").status == 404
+    assert read_error(driver.reserve()) == "refused"
+    assert driver.list_events() == ["reserve", "start", "finish"]
+
+
+def test_reservation_lapses_and_renews():
+    """Guards against a start after the reservation time has passed."""
+    driver = Driver()
+    driver.reserve()
+    driver.now_s += 4
+    driver.reserve()
+    driver.now_s += 4.9
+    assert driver.sync()["a.1"]["state"] == "reserved"
+    driver.now_s += 0.1
+    assert read_error(driver.start()) == "no_reservation"
+    assert driver.list_events() == ["reserve", "lapse"]
+
+
+def test_lease_lapses_unless_renewed():
+    """Guards against a cut-off worker that runs on after its lease."""
+    driver = Driver()
+    driver.run(payload={"run_s": 60})
+    driver.now_s += 9
+    driver.sync(renew=["a.1"])
+    driver.now_s += 9.9
+    assert driver.sync()["a.1"]["state"] == "running"
+    driver.now_s += 5
+    task = driver.sync(renew=["a.1"])["a.1"]
+    assert (task["state"], task["error"],
+            task["ran_s"]) == ("failed", "lease_lapsed", 19.0)
+    assert driver.send("stop", attempt="a.1",
+                       checkpoint=True).document["state"] == "stopped"
+    lapse = driver.machine.take_history()[-1]
+    assert (lapse["event"], lapse["at_s"]) == ("lapse", 119.0)
+
+
+def test_stop_refuses_the_attempt_from_then_on():
+    """Guards against a start that overtakes or follows a stop."""
+    driver = Driver()
+    stop = driver.send("stop", attempt="a.1", checkpoint=False)
+    assert stop.document == {
+        "state": "never_started",
+        "checkpoint": False,
+        "boot": "b1"
+    }
+    assert read_error(driver.reserve()) == "refused"
+    assert read_error(driver.start()) == "refused"
+    driver.reserve("b.1")
+    driver.start("b.1")
+    for _ in range(2):
+        stop = driver.send("stop", attempt="b.1", checkpoint=False)
+        assert stop.document["state"] == "stopped"
+    assert driver.sync() == {}
+
+
+def test_stale_epoch_has_no_effect():
+    """Guards against commands of an owner that was replaced."""
+    driver = Driver()
+    driver.reserve(epoch=3)
+    reply = driver.send("stop", epoch=2, attempt="a.1", checkpoint=False)
+    assert (reply.status, reply.document) == (409, {
+        "error": "stale_epoch",
+        "epoch": 3,
+        "boot": "b1"
+    })
+    assert driver.send("start", epoch=2).status == 409
+    assert "a.1" in driver.machine.handle("sync", {
+        "epoch": 3,
+        "lease_s": 1,
+        "renew": []
+    }, driver.now_s).document["tasks"][0]["attempt"]
+
+
+@pytest.mark.parametrize("change", [{
+    "accelerators": 5
+}, {
+    "cores": 33
+}, {
+    "memory_gb": 129
+}])
+def test_each_resource_limits_reservations(change):
+    """Guards against a worker that takes more than it has of one resource."""
+    assert read_error(Driver().reserve(shape={
+        **SHAPE, "accelerators": 1,
+        **change
+    })) == "no_room"
+
+
+def test_slots_limit_reservations_and_are_given_back():
+    """Guards against slots that stay taken after a stop or a lapse."""
+    driver = Driver()
+    small = {**SHAPE, "tasks": 9, "accelerators": 0}
+    assert read_error(driver.reserve(ranks=range(9), shape=small)) == "no_room"
+    assert driver.reserve(ranks=range(8), shape=small).status == 200
+    assert read_error(driver.reserve("b.1", (0,), shape=small)) == "no_room"
+    driver.send("stop", attempt="a.1", checkpoint=False)
+    assert driver.reserve("c.1", (0,), shape=small).status == 200
+
+
+def test_leaving_worker_takes_no_new_work():
+    """Guards against reservations on a worker that is leaving."""
+    driver = Driver()
+    driver.run()
+    driver.machine.leaving = True
+    assert read_error(driver.reserve("b.1")) == "leaving"
+    reply = driver.send("sync", lease_s=1, renew=[])
+    assert reply.document["leaving"] is True
+    assert reply.document["tasks"][0]["state"] == "running"
+
+
+def test_restart_loses_memory():
+    """Guards against a restart that cannot be told from a working process."""
+    driver = Driver()
+    driver.run()
+    driver.machine.restart("b2", driver.now_s)
+    reply = driver.send("sync", lease_s=1, renew=[])
+    assert (reply.document["boot"], reply.document["tasks"]) == ("b2", [])
+    assert driver.list_events() == ["reserve", "start", "stop"]
+
+
+def test_throttle_and_checkpoint_keep_progress():
+    """Guards against lost or invented work across throttle, stop and resume."""
+    driver = Driver()
+    driver.run(payload={"run_s": 10}, lease_s=99)
+    driver.now_s += 4
+    driver.send("throttle", attempt="a.1", share=0.5)
+    driver.now_s += 4
+    assert driver.machine.predict_change() == 116.0
+    stop = driver.send("stop", attempt="a.1", checkpoint=True)
+    assert stop.document["checkpoint"] is True
+    other = Driver(checkpoints=driver.checkpoints)
+    other.reserve("a.2")
+    other.start("a.2", {"run_s": 10}, "checkpoint/a.1")
+    assert other.machine.predict_change() == 104.0
+
+
+def test_incomplete_checkpoint_fails_the_task():
+    """Guards against a gang that resumes although one member saved nothing."""
+    driver = Driver()
+    driver.reserve(ranks=[0])
+    driver.start(lease_s=99)
+    driver.send("stop", attempt="a.1", checkpoint=True)
+    driver.reserve("a.2")
+    driver.start("a.2", resume="a.1")
+    assert "incomplete" in driver.sync()["a.2"]["error"]
+
+
+@pytest.mark.parametrize(("payload", "state"), [
+    ({
+        "fail": True
+    }, "failed"),
+    ({
+        "fail_ranks": [1]
+    }, "failed"),
+    ({
+        "fail_ranks": [2]
+    }, "finished"),
+    ({
+        "run_s": -1
+    }, "failed"),
+    ({
+        "run_s": 10**400
+    }, "failed"),
+    ({
+        "answer": "\ud800"
+    }, "failed"),
+    ([], "failed"),
+])
+def test_payload_decides_the_outcome(payload, state):
+    """Guards against payloads that fail the protocol instead of the task."""
+    driver = Driver()
+    assert driver.run(payload=payload).status == 200
+    assert driver.sync()["a.1"]["state"] == state
+
+
+def test_failing_worker_fails_running_and_new_tasks():
+    """Guards against a fault that ends tasks before it was switched on."""
+    driver = Driver()
+    driver.run()
+    driver.now_s += 1
+    driver.machine.fail_everything(True, driver.now_s)
+    assert driver.sync()["a.1"]["ran_s"] == 1.0
+    driver.reserve("b.1")
+    driver.start("b.1")
+    assert driver.sync()["b.1"]["state"] == "failed"
+
+
+def test_usage_lags():
+    """Guards against usage that shows a change at once."""
+    driver = Driver(usage_lag_s=2.0)
+    driver.reserve(ttl_s=99)
+    driver.now_s += 1.9
+    usage = driver.send("sync", lease_s=1, renew=[]).document["usage"]
+    assert usage["accelerators"] == 0
+    driver.now_s += 0.1
+    usage = driver.send("sync", lease_s=1, renew=[]).document["usage"]
+    assert usage == {
+        "accelerators": 8,
+        "cores": 2,
+        "memory_gb": 2,
+        "slots": 2,
+        "connections": 2
+    }
+
+
+@pytest.mark.parametrize("body", [{
+    "ranks": []
+}, {
+    "ranks": [0, 0]
+}, {
+    "ranks": [2]
+}, {
+    "ttl_s": float("nan")
+}, {
+    "epoch": True
+}, {
+    "shape": {
+        "tasks": 2
+    }
+}])
+def test_wrong_reservations_are_refused(body):
+    """Guards against bodies off the protocol that a worker takes silently."""
+    with pytest.raises(errors.ProtocolError):
+        Driver().reserve(**body)
+
+
+STEPS = strategies.lists(strategies.tuples(
+    strategies.sampled_from(["reserve", "start", "stop", "sync", "wait"]),
+    strategies.sampled_from(["a.1", "b.1"])),
+                         max_size=30)
+
+
+@hypothesis.given(STEPS)
+def test_attempt_starts_once_and_never_after_a_stop(steps):
+    """Guards against any order of commands that runs an attempt twice."""
+    driver = Driver()
+    for verb, attempt in steps:
+        if verb == "wait":
+            driver.now_s += 3
+        elif verb == "stop":
+            driver.send("stop", attempt=attempt, checkpoint=False)
+        elif verb == "sync":
+            driver.sync([attempt])
+        else:
+            getattr(driver, verb)(attempt)
+    history = driver.machine.take_history()
+    times = [entry["at_s"] for entry in history]
+    assert times == sorted(times)
+    for attempt in ("a.1", "b.1"):
+        events = [
+            entry["event"] for entry in history if entry["attempt"] == attempt
+        ]
+        assert events.count("start") <= 1
+        assert "start" not in events or "reserve" in events
