--- a/packages/standins/tests/test_tasks.py
+++ b/packages/standins/tests/test_tasks.py
@@ -125,7 +125,8 @@
     assert stop.document == {
         "state": "never_started",
         "checkpoint": False,
-        "boot": "b1"
+        "boot": "b1",
+        "clock_s": 100.0
     }
     assert read_error(driver.reserve()) == "refused"
     assert read_error(driver.start()) == "refused"
@@ -137,6 +138,28 @@
     assert driver.sync() == {}
 
 
+def test_late_renewal_does_not_extend_a_lease():
+    """Guards against a delayed message that keeps a task alive."""
+    driver = Driver()
+    driver.run(payload={"run_s": 60})
+    driver.now_s += 9
+    driver.send("sync", lease_s=10, renew=["a.1"], asof_s=100.0)
+    driver.now_s += 1
+    task = driver.sync()["a.1"]
+    assert (task["state"], task["error"]) == ("failed", "lease_lapsed")
+
+
+def test_commands_of_an_old_clock_are_refused():
+    """Guards against a start or reservation that was under way too long."""
+    driver = Driver()
+    assert read_error(driver.reserve(asof_s=95.0)) == "stale_clock"
+    driver.reserve(ttl_s=60)
+    old = {"asof_s": 89.0, "lease_s": 10, "answer": True}
+    reply = driver.send("start", attempt="a.1", payload={}, resume=None, **old)
+    assert read_error(reply) == "stale_clock"
+    assert read_error(driver.reserve(asof_boot="b0")) == "stale_clock"
+
+
 def test_stale_epoch_has_no_effect():
     """Guards against commands of an owner that was replaced."""
     driver = Driver()
@@ -145,7 +168,8 @@
     assert (reply.status, reply.document) == (409, {
         "error": "stale_epoch",
         "epoch": 3,
-        "boot": "b1"
+        "boot": "b1",
+        "clock_s": 100.0
     })
     assert driver.send("start", epoch=2).status == 409
     assert "a.1" in driver.machine.handle("sync", {
