Separate a node from its sockets and clock

Timers, store, workers and links are abstract base classes with one implementation each over the network.

--- a/packages/node/src/trefoilroad_node/edge.py
+++ b/packages/node/src/trefoilroad_node/edge.py
@@ -99,7 +99,7 @@
 class Edge:
     """Serves callers; keeps nothing but what is being answered."""
 
-    def __init__(self, *, store: stores.Store, timers: timer.TimerService,
+    def __init__(self, *, store: stores.Store, timers: timer.Timers,
                  rng: random.Random, metrics: sinks.Metrics,
                  counts: submission.QueueCounts, on_accepted: OnAccepted):
         """Prepares the edge.
--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -31,7 +31,7 @@
     its own.
     """
 
-    def __init__(self, *, channel: str, timers: timer.TimerService,
+    def __init__(self, *, channel: str, timers: timer.Timers,
                  max_body_bytes: int):
         """Watches the connections of a server.
 
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -171,8 +171,7 @@
 
     channel = "httpclient"
 
-    def __init__(self, *, timers: timer.TimerService, headers: Mapping[str,
-                                                                       str]):
+    def __init__(self, *, timers: timer.Timers, headers: Mapping[str, str]):
         """Prepares the client.
 
         Args:
--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -5,6 +5,7 @@
 links counts.
 """
 
+import abc
 from collections.abc import Callable
 import hmac
 import itertools
@@ -144,7 +145,7 @@
     channel = "links"
 
     def __init__(self, *, listen: str, secret: str, on_message: OnMessage,
-                 timers: timer.TimerService):
+                 timers: timer.Timers):
         """Binds the address.
 
         Args:
@@ -234,12 +235,28 @@
                 self.fire(net_events.close(sock), self.channel)
 
 
-class Links(circuits.BaseComponent):
-    """All links to the other nodes of the region."""
+class Links(abc.ABC):
+    """The links to the other nodes of the region."""
+
+    @abc.abstractmethod
+    def set_addresses(self, addresses: set[str]) -> None:
+        """Dials new addresses and drops links to the others."""
+
+    @abc.abstractmethod
+    def send(self, address: str, message: Message) -> bool:
+        """Sends to one node; returns False if the link is down."""
+
+    @abc.abstractmethod
+    def broadcast(self, message: Message) -> None:
+        """Sends to all nodes whose link is up."""
+
+
+class WebsocketLinks(circuits.BaseComponent, Links):
+    """Links over websockets."""
 
     channel = "links-out"
 
-    def __init__(self, *, secret: str, timers: timer.TimerService):
+    def __init__(self, *, secret: str, timers: timer.Timers):
         super().__init__()
         self._secret = secret
         self._diallers: dict[str, Dialler] = {}
@@ -251,7 +268,7 @@
         return sum(dialler.bytes_sent for dialler in self._diallers.values())
 
     def set_addresses(self, addresses: set[str]) -> None:
-        """Dials new addresses and drops links to the others."""
+        """See Links.set_addresses."""
         for address in addresses - self._diallers.keys():
             dialler = Dialler(address=address, secret=self._secret)
             self._diallers[address] = dialler
@@ -266,12 +283,12 @@
         return dialler is not None and dialler.is_open
 
     def send(self, address: str, message: Message) -> bool:
-        """Sends to one node; returns False if the link is down."""
+        """See Links.send."""
         dialler = self._diallers.get(address)
         return dialler is not None and dialler.send(message)
 
     def broadcast(self, message: Message) -> None:
-        """Sends to all nodes whose link is up."""
+        """See Links.broadcast."""
         for dialler in self._diallers.values():
             dialler.send(message)
 
--- a/packages/node/src/trefoilroad_node/membership.py
+++ b/packages/node/src/trefoilroad_node/membership.py
@@ -17,7 +17,7 @@
     """Announces this node and watches the announcements of the others."""
 
     def __init__(self, *, node_id: str, link: str, seeds: tuple[str, ...],
-                 store: stores.Store, timers: timer.TimerService,
+                 store: stores.Store, timers: timer.Timers,
                  on_change: Callable[[set[str]], None]):
         """Begins to announce and to watch.
 
--- a/packages/node/src/trefoilroad_node/ownership.py
+++ b/packages/node/src/trefoilroad_node/ownership.py
@@ -47,9 +47,9 @@
     """Watches the owner row and takes over when nobody renews."""
 
     def __init__(self, *, region: str, node_id: str, link: str,
-                 store: stores.Store, timers: timer.TimerService,
-                 rng: random.Random, on_gain: Callable[[Owner], None],
-                 on_loss: Callable[[str], None]):
+                 store: stores.Store, timers: timer.Timers, rng: random.Random,
+                 on_gain: Callable[[Owner], None], on_loss: Callable[[str],
+                                                                     None]):
         """Begins to watch.
 
         Args:
--- a/packages/node/src/trefoilroad_node/publication.py
+++ b/packages/node/src/trefoilroad_node/publication.py
@@ -57,7 +57,7 @@
 class Publication:
     """Holds the latest configuration; an older one is never taken over."""
 
-    def __init__(self, *, store: stores.Store, timers: timer.TimerService,
+    def __init__(self, *, store: stores.Store, timers: timer.Timers,
                  rng: random.Random, on_change: Callable[[Published], None]):
         """Begins to poll.
 
--- a/packages/node/src/trefoilroad_node/region.py
+++ b/packages/node/src/trefoilroad_node/region.py
@@ -31,7 +31,7 @@
     """The owner's work on this node, for as long as it owns the region."""
 
     def __init__(self, *, name: str, store: stores.Store,
-                 workers: workers_module.Workers, timers: timer.TimerService,
+                 workers: workers_module.Workers, timers: timer.Timers,
                  rng: random.Random, metrics: sinks.Metrics,
                  on_deposed: Callable[[str], None]):
         """Prepares the work; `begin` starts it.
@@ -87,10 +87,10 @@
     def see_workers(self, workers: fleet.Fleet) -> None:
         """Takes over a new reading of the VM list."""
         self.fleet = workers
-        self._workers.addresses = {
+        self._workers.set_addresses({
             worker.worker_id: worker.address
             for worker in workers.workers.values()
-        }
+        })
         self._feed(events.WorkersSeen(tuple(workers.workers.values())))
 
     def see_request(self, record: request.Record, version: int) -> None:
--- a/packages/node/src/trefoilroad_node/store.py
+++ b/packages/node/src/trefoilroad_node/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's table service, object store and VM list."""
 
+import abc
 from collections.abc import Callable
 from collections.abc import Mapping
 import json
@@ -84,16 +85,51 @@
 OnValue = Callable[[Any], None]
 
 
-class Store:
-    """Calls the platform's services.
+class Store(abc.ABC):
+    """The platform's table service, object store and VM list.
 
     Each method takes `on_done`, which gets the value, or an instance of
     CommitConflict (nothing was written), StoreRefused (nothing was sent) or
     StoreUnavailable (a write may have taken effect).
     """
 
+    @abc.abstractmethod
+    def commit(self, conditions: Mapping[str, int], writes: Mapping[str, Any],
+               on_done: OnValue) -> None:
+        """Writes rows if every condition holds.
+
+        Args:
+            conditions: Required version by key, 0 for absent.
+            writes: New value by key, None to delete.
+            on_done: Gets the version of the commit, or an error.
+        """
+
+    @abc.abstractmethod
+    def read_row(self, key: str, on_done: OnValue) -> None:
+        """Reads one row; `on_done` gets a Row or an error."""
+
+    @abc.abstractmethod
+    def read_rows(self, prefix: str, since: int, on_done: OnValue) -> None:
+        """Reads rows that changed; `on_done` gets Rows or an error."""
+
+    @abc.abstractmethod
+    def list_vms(self, on_done: OnValue) -> None:
+        """Reads the VM list; `on_done` gets the entries or an error."""
+
+    @abc.abstractmethod
+    def put_object(self, key: str, data: bytes, on_done: OnValue) -> None:
+        """Stores an object; `on_done` gets its key or an error."""
+
+    @abc.abstractmethod
+    def get_object(self, key: str, on_done: OnValue) -> None:
+        """Reads an object; `on_done` gets bytes, None or an error."""
+
+
+class HttpStore(Store):
+    """The platform's services over HTTP."""
+
     def __init__(self, *, address: str, client: httpclient.HttpClient,
-                 timers: timer.TimerService, rng: random.Random):
+                 timers: timer.Timers, rng: random.Random):
         self._address = address
         self._client = client
         self._timers = timers
@@ -103,13 +139,7 @@
 
     def commit(self, conditions: Mapping[str, int], writes: Mapping[str, Any],
                on_done: OnValue) -> None:
-        """Writes rows if every condition holds.
-
-        Args:
-            conditions: Required version by key, 0 for absent.
-            writes: New value by key, None to delete.
-            on_done: Gets the version of the commit, or an error.
-        """
+        """See Store.commit."""
         self.writes += 1
         body = {
             "conditions": [{
@@ -126,39 +156,37 @@
                    lambda reply: on_done(_read_commit(reply)))
 
     def read_row(self, key: str, on_done: OnValue) -> None:
-        """Reads one row; `on_done` gets a Row or an error."""
-        self.reads += 1
-        self._call(
-            "GET", f"/v1/row?key={parse.quote(key, safe='')}", b"",
-            lambda reply: on_done(
-                _decode(reply, lambda body: _read_row(body, key))))
+        """See Store.read_row."""
+        path = f"/v1/row?key={parse.quote(key, safe='')}"
+        self._read(path, lambda body: _read_row(body, key), on_done)
 
     def read_rows(self, prefix: str, since: int, on_done: OnValue) -> None:
-        """Reads rows that changed; `on_done` gets Rows or an error."""
-        self.reads += 1
+        """See Store.read_rows."""
         query = parse.urlencode({"prefix": prefix, "since": since})
-        self._call("GET", f"/v1/rows?{query}", b"",
-                   lambda reply: on_done(_decode(reply, _read_rows)))
+        self._read(f"/v1/rows?{query}", _read_rows, on_done)
 
     def list_vms(self, on_done: OnValue) -> None:
-        """Reads the VM list; `on_done` gets the entries or an error."""
-        self.reads += 1
-        self._call(
-            "GET", "/v1/vms", b"",
-            lambda reply: on_done(_decode(reply, lambda body: body["vms"])))
+        """See Store.list_vms."""
+        self._read("/v1/vms", lambda body: body["vms"], on_done)
 
     def put_object(self, key: str, data: bytes, on_done: OnValue) -> None:
-        """Stores an object; `on_done` gets its key or an error."""
+        """See Store.put_object."""
         self.writes += 1
         self._call("PUT", f"/v1/objects/{parse.quote(key)}", data,
                    lambda reply: on_done(_decode(reply, lambda _: key)))
 
     def get_object(self, key: str, on_done: OnValue) -> None:
-        """Reads an object; `on_done` gets bytes, None or an error."""
+        """See Store.get_object."""
         self.reads += 1
         self._call("GET", f"/v1/objects/{parse.quote(key)}", b"",
                    lambda reply: on_done(_read_object(reply)))
 
+    def _read(self, path: str, read: Callable[[Any], Any],
+              on_done: OnValue) -> None:
+        self.reads += 1
+        self._call("GET", path, b"",
+                   lambda reply: on_done(_decode(reply, read)))
+
     def _call(self, method: str, path: str, body: bytes,
               on_reply: Callable[[httpclient.Reply | Exception], None]) -> None:
         if not self._breaker.allows(self._timers.read_clock()):
--- a/packages/node/src/trefoilroad_node/timer.py
+++ b/packages/node/src/trefoilroad_node/timer.py
@@ -4,6 +4,7 @@
 synchronisation may set back.
 """
 
+import abc
 from collections.abc import Callable
 import heapq
 import itertools
@@ -28,21 +29,14 @@
         self.cancelled = True
 
 
-class TimerService(circuits.BaseComponent):
-    """Lets components subscribe to points in time."""
-
-    channel = "timer"
-
-    def __init__(self, *, rng: random.Random):
-        super().__init__()
-        self._rng = rng
-        self._serial = itertools.count()
-        self._heap: list[tuple[float, int, Subscription]] = []
+class Timers(abc.ABC):
+    """Lets parts of a node subscribe to points in time."""
 
+    @abc.abstractmethod
     def read_clock(self) -> float:
         """Returns the monotonic time in seconds."""
-        return time.monotonic()
 
+    @abc.abstractmethod
     def call_later(self, delay_s: float, callback: Callback) -> Subscription:
         """Calls once.
 
@@ -53,10 +47,8 @@
         Returns:
             The subscription.
         """
-        subscription = Subscription(callback=callback, interval_s=None)
-        self._push(self.read_clock() + delay_s, subscription)
-        return subscription
 
+    @abc.abstractmethod
     def call_every(self, interval_s: float, callback: Callback) -> Subscription:
         """Calls again and again, first after a random part of the interval.
 
@@ -69,6 +61,31 @@
         Returns:
             The subscription.
         """
+
+
+class TimerService(circuits.BaseComponent, Timers):
+    """The timers of a process, driven by its event loop."""
+
+    channel = "timer"
+
+    def __init__(self, *, rng: random.Random):
+        super().__init__()
+        self._rng = rng
+        self._serial = itertools.count()
+        self._heap: list[tuple[float, int, Subscription]] = []
+
+    def read_clock(self) -> float:
+        """See Timers.read_clock."""
+        return time.monotonic()
+
+    def call_later(self, delay_s: float, callback: Callback) -> Subscription:
+        """See Timers.call_later."""
+        subscription = Subscription(callback=callback, interval_s=None)
+        self._push(self.read_clock() + delay_s, subscription)
+        return subscription
+
+    def call_every(self, interval_s: float, callback: Callback) -> Subscription:
+        """See Timers.call_every."""
         subscription = Subscription(callback=callback, interval_s=interval_s)
         delay_s = interval_s * self._rng.random()
         self._push(self.read_clock() + delay_s, subscription)
--- a/packages/node/src/trefoilroad_node/workers.py
+++ b/packages/node/src/trefoilroad_node/workers.py
@@ -1,46 +1,73 @@
 """Commands to workers over HTTP."""
 
+import abc
 from collections.abc import Callable
+from collections.abc import Mapping
 import json
 from typing import Any
 
 from trefoilroad_core import events
 from trefoilroad_node import httpclient
 
+ANSWER_TIMEOUT_S = 5.0
 
-class Workers:
-    """Sends the owner's commands to the workers' addresses."""
+OnAnswered = Callable[[events.CommandAnswered | events.CommandLost], None]
+OnFetched = Callable[[bytes | None], None]
 
-    def __init__(self, *, client: httpclient.HttpClient):
-        self._client = client
-        self.addresses: dict[str, str] = {}
 
-    def send(
-        self, command: events.Command,
-        on_done: Callable[[events.CommandAnswered | events.CommandLost], None]
-    ) -> None:
+class Workers(abc.ABC):
+    """Sends the owner's commands to workers."""
+
+    @abc.abstractmethod
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
+        """Takes over the "host:port" of each worker."""
+
+    @abc.abstractmethod
+    def send(self, command: events.Command, on_done: OnAnswered) -> None:
         """Sends a command.
 
         Args:
             command: The command.
             on_done: Gets the answer, or the loss.
         """
+
+    @abc.abstractmethod
+    def fetch_answer(self, worker_id: str, attempt_id: str, epoch: int,
+                     on_done: OnFetched) -> None:
+        """Fetches an answer; `on_done` gets None if it did not come."""
+
+
+class HttpWorkers(Workers):
+    """Workers over HTTP."""
+
+    def __init__(self, *, client: httpclient.HttpClient):
+        self._client = client
+        self._addresses: dict[str, str] = {}
+
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
+        """See Workers.set_addresses."""
+        for address in set(self._addresses.values()) - set(addresses.values()):
+            self._client.forget(address)
+        self._addresses = dict(addresses)
+
+    def send(self, command: events.Command, on_done: OnAnswered) -> None:
+        """See Workers.send."""
         lost = events.CommandLost(command.command_id)
-        address = self.addresses.get(command.worker_id)
-        if address is None:
-            on_done(lost)
-            return
 
         def take(result: httpclient.Reply | httpclient.Lost) -> None:
             body = _decode_object(result)
             if isinstance(result, httpclient.Lost) or body is None:
                 on_done(lost)
-            else:
-                on_done(
-                    events.CommandAnswered(command_id=command.command_id,
-                                           status=result.status,
-                                           body=body))
+                return
+            on_done(
+                events.CommandAnswered(command_id=command.command_id,
+                                       status=result.status,
+                                       body=body))
 
+        address = self._addresses.get(command.worker_id)
+        if address is None:
+            on_done(lost)
+            return
         self._client.send(address=address,
                           method="POST",
                           path=command.path,
@@ -49,18 +76,19 @@
                           on_done=take)
 
     def fetch_answer(self, worker_id: str, attempt_id: str, epoch: int,
-                     on_done: Callable[[bytes | None], None]) -> None:
-        """Fetches an answer; `on_done` gets None if it did not come."""
-        address = self.addresses.get(worker_id)
-        if address is None:
-            on_done(None)
-            return
+                     on_done: OnFetched) -> None:
+        """See Workers.fetch_answer."""
 
         def take(result: httpclient.Reply | httpclient.Lost) -> None:
-            whole = isinstance(result, httpclient.Reply) and (result.status
-                                                              == 200)
-            on_done(result.body if whole else None)  # type: ignore[union-attr]
+            if isinstance(result, httpclient.Reply) and result.status == 200:
+                on_done(result.body)
+            else:
+                on_done(None)
 
+        address = self._addresses.get(worker_id)
+        if address is None:
+            on_done(None)
+            return
         body = json.dumps({"attempt": attempt_id, "epoch": epoch}).encode()
         self._client.send(address=address,
                           method="POST",
@@ -70,11 +98,8 @@
                           on_done=take)
 
 
-ANSWER_TIMEOUT_S = 5.0
-
-
 def _decode_object(
-        result: httpclient.Reply | httpclient.Lost) -> dict[str, Any] | None:
+    result: httpclient.Reply | httpclient.Lost,) -> dict[str, Any] | None:
     if isinstance(result, httpclient.Lost):
         return None
     try:
