--- a/packages/replay/src/trefoilroad_replay/trace.py
+++ b/packages/replay/src/trefoilroad_replay/trace.py
@@ -41,10 +41,10 @@
 from trefoilroad_core import errors
 from trefoilroad_core import fleet
 from trefoilroad_core import request
+from trefoilroad_replay import rows
 
 FORMAT = 1
 WORKER_STATES = ("failed", "returned", "leaving")
-ADJACENT = ("none", "rack")
 
 
 class Release(NamedTuple):
@@ -198,122 +198,6 @@
     expectations: tuple[Expectation, ...]
 
 
-class _Row:
-    """Reads the fields of one line and notes what is wrong with them."""
-
-    def __init__(self, *, place: str, row: dict[str, Any],
-                 findings: list[errors.Finding]):
-        self.place = place
-        self._row = row
-        self._findings = findings
-        self._known = {"kind"}
-
-    def note(self, key: str, message: str) -> None:
-        """Adds a finding."""
-        self._findings.append(errors.Finding(self.place, key, message))
-
-    def has(self, key: str) -> bool:
-        """Tells whether a field is present."""
-        return key in self._row
-
-    def read(self, key: str, kind: type | tuple[type, ...], default: Any,
-             **options: Any) -> Any:
-        """Returns a field, or a default after noting a finding.
-
-        Args:
-            key: Name of the field.
-            kind: Accepted type or types.
-            default: Value used if the field is wrong or may be absent.
-            **options: `optional` (may be absent) and `minimum`.
-
-        Returns:
-            The value.
-        """
-        self._known.add(key)
-        if key not in self._row:
-            if not options.get("optional"):
-                self.note(key, "missing")
-            return default
-        value = self._row[key]
-        kinds = kind if isinstance(kind, tuple) else (kind,)
-        is_wrong_flag = isinstance(value, bool) and bool not in kinds
-        if is_wrong_flag or not isinstance(value, kinds):
-            names = " or ".join(each.__name__ for each in kinds)
-            self.note(key, f"expected {names}, found {value!r}")
-            return default
-        minimum = options.get("minimum")
-        if minimum is not None and not value >= minimum:
-            self.note(key, f"must be at least {minimum}, found {value!r}")
-            return default
-        return value
-
-    def text(self, key: str, default: str = "", **options: Any) -> str:
-        """Reads a string."""
-        return self.read(key, str, default, **options)
-
-    def number(self, key: str, default: float = 0.0, **options: Any) -> float:
-        """Reads a number that is at least 0."""
-        return self.read(key, (int, float), default, minimum=0, **options)
-
-    def count(self, key: str, default: int = 0, **options: Any) -> int:
-        """Reads a whole number that is at least 0."""
-        return self.read(key, int, default, minimum=0, **options)
-
-    def flag(self, key: str, default: bool = False, **options: Any) -> bool:
-        """Reads a truth value."""
-        return self.read(key, bool, default, **options)
-
-    def names(self, key: str, **options: Any) -> tuple[str, ...]:
-        """Reads a list of strings."""
-        values = self.read(key, list, [], **options)
-        if not all(isinstance(value, str) for value in values):
-            self.note(key, "expected a list of strings")
-            return ()
-        return tuple(values)
-
-    def shape(self,
-              key: str,
-              default: request.Shape | None = None,
-              **options: Any) -> request.Shape:
-        """Reads a shape."""
-        fallback = default or request.Shape(tasks=1, accelerators=0)
-        values = self.read(key, list, None, **options)
-        if values is None:
-            return fallback
-        figures = values[:4]
-        if len(values) != 5 or values[4] not in ADJACENT or not all(
-                type(figure) is int and figure >= 0 for figure in figures):
-            self.note(
-                key, "expected [tasks, accelerators, cores, memory_gb, "
-                f"adjacent], found {values!r}")
-            return fallback
-        if values[0] < 1:
-            self.note(key, "a gang has at least one task")
-            return fallback
-        return request.Shape(*values)
-
-    def rows(self, key: str) -> list["_Row"]:
-        """Reads a list of objects."""
-        found = []
-        for index, row in enumerate(self.read(key, list, [])):
-            place = f"{self.place}: {key}[{index}]"
-            if isinstance(row, dict):
-                found.append(_Row(place=place, row=row,
-                                  findings=self._findings))
-            else:
-                self.note(f"{key}[{index}]", "expected an object")
-        return found
-
-    def ignore_rest(self) -> None:
-        """Makes `finish` accept every field."""
-        self._known.update(self._row)
-
-    def finish(self) -> None:
-        """Notes the fields that nothing reads."""
-        for key in sorted(self._row.keys() - self._known):
-            self.note(key, "unknown field")
-
-
 class Parser:
     """Reads traces and collects all findings of a file."""
 
@@ -329,7 +213,7 @@
         self._bad: list[BadWorkers] = []
         self._outages: list[Outage] = []
         self._expectations: list[Expectation] = []
-        self._references: list[tuple[_Row, str, str]] = []
+        self._references: list[tuple[rows.Row, str, str]] = []
 
     def parse(self, lines: Iterable[str]) -> Trace:
         """Parses the lines of a trace.
@@ -353,7 +237,8 @@
         }
         number = 0
         for number, line in enumerate(lines, start=1):
-            row = self._decode(number, line)
+            row = rows.parse_line(f"{self._place}:{number}", line,
+                                  self.findings)
             if row is None:
                 continue
             kind = row.text("kind")
@@ -376,20 +261,7 @@
             raise errors.InvalidDocuments.from_findings(self.findings)
         return self._build()
 
-    def _decode(self, number: int, line: str) -> _Row | None:
-        place = f"{self._place}:{number}"
-        try:
-            row = json.loads(line)
-        except ValueError as error:
-            self.findings.append(errors.Finding(place, "",
-                                                f"not JSON: {error}"))
-            return None
-        if not isinstance(row, dict):
-            self.findings.append(errors.Finding(place, "", "not an object"))
-            return None
-        return _Row(place=place, row=row, findings=self.findings)
-
-    def _read_header(self, row: _Row) -> None:
+    def _read_header(self, row: rows.Row) -> None:
         if row.count("format") != FORMAT:
             row.note("format", f"expected {FORMAT}")
         self._header = {
@@ -412,7 +284,7 @@
                 if name not in self._configuration.templates:
                     row.note("teams", f"{team.name}: unknown template {name!r}")
 
-    def _read_release(self, row: _Row) -> None:
+    def _read_release(self, row: rows.Row) -> None:
         team = row.text("team")
         name = row.text("template")
         try:
@@ -451,39 +323,39 @@
             row.note("id", f"{release.request_id!r} is released twice")
         self._releases[release.request_id] = release
 
-    def _read_cancel(self, row: _Row) -> None:
+    def _read_cancel(self, row: rows.Row) -> None:
         cancel = Cancel(row.number("at"), row.text("request"))
         self._references.append((row, "request", cancel.request_id))
         self._cancels.append(cancel)
 
-    def _read_workers(self, row: _Row) -> tuple[str, ...]:
+    def _read_workers(self, row: rows.Row) -> tuple[str, ...]:
         workers = row.names("workers")
         for worker_id in workers:
             if worker_id not in self._fleet.workers:
                 row.note("workers", f"unknown worker {worker_id!r}")
         return workers
 
-    def _read_change(self, row: _Row) -> None:
+    def _read_change(self, row: rows.Row) -> None:
         change = WorkerChange(row.number("at"), self._read_workers(row),
                               row.text("state"))
         if change.state not in WORKER_STATES:
             row.note("state", f"expected one of {WORKER_STATES}")
         self._changes.append(change)
 
-    def _read_bad(self, row: _Row) -> None:
+    def _read_bad(self, row: rows.Row) -> None:
         bad = BadWorkers(row.number("at"), row.number("until"),
                          row.number("after_s"), self._read_workers(row))
         if bad.until_s <= bad.at_s:
             row.note("until", "must be later than at")
         self._bad.append(bad)
 
-    def _read_outage(self, row: _Row) -> None:
+    def _read_outage(self, row: rows.Row) -> None:
         outage = Outage(row.number("at"), row.number("until"))
         if outage.until_s <= outage.at_s:
             row.note("until", "must be later than at")
         self._outages.append(outage)
 
-    def _read_expectation(self, row: _Row) -> None:
+    def _read_expectation(self, row: rows.Row) -> None:
         expectation = Expectation(
             place=row.place,
             requests=row.names("requests", optional=True),
@@ -518,11 +390,11 @@
                      **self._header)
 
 
-def _read_bound(row: _Row, key: str) -> float | None:
+def _read_bound(row: rows.Row, key: str) -> float | None:
     return row.number(key, optional=True) if row.has(key) else None
 
 
-def _read_rack(row: _Row) -> list[fleet.Worker]:
+def _read_rack(row: rows.Row) -> list[fleet.Worker]:
     rack = row.text("rack")
     domain = row.text("failure_domain")
     count = row.count("workers")
@@ -545,7 +417,7 @@
     ]
 
 
-def _read_template(row: _Row) -> contract.Template:
+def _read_template(row: rows.Row) -> contract.Template:
     template = contract.Template(name=row.text("name"),
                                  shape=row.shape("shape"),
                                  idempotent=row.flag("idempotent"),
@@ -557,7 +429,7 @@
     return template
 
 
-def _read_team(row: _Row) -> contract.Team:
+def _read_team(row: rows.Row) -> contract.Team:
     guarantees = []
     for each in row.rows("guarantees"):
         guarantees.append(
@@ -595,14 +467,14 @@
     return Parser(place=path.name).parse(content.decode().splitlines())
 
 
-def write_rows(path: pathlib.Path, rows: Iterable[dict[str, Any]]) -> None:
+def write_rows(path: pathlib.Path, events: Iterable[dict[str, Any]]) -> None:
     """Writes the lines of a trace; equal rows give equal bytes.
 
     Args:
         path: File to write, compressed if it ends in .gz.
-        rows: Header and events.
+        events: Header and events.
     """
-    lines = [json.dumps(row, separators=(",", ":")) + "\n" for row in rows]
+    lines = [json.dumps(row, separators=(",", ":")) + "\n" for row in events]
     content = "".join(lines).encode()
     if path.suffix == ".gz":
         content = gzip.compress(content, mtime=0)
