--- a/packages/core/src/trefoilroad_core/errors.py
+++ b/packages/core/src/trefoilroad_core/errors.py
@@ -84,6 +84,10 @@
     """A row of the table service does not have the expected form."""
 
 
+class PolicyError(TrefoilroadError):
+    """A scheduler decided something that cannot be carried out."""
+
+
 class StoreError(TrefoilroadError):
     """The platform's store did not do what was asked."""
 
