--- /dev/null
+++ b/packages/replay/src/trefoilroad_replay/reference.py
@@ -0,0 +1,67 @@
+"""A schedule that knows the run times, to compare accelerator use with."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import heapq
+
+from trefoilroad_replay import trace as trace_module
+
+Key = Callable[[trace_module.Release], float]
+
+ORDERS: tuple[Key, ...] = (
+    lambda release: release.at_s,
+    lambda release: -release.run_s,
+    lambda release: -release.run_s * release.shape.total_accelerators,
+)
+"""Arrival, longest first, and largest first."""
+
+
+def measure_known_use(trace: trace_module.Trace, until_s: float) -> float:
+    """Measures the use of a schedule that knows the run times.
+
+    It sees the fleet as one pool of accelerators, so it loses nothing to
+    placement, and starts everything that fits in the best of ORDERS.
+
+    Args:
+        trace: A trace.
+        until_s: End of the time in which use is counted.
+
+    Returns:
+        Accelerator seconds delivered until then.
+    """
+    total = trace.fleet.accelerators
+    releases = [
+        release for release in trace.releases
+        if 0 < release.shape.total_accelerators <= total
+    ]
+    return max(_deliver(releases, total, until_s, key) for key in ORDERS)
+
+
+def _deliver(releases: Sequence[trace_module.Release], total: int,
+             until_s: float, key: Key) -> float:
+    waiting: list[trace_module.Release] = []
+    ends: list[tuple[float, int]] = []
+    free, position, delivered = total, 0, 0.0
+    while position < len(releases) or ends:
+        now_s = min(
+            releases[position].at_s if position < len(releases) else
+            float("inf"), ends[0][0] if ends else float("inf"))
+        if now_s >= until_s:
+            break
+        while ends and ends[0][0] <= now_s:
+            free += heapq.heappop(ends)[1]
+        while position < len(releases) and releases[position].at_s <= now_s:
+            waiting.append(releases[position])
+            position += 1
+        waiting.sort(key=key)
+        left = []
+        for release in waiting:
+            size = release.shape.total_accelerators
+            if size > free:
+                left.append(release)
+                continue
+            free -= size
+            heapq.heappush(ends, (now_s + release.run_s, size))
+            delivered += size * (min(until_s, now_s + release.run_s) - now_s)
+        waiting = left
+    return delivered
--- a/packages/replay/src/trefoilroad_replay/replayer.py
+++ b/packages/replay/src/trefoilroad_replay/replayer.py
@@ -19,6 +19,7 @@
 from trefoilroad_core import errors
 from trefoilroad_core import fleet as fleet_module
 from trefoilroad_core import guarantee
+from trefoilroad_core import placement
 from trefoilroad_core import request
 from trefoilroad_core import scheduler as scheduler_module
 from trefoilroad_replay import results
@@ -54,6 +55,7 @@
         self.first_start_s: float | None = None
         self.end_s: float | None = None
         self.is_covered = False
+        self.had_room = False
         self.is_first_guaranteed = False
         self.reclaimed = False
         self.is_pending = False
@@ -97,20 +99,20 @@
                       now_s: float) -> scheduler_module.Running:
         """Returns what the scheduler sees while it runs."""
         release = self.release
-        return scheduler_module.Running(
-            request_id=release.request_id,
-            attempt_id=request.build_attempt_id(release.request_id,
-                                                self.attempt),
-            team=release.team,
-            caller=release.caller,
-            template=release.template,
-            shape=release.shape,
-            placement=placement,
-            started_s=now_s,
-            guaranteed=guaranteed,
-            evictable=self.can_be_lent and not guaranteed,
-            priority=release.priority,
-            declared_s=release.declared_s)
+        return scheduler_module.Running(request_id=release.request_id,
+                                        attempt_id=request.build_attempt_id(
+                                            release.request_id, self.attempt),
+                                        team=release.team,
+                                        caller=release.caller,
+                                        template=release.template,
+                                        shape=release.shape,
+                                        placement=placement,
+                                        started_s=now_s,
+                                        guaranteed=guaranteed,
+                                        evictable=self.can_be_lent and
+                                        not guaranteed,
+                                        priority=release.priority,
+                                        declared_s=release.declared_s)
 
 
 class _Event(NamedTuple):
@@ -144,6 +146,7 @@
         self._policy = policy
         self._round_interval_s = round_interval_s
         self._fleet = trace.fleet
+        self._layout = placement.Layout(fleet=trace.fleet)
         self._site = site_module.Site(fleet=trace.fleet)
         self._random = random.Random(trace.name)
         self._events: list[_Event] = []
@@ -178,13 +181,13 @@
             event = heapq.heappop(self._events)
             self._now_s = event.at_s
             event.action(*event.arguments)
-        return results.Replay(trace=self._trace,
-                              policy=self._policy,
-                              results=tuple(
-                                  self._build_result(job)
-                                  for job in self._jobs.values()),
-                              samples=tuple(self._samples),
-                              deliveries=tuple(self._deliveries))
+        return results.Replay(
+            trace=self._trace,
+            policy=self._policy,
+            results=tuple(
+                self._build_result(job) for job in self._jobs.values()),
+            samples=tuple(self._samples),
+            deliveries=tuple(self._deliveries))
 
     def _schedule_trace(self) -> None:
         trace = self._trace
@@ -201,8 +204,8 @@
             self._schedule(cancel.at_s, self._cancel,
                            self._jobs[cancel.request_id])
 
-    def _schedule(self, at_s: float, action: Callable[..., None],
-                  *arguments: Any) -> None:
+    def _schedule(self, at_s: float, action: Callable[..., None], *arguments:
+                  Any) -> None:
         heapq.heappush(self._events,
                        _Event(at_s, next(self._numbers), action, arguments))
 
@@ -220,24 +223,32 @@
             return
         release = job.release
         team = self._trace.configuration.teams[release.team]
-        counts = admission.Counts(
-            team=self._waiting_in[release.team, ""],
-            caller=self._waiting_in[release.team, release.caller])
+        counts = admission.Counts(team=self._waiting_in[release.team, ""],
+                                  caller=self._waiting_in[release.team,
+                                                          release.caller])
         if admission.check(team, release.caller, counts) is not None:
             self._finish(job, request.State.NOT_RUN)
             return
         job.received_s = self._now_s
         job.expires_s = self._now_s + release.wait_s
         job.is_covered = self._check_covered(release)
+        job.had_room = self._check_room(release)
         self._queue(job)
-        self._schedule(job.expires_s, self._request_round)
+        self._schedule(job.expires_s, self._check_expiry, job)
+
+    def _check_expiry(self, job: Job) -> None:
+        if job.release.request_id in self._pending:
+            self._request_round()
 
     def _check_covered(self, release: trace_module.Release) -> bool:
         """Tells whether a guaranteed gang of the team is certainly free.
 
         Every gang and every waiting request of the team that could use the
-        same guarantee counts as using it, so this errs towards False.
+        same guarantee counts as using it, so this errs towards False. While
+        workers are missing, guarantees may have no place.
         """
+        if self._site.excluded or self._site.down:
+            return False
         team = self._trace.configuration.teams[release.team]
         for entry in team.guarantees:
             if not guarantee.covers(entry.shape, release.shape):
@@ -252,12 +263,20 @@
                 for item in self._pending.values()
                 if item.team == release.team
             ]
-            users = sum(guarantee.covers(entry.shape, shape)
-                        for shape in shapes)
+            users = sum(
+                guarantee.covers(entry.shape, shape) for shape in shapes)
             if users < entry.gangs:
                 return True
         return False
 
+    def _check_room(self, release: trace_module.Release) -> bool:
+        """Tells whether a gang fits beside all that run."""
+        free = placement.Capacity(layout=self._layout,
+                                  excluded=self._site.excluded)
+        for job in self._running.values():
+            free.take(job.placement, job.release.shape)
+        return free.can_place(release.shape)
+
     def _queue(self, job: Job) -> None:
         if job.is_done:
             return
@@ -461,14 +480,14 @@
         self._request_round()
 
     def _mark(self, workers: set[str], leaving: bool) -> None:
-        self._fleet = fleet_module.Fleet(
-            workers=[
-                worker._replace(leaving=leaving) if worker.worker_id in
-                workers else worker for worker in self._fleet.workers.values()
-            ])
-
-    def _detect_loss(self, workers: set[str],
-                     lost: list[tuple[Job, int]]) -> None:
+        self._fleet = fleet_module.Fleet(workers=[
+            worker._replace(
+                leaving=leaving) if worker.worker_id in workers else worker
+            for worker in self._fleet.workers.values()
+        ])
+
+    def _detect_loss(self, workers: set[str], lost: list[tuple[Job,
+                                                               int]]) -> None:
         self._site.excluded |= workers & self._site.down
         for job, attempt in lost:
             if not self._is_current(job, attempt):
@@ -552,5 +571,6 @@
                               attempts=job.attempt,
                               evictions=job.evictions,
                               is_covered=job.is_covered,
+                              had_room=job.had_room,
                               reclaimed=job.reclaimed,
                               is_first_guaranteed=job.is_first_guaranteed)
--- a/packages/replay/src/trefoilroad_replay/results.py
+++ b/packages/replay/src/trefoilroad_replay/results.py
@@ -20,6 +20,7 @@
         evictions: Number of times that it was evicted.
         is_covered: Whether a gang of its team's guarantee was free when it was
             received.
+        had_room: Whether it fitted beside all that ran when it was received.
         reclaimed: Whether others were evicted for it.
         is_first_guaranteed: Whether its first start was inside the guarantee.
     """
@@ -32,6 +33,7 @@
     attempts: int
     evictions: int
     is_covered: bool
+    had_room: bool
     reclaimed: bool
     is_first_guaranteed: bool
 
--- a/packages/replay/src/trefoilroad_replay/site.py
+++ b/packages/replay/src/trefoilroad_replay/site.py
@@ -88,9 +88,7 @@
             if use.is_overcommitted:
                 raise errors.PolicyError(
                     f"{worker_id} has no room for a task of {shape}")
-        racks = {
-            self._fleet.workers[worker_id].rack for worker_id in placement
-        }
+        racks = {self._fleet.workers[worker_id].rack for worker_id in placement}
         if shape.adjacent == "rack" and len(racks) > 1:
             raise errors.PolicyError(
                 f"{shape} was placed in racks {', '.join(sorted(racks))}")
