Keep free room and its views between rounds

A round at 510 workers spent most of its time on counting anew how many tasks of each size fit each worker. Counts now follow a log of changed workers, and the room that running gangs leave is kept between rounds and restored at the end of each.

Reservations respect each other and move to other room, three times at most, when gangs on the reserved room run longer than estimated.

--- a/packages/core/src/trefoilroad_core/accounting.py
+++ b/packages/core/src/trefoilroad_core/accounting.py
@@ -48,9 +48,11 @@
         self._fleet: fleet_module.Fleet | None = None
         self._prices: list[float] = []
         self._rates: dict[request.Shape, float] = {}
+        self._estimates: dict[str, float] = {}
 
     def update(self, state: snapshot.Snapshot) -> None:
-        """Follows the fleet and the running gangs."""
+        """Follows the fleet and the running gangs, once in each round."""
+        self._estimates = {}
         if state.fleet is not self._fleet:
             self._fleet = state.fleet
             self._prices = _compute_prices(state.fleet)
@@ -63,7 +65,8 @@
                 self._adopt(item, state)
             elif state.now_s - charge.started_s >= charge.charged_s:
                 self._extend(item.request_id, charge, state.now_s)
-        for request_id in self._charges.keys() - running:
+        ended = [key for key in self._charges if key not in running]
+        for request_id in ended:
             elapsed = state.now_s - self._charges[request_id].started_s
             self._settle(request_id, elapsed)
 
@@ -159,8 +162,12 @@
 
     def estimate_s(self, item: snapshot.Pending) -> float:
         """Estimates the run time of a waiting request, in seconds."""
-        return self._estimator.estimate(item.team, item.template,
-                                        item.declared_s)
+        estimated_s = self._estimates.get(item.request_id)
+        if estimated_s is None:
+            estimated_s = self._estimator.estimate(item.team, item.template,
+                                                   item.declared_s)
+            self._estimates[item.request_id] = estimated_s
+        return estimated_s
 
     def compute_cost(self, item: snapshot.Pending) -> float:
         """Computes the charge of a waiting request, in accelerator seconds."""
--- a/packages/core/src/trefoilroad_core/admission.py
+++ b/packages/core/src/trefoilroad_core/admission.py
@@ -53,6 +53,10 @@
         self._accelerators[team] = (self._accelerators.get(team, 0) +
                                     shape.total_accelerators)
 
+    def remove(self, team: str, shape: request.Shape) -> None:
+        """Takes back a gang that was counted."""
+        self._accelerators[team] -= shape.total_accelerators
+
     def is_within_limit(self, team: contract.Team | None,
                         shape: request.Shape) -> bool:
         """Tells whether a team may start one more gang.
--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -1,6 +1,6 @@
 """Starts of lent requests, with reservations for those that find no room."""
 
-from collections.abc import Iterator
+import collections
 from collections.abc import Sequence
 import math
 from typing import NamedTuple
@@ -18,6 +18,13 @@
 every change; the limit bounds the room that is kept free.
 """
 
+MAX_MOVES = 3
+"""Most times that a reservation moves to other room.
+
+Each move gives up room that was kept free, so a request whose estimates go on
+being wrong stays in the end where it is.
+"""
+
 CHUNK = 64
 """Gangs released before the next look, when a reservation is planned."""
 
@@ -30,11 +37,29 @@
         placement: Where it will start.
         start_s: When it was first estimated to start, in seconds. From then on
             nothing else may start on its room.
+        ready_s: When it is estimated to start now, in seconds.
+        moves: How often it was moved to other room.
     """
 
     item: snapshot.Pending
     placement: tuple[str, ...]
     start_s: float
+    ready_s: float
+    moves: int = 0
+
+
+class _Outlook(NamedTuple):
+    """What is expected of reserved room.
+
+    Attributes:
+        ready_s: When it is estimated to be free, in seconds.
+        shadow_s: When the request is expected to start on it, in seconds.
+        rows: What is left on each of its workers beside the request then.
+    """
+
+    ready_s: float
+    shadow_s: float
+    rows: dict[str, list[int]]
 
 
 class LentPass:
@@ -61,6 +86,8 @@
         self._backfill = backfill
         self._now_s = work.state.now_s
         self._shadow_s = math.inf
+        self._drained: set[str] = set()
+        self._outlooks: dict[str, _Outlook] = {}
         self._late = work.free
         self._unclaimed = work.free
 
@@ -113,51 +140,71 @@
     def _restrict(self) -> None:
         """Computes the room that requests of each run time may use."""
         free = self._work.free
-        for request_id, reservation in list(self._reservations.items()):
-            ready_s = self._estimate_ready_s(reservation)
-            start_s = min(reservation.start_s, ready_s)
-            self._reservations[request_id] = reservation._replace(
-                start_s=start_s)
-            if self._now_s >= start_s:
+        for request_id, old in list(self._reservations.items()):
+            ready_s = self._look_ahead(old).ready_s
+            reservation = (self._move(old, ready_s) or
+                           old._replace(start_s=min(old.start_s, ready_s),
+                                        ready_s=ready_s))
+            self._reservations[request_id] = reservation
+            if self._now_s >= reservation.start_s:
                 free.take(reservation.placement, reservation.item.shape)
+                self._drained.add(request_id)
         self._late = free.copy() if self._reservations else free
         self._unclaimed = free.copy()
         for site, shape in self._tools.ledger.list_sites():
             self._unclaimed.take(site, shape)
-        for reservation in self._reservations.values():
-            if self._now_s < reservation.start_s:
+        for request_id, reservation in self._reservations.items():
+            if request_id not in self._drained:
                 self._limit_late(reservation)
 
-    def _select_ends(self, names: frozenset[str]) -> Iterator[rounds.End]:
+    def _move(self, reservation: Reservation,
+              ready_s: float) -> Reservation | None:
+        """Finds other room when gangs run longer than estimated."""
+        if (self._now_s < reservation.start_s or
+                reservation.moves == MAX_MOVES or
+                ready_s <= reservation.ready_s):
+            return None
+        other = self._plan(reservation.item, reservation.moves + 1)
+        half_s = (ready_s - self._now_s) / 2
+        if other is None or other.start_s > self._now_s + half_s:
+            return None
+        return other
+
+    def _look_ahead(self, reservation: Reservation) -> _Outlook:
+        """Estimates when reserved room will be free, and what is left then."""
+        free = self._work.free
+        need = placement.get_need(reservation.item.shape)
+        tasks = collections.Counter(reservation.placement)
+        rows = {name: free.get_row(name).copy() for name in tasks}
+        missing = {
+            name for name, count in tasks.items()
+            if placement.count_tasks(rows[name], need) < count
+        }
+        ready_s = math.inf if missing else self._now_s
         for end in self._work.ends:
-            if not names.isdisjoint(end.placement):
-                yield end
-
-    def _estimate_ready_s(self, reservation: Reservation) -> float:
-        """Estimates when reserved room will be free, in seconds."""
-        shape = reservation.item.shape
-        then = self._work.free.copy()
-        if then.can_take(reservation.placement, shape):
-            return self._now_s
-        for end in self._select_ends(frozenset(reservation.placement)):
-            then.release(end.placement, end.shape)
-            if then.can_take(reservation.placement, shape):
-                return end.end_s
-        return math.inf
+            if not missing and end.end_s > max(ready_s, reservation.start_s):
+                break
+            if tasks.keys().isdisjoint(end.placement):
+                continue
+            _add(rows, end.placement, end.shape, 1)
+            if missing:
+                missing = {
+                    name for name in missing
+                    if placement.count_tasks(rows[name], need) < tasks[name]
+                }
+                ready_s = math.inf if missing else end.end_s
+        for other in self._reservations.values():
+            if other.item.request_id not in self._drained:
+                _add(rows, other.placement, other.item.shape, -1)
+        return _Outlook(ready_s, max(ready_s, reservation.start_s), rows)
 
     def _limit_late(self, reservation: Reservation) -> None:
         """Keeps reserved room free of work that ends after its time."""
-        ready_s = max(reservation.start_s, self._estimate_ready_s(reservation))
-        self._shadow_s = min(self._shadow_s, ready_s)
-        names = frozenset(reservation.placement)
-        then = self._work.free.copy()
-        for end in self._select_ends(names):
-            if end.end_s <= ready_s:
-                then.release(end.placement, end.shape)
-        then.take(reservation.placement, reservation.item.shape)
-        for name in names:
-            self._late.limit(name, then.get_row(name))
-            self._unclaimed.limit(name, then.get_row(name))
+        outlook = self._look_ahead(reservation)
+        self._outlooks[reservation.item.request_id] = outlook
+        self._shadow_s = min(self._shadow_s, outlook.shadow_s)
+        for capacity in (self._late, self._unclaimed):
+            capacity.limit_rows(outlook.rows)
 
     def _try_start(self, item: snapshot.Pending) -> bool:
         reservation = self._reservations.get(item.request_id)
@@ -165,10 +212,12 @@
             return self._try_reserved(item, reservation)
         end_s = self._now_s + self._tools.accounting.estimate_s(item)
         limit = self._work.free if end_s <= self._shadow_s else self._late
-        # Room that no guarantee needs comes first, so that guaranteed work
-        # seldom has to wait for an eviction.
-        workers = (self._tools.placer.place(self._unclaimed, item.shape) or
-                   self._tools.placer.place(limit, item.shape))
+        workers = None
+        if limit.can_place(item.shape):
+            # Room that no guarantee needs comes first, so that guaranteed work
+            # seldom has to wait for an eviction.
+            workers = (self._tools.placer.place(self._unclaimed, item.shape) or
+                       self._tools.placer.place(limit, item.shape))
         if workers is None:
             self._work.reasons.setdefault(
                 item.request_id,
@@ -180,10 +229,10 @@
     def _try_reserved(self, item: snapshot.Pending,
                       reservation: Reservation) -> bool:
         free = self._work.free
-        draining = self._now_s >= reservation.start_s
+        draining = item.request_id in self._drained
         if draining:
             free.release(reservation.placement, item.shape)
-        workers = self._tools.placer.place(free, item.shape)
+        workers = self._tools.placer.place(self._list_room(item), item.shape)
         if workers is None:
             if draining:
                 free.take(reservation.placement, item.shape)
@@ -196,6 +245,21 @@
         self._start(item, workers)
         return True
 
+    def _list_room(self, item: snapshot.Pending) -> placement.Capacity:
+        """Returns the room that other reservations leave to a request."""
+        end_s = self._now_s + self._tools.accounting.estimate_s(item)
+        limits = [
+            outlook.rows
+            for request_id, outlook in self._outlooks.items()
+            if request_id != item.request_id and end_s > outlook.shadow_s
+        ]
+        if not limits:
+            return self._work.free
+        room = self._work.free.copy()
+        for rows in limits:
+            room.limit_rows(rows)
+        return room
+
     def _start(self, item: snapshot.Pending, workers: tuple[str, ...]) -> None:
         ledger = self._tools.ledger
         guaranteed = False
@@ -215,22 +279,29 @@
 
     def _reserve(self, item: snapshot.Pending) -> None:
         """Reserves the room that is estimated to be free first."""
-        then = self._work.free.copy()
-        for other in self._reservations.values():
-            if self._now_s < other.start_s:
-                then.take(other.placement, other.item.shape)
-        ends = self._work.ends
-        start_s = release_until(then, item.shape, ends)
-        workers = self._tools.placer.place(then, item.shape)
-        if workers is None:
+        reservation = self._plan(item)
+        if reservation is None:
             return
-        reservation = Reservation(item, workers, start_s)
         self._reservations[item.request_id] = reservation
         if self._late is self._work.free:
             self._late = self._work.free.copy()
         self._limit_late(reservation)
         self._explain_reservation(reservation)
 
+    def _plan(self,
+              item: snapshot.Pending,
+              moves: int = 0) -> Reservation | None:
+        then = self._work.free.copy()
+        for other in self._reservations.values():
+            if (other.item.request_id != item.request_id and
+                    other.item.request_id not in self._drained):
+                then.take(other.placement, other.item.shape)
+        start_s = release_until(then, item.shape, self._work.ends)
+        workers = self._tools.placer.place(then, item.shape)
+        if workers is None:
+            return None
+        return Reservation(item, workers, start_s, start_s, moves)
+
     def _explain_reservation(self, reservation: Reservation) -> None:
         wait_s = reservation.start_s - self._now_s
         when = f"in about {wait_s:.0f} s" if wait_s > 0 else "as soon as free"
@@ -239,6 +310,16 @@
             f"has a reservation on {workers}, to start {when}")
 
 
+def _add(rows: dict[str, list[int]], workers: tuple[str, ...],
+         shape: request.Shape, sign: int) -> None:
+    need = placement.get_need(shape)
+    for name in workers:
+        row = rows.get(name)
+        if row is not None:
+            for resource, amount in enumerate(need):
+                row[resource] += sign * amount
+
+
 def release_until(capacity: placement.Capacity, shape: request.Shape,
                   ends: Sequence[rounds.End]) -> float:
     """Releases gangs by estimated end until a shape fits.
--- a/packages/core/src/trefoilroad_core/firm.py
+++ b/packages/core/src/trefoilroad_core/firm.py
@@ -73,12 +73,12 @@
         kept = (self._tools.ledger.is_bound(item.request_id, promise.placement)
                 and work.free.is_open(promise.placement))
         if kept:
-            work.give_back(promise.placement, item.shape)
+            work.give_back(promise)
             if work.free.can_take(promise.placement, item.shape):
                 del self._promises[item.request_id]
                 work.start(item, promise.placement, guaranteed=True, lent=False)
                 return True
-            work.take(promise.placement, item.shape)
+            work.promise(promise)
         if kept and work.state.now_s < promise.deadline_s:
             work.reasons[item.request_id] = (
                 f"waits until {len(promise.victims)} gangs have stopped on its "
@@ -89,7 +89,7 @@
 
     def _give_up(self, request_id: str) -> None:
         promise = self._promises.pop(request_id)
-        self._work.give_back(promise.placement, promise.item.shape)
+        self._work.give_back(promise)
         self._tools.ledger.unbind(request_id)
         # Which gangs are being stopped has changed.
         self._work.future = None
@@ -138,9 +138,11 @@
                                  candidates)
             if plan is not None and self._commit(item, entitlement, plan):
                 return True
+        reason = "no gang that may be stopped would make room"
+        if site is None:
+            reason = "too few workers are left for all guarantees"
         self._work.reasons[item.request_id] = (
-            "inside the team's guarantee, but no gang that may be stopped "
-            "would make room")
+            f"inside the team's guarantee, but {reason}")
         return False
 
     def _commit(self, item: snapshot.Pending,
@@ -155,7 +157,7 @@
             frozenset([victim.attempt_id for victim in plan.victims]),
             work.state.now_s + self._timeout_s)
         self._promises[item.request_id] = promise
-        work.take(plan.placement, item.shape)
+        work.promise(promise)
         future = self._get_future()
         for victim in plan.victims:
             future.release(victim.placement, victim.shape)
--- a/packages/core/src/trefoilroad_core/guarantee.py
+++ b/packages/core/src/trefoilroad_core/guarantee.py
@@ -281,11 +281,20 @@
             self.degraded = []
             return
         # Old sites may be in the way of a packing that fits all.
-        movable = [item for item in unused if item not in self._users]
-        for entitlement in movable:
-            if entitlement in self._sites:
-                self._drop_site(entitlement)
-        self._place_all(movable)
+        before = {
+            item: self._sites[item]
+            for item in unused
+            if item in self._sites and item not in self._users
+        }
+        for entitlement in before:
+            self._drop_site(entitlement)
+        placed = len(self._sites) + len(before)
+        self._place_all(item for item in unused if item not in self._sites)
+        if len(self._sites) < placed:
+            for entitlement in unused:
+                if entitlement in self._sites:
+                    self._drop_site(entitlement)
+            self._restore(before)
         self.degraded = [item for item in unused if item not in self._sites]
 
     def _place_all(self, entitlements: Iterable[Entitlement]) -> bool:
--- a/packages/core/src/trefoilroad_core/placement.py
+++ b/packages/core/src/trefoilroad_core/placement.py
@@ -3,6 +3,7 @@
 import abc
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -12,6 +13,9 @@
 ACCELERATORS, CORES, MEMORY, SLOTS, CONNECTIONS = range(5)
 RESOURCES = ("accelerators", "cores", "memory_gb", "slots", "connections")
 
+MAX_LOG = 4096
+"""Changes of a capacity after which its log is shortened."""
+
 
 def get_need(shape: request.Shape) -> tuple[int, int, int, int, int]:
     """Returns what one task takes, in the order of RESOURCES."""
@@ -60,6 +64,13 @@
         self.position = position
 
 
+class Saved(NamedTuple):
+    """Free amounts to go back to."""
+
+    rows: list[list[int]]
+    position: int
+
+
 class Capacity:
     """Resources that are free on each worker.
 
@@ -91,14 +102,38 @@
         twin.layout = self.layout
         twin.rows = [row.copy() for row in self.rows]
         twin.open = self.open.copy()
-        twin._views = {}
-        twin._log = []
-        for key, view in self._views.items():
-            if view.position == len(self._log):
-                twin._views[key] = _View(view.counts.copy(), view.racks.copy(),
-                                         view.total, 0)
+        twin._log = self._log.copy()
+        twin._views = {
+            key:
+                _View(view.counts.copy(), view.racks.copy(), view.total,
+                      view.position) for key, view in self._views.items()
+        }
         return twin
 
+    def save(self) -> Saved:
+        """Remembers the free amounts, for `restore`."""
+        self._trim()
+        return Saved([row.copy() for row in self.rows], len(self._log))
+
+    def restore(self, saved: Saved) -> None:
+        """Undoes all changes since `save`, which must be the latest one."""
+        changed = set(self._log[saved.position:])
+        for position in changed:
+            self.rows[position] = saved.rows[position]
+        self._log.extend(changed)
+
+    def _trim(self) -> None:
+        """Shortens the log of changes; drops views that are seldom used."""
+        if len(self._log) < MAX_LOG:
+            return
+        for key, view in list(self._views.items()):
+            if view.position < len(self._log) - MAX_LOG:
+                del self._views[key]
+            else:
+                self._refresh(view, (*key, 1, 1))
+                view.position = 0
+        self._log = []
+
     def take(self, placement: Iterable[str], shape: request.Shape) -> None:
         """Takes the resources of a gang.
 
@@ -130,17 +165,16 @@
             row[4] += sign
             self._log.append(position)
 
-    def limit(self, name: str, row: Sequence[int]) -> None:
-        """Lowers the free amounts of a worker to at most those given.
+    def limit_rows(self, rows: Mapping[str, Sequence[int]]) -> None:
+        """Lowers the free amounts of workers to at most those given.
 
         Args:
-            name: The worker.
-            row: Amounts in the order of RESOURCES.
+            rows: Amounts in the order of RESOURCES, by worker.
         """
-        position = self.layout.index[name]
-        own = self.rows[position]
-        self.rows[position] = [min(a, b) for a, b in zip(own, row, strict=True)]
-        self._log.append(position)
+        for name, row in rows.items():
+            position = self.layout.index[name]
+            self.rows[position] = list(map(min, self.rows[position], row))
+            self._log.append(position)
 
     def close(self, positions: Iterable[int]) -> None:
         """Lets nothing be placed on workers.
@@ -182,17 +216,8 @@
             for position, count in tasks.items())
 
     def _count(self, position: int, need: Sequence[int]) -> int:
-        if not self.open[position]:
-            return 0
-        accelerators, cores, memory, slots, connections = self.rows[position]
-        count = slots if slots < connections else connections
-        if need[0]:
-            count = min(count, accelerators // need[0])
-        if need[1]:
-            count = min(count, cores // need[1])
-        if need[2]:
-            count = min(count, memory // need[2])
-        return count if count > 0 else 0
+        return count_tasks(self.rows[position],
+                           need) if self.open[position] else 0
 
     def get_view(self, shape: request.Shape) -> _View:
         """Returns how many tasks of a shape fit each worker and rack.
@@ -214,11 +239,18 @@
         return view
 
     def _build_view(self, need: Sequence[int]) -> _View:
-        counts = [self._count(i, need) for i in range(len(self.rows))]
-        racks = [
-            sum([counts[i] for i in members]) for members in self.layout.racks
-        ]
-        return _View(counts, racks, sum(counts), len(self._log))
+        counts = [0] * len(self.rows)
+        racks = [0] * len(self.layout.racks)
+        rack_of = self.layout.rack_of
+        accelerators, cores = need[ACCELERATORS], need[CORES]
+        # Most workers of a busy fleet fit nothing; they are passed over fast.
+        for position, row in enumerate(self.rows):
+            if row[0] < accelerators or row[1] < cores or row[3] < 1:
+                continue
+            count = self._count(position, need)
+            counts[position] = count
+            racks[rack_of[position]] += count
+        return _View(counts, racks, sum(racks), len(self._log))
 
     def _refresh(self, view: _View, need: Sequence[int]) -> None:
         for position in set(self._log[view.position:]):
@@ -238,6 +270,28 @@
         return view.total >= shape.tasks
 
 
+def count_tasks(row: Sequence[int], need: Sequence[int]) -> int:
+    """Counts the tasks that fit the free amounts of one worker.
+
+    Args:
+        row: Free amounts in the order of RESOURCES.
+        need: Amounts that one task takes, in the same order.
+
+    Returns:
+        The number of tasks, 0 where an amount is negative.
+    """
+    accelerators, cores, memory, count, connections = row
+    if connections < count:
+        count = connections
+    if need[0] and accelerators < count * need[0]:
+        count = accelerators // need[0]
+    if need[1] and cores < count * need[1]:
+        count = cores // need[1]
+    if need[2] and memory < count * need[2]:
+        count = memory // need[2]
+    return count if count > 0 else 0
+
+
 class Placer(abc.ABC):
     """Chooses workers for a gang."""
 
--- a/packages/core/src/trefoilroad_core/rounds.py
+++ b/packages/core/src/trefoilroad_core/rounds.py
@@ -1,7 +1,6 @@
 """Working state that the passes of one decision round share."""
 
 import bisect
-from collections.abc import Iterable
 import functools
 from typing import NamedTuple
 
@@ -89,7 +88,7 @@
             guaranteed: Whether it is inside its team's guarantee.
             lent: Whether it starts in the fair order.
         """
-        self.take(workers, item.shape)
+        self._take(workers, item.shape)
         self.usage.add(item.team, item.shape)
         self.starts.append(snapshot.Start(item.request_id, workers, guaranteed))
         self.tools.accounting.record_start(item, self.state.now_s, lent=lent)
@@ -109,17 +108,23 @@
         ends.sort(key=lambda end: end.end_s)
         return ends
 
-    def take(self, workers: tuple[str, ...], shape: request.Shape) -> None:
-        """Takes room that is free, or will be."""
-        self.free.take(workers, shape)
+    def promise(self, promise: Promise) -> None:
+        """Takes room that is free, or will be, and counts it as in use."""
+        self._take(promise.placement, promise.item.shape)
+        self.usage.add(promise.item.team, promise.item.shape)
+
+    def give_back(self, promise: Promise) -> None:
+        """Gives back what was taken for a promise."""
+        shape = promise.item.shape
+        self.free.release(promise.placement, shape)
         if self.future is not None:
-            self.future.take(workers, shape)
+            self.future.release(promise.placement, shape)
+        self.usage.remove(promise.item.team, shape)
 
-    def give_back(self, workers: tuple[str, ...], shape: request.Shape) -> None:
-        """Gives back room that was taken for a promise."""
-        self.free.release(workers, shape)
+    def _take(self, workers: tuple[str, ...], shape: request.Shape) -> None:
+        self.free.take(workers, shape)
         if self.future is not None:
-            self.future.release(workers, shape)
+            self.future.take(workers, shape)
 
     def is_within_limit(self, item: snapshot.Pending) -> bool:
         """Tells whether the limit of its team lets a request start."""
@@ -139,12 +144,43 @@
     return item.idempotent or item.checkpoint
 
 
-def build_free(layout: placement.Layout, state: snapshot.Snapshot,
-               promises: Iterable[Promise]) -> placement.Capacity:
-    """Computes the room that no gang uses and no request is promised."""
-    free = placement.Capacity(layout=layout, excluded=state.excluded)
-    for item in state.running:
-        free.take(item.placement, item.shape)
-    for promise in promises:
-        free.take(promise.placement, promise.item.shape)
-    return free
+class Base:
+    """Room that running gangs leave, kept between rounds.
+
+    Only gangs that have come or gone since the last round are counted anew.
+    """
+
+    def __init__(self) -> None:
+        self._capacity: placement.Capacity | None = None
+        self._excluded: frozenset[str] = frozenset()
+        self._counted: dict[str, snapshot.Running] = {}
+
+    def update(self, layout: placement.Layout,
+               state: snapshot.Snapshot) -> placement.Capacity:
+        """Follows the fleet and the running gangs.
+
+        Args:
+            layout: Positions of the fleet's workers.
+            state: What the round reads.
+
+        Returns:
+            The room; the round may change it if it restores it at its end.
+        """
+        capacity = self._capacity
+        if (capacity is None or capacity.layout is not layout or
+                state.excluded != self._excluded):
+            capacity = placement.Capacity(layout=layout,
+                                          excluded=state.excluded)
+            self._capacity = capacity
+            self._excluded = state.excluded
+            self._counted = {}
+        gone = self._counted
+        self._counted = {}
+        for item in state.running:
+            known = gone.pop(item.attempt_id, None)
+            if known is None:
+                capacity.take(item.placement, item.shape)
+            self._counted[item.attempt_id] = known or item
+        for item in gone.values():
+            capacity.release(item.placement, item.shape)
+        return capacity
--- a/packages/core/src/trefoilroad_core/scheduler.py
+++ b/packages/core/src/trefoilroad_core/scheduler.py
@@ -73,6 +73,7 @@
             ledger=guarantee.Ledger(placer=placer, reserve=reserve_guarantees))
         self._layout: placement.Layout | None = None
         self._fleet: object = None
+        self._base = rounds.Base()
         self._misfits: dict[request.Shape, str | None] = {}
         self._promises: dict[str, rounds.Promise] = {}
         self._reservations: dict[str, backfill_module.Reservation] = {}
@@ -89,20 +90,34 @@
             What to start, evict, refuse and expire.
         """
         layout = self._update_layout(state)
-        accounts = self._tools.accounting
-        accounts.update(state)
+        self._tools.accounting.update(state)
         waiting, refusals, expirations = self._sort_out(state)
         self._drop_promises(waiting)
         self._tools.ledger.update(state, layout, self._promises)
-        free = rounds.build_free(layout, state, self._promises.values())
+        free = self._base.update(layout, state)
+        saved = free.save()
         work = rounds.Round(state=state, tools=self._tools, free=free)
-        items = [item for item in waiting if work.is_within_limit(item)]
+        for promise in self._promises.values():
+            work.promise(promise)
+        self._run_passes(work, waiting)
+        free.restore(saved)
+        self._reasons = work.reasons
+        self._degraded = {item.team for item in self._tools.ledger.degraded}
+        return snapshot.Decisions(tuple(work.starts), tuple(work.evictions),
+                                  tuple(refusals), tuple(expirations))
+
+    def _run_passes(self, work: rounds.Round,
+                    waiting: list[snapshot.Pending]) -> None:
+        items = [
+            item for item in waiting
+            if item.request_id in self._promises or work.is_within_limit(item)
+        ]
         weights = {
             name: team.weight
-            for name, team in state.configuration.teams.items()
+            for name, team in work.state.configuration.teams.items()
         }
-        ordered = list(
-            self._order.arrange(items, accounts.compute_cost, weights))
+        cost = self._tools.accounting.compute_cost
+        ordered = list(self._order.arrange(items, cost, weights))
         if self._firm_first:
             ordered = firm.FirmPass(
                 work=work,
@@ -111,10 +126,6 @@
         backfill_module.LentPass(work=work,
                                  reservations=self._reservations,
                                  backfill=self._backfill).run(ordered)
-        self._reasons = work.reasons
-        self._degraded = {item.team for item in self._tools.ledger.degraded}
-        return snapshot.Decisions(tuple(work.starts), tuple(work.evictions),
-                                  tuple(refusals), tuple(expirations))
 
     def explain(self, request_id: str) -> str:
         """Tells why a request waits, as of the latest round.
