--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -216,8 +216,8 @@
         if limit.can_place(item.shape):
             # Room that no guarantee needs comes first, so that guaranteed work
             # seldom has to wait for an eviction.
-            workers = (self._tools.placer.place(self._unclaimed, item.shape) or
-                       self._tools.placer.place(limit, item.shape))
+            workers = (self._work.place(self._unclaimed, item) or
+                       self._work.place(limit, item))
         if workers is None:
             self._work.reasons.setdefault(
                 item.request_id,
@@ -232,7 +232,7 @@
         draining = item.request_id in self._drained
         if draining:
             free.release(reservation.placement, item.shape)
-        workers = self._tools.placer.place(self._list_room(item), item.shape)
+        workers = self._work.place(self._list_room(item), item)
         if workers is None:
             if draining:
                 free.take(reservation.placement, item.shape)
--- a/packages/core/src/trefoilroad_core/firm.py
+++ b/packages/core/src/trefoilroad_core/firm.py
@@ -103,15 +103,15 @@
         ledger = self._tools.ledger
         site = ledger.get_site(entitlement)
         workers = _find_in_site(free, site or (), item.shape)
-        if workers is None:
-            workers = self._tools.placer.place(free, item.shape)
+        if workers is None or not item.avoid.isdisjoint(workers):
+            workers = self._work.place(free, item)
         if workers is None:
             return None
         if ledger.bind(item.request_id, entitlement, item.shape, workers):
             return workers
         beside = free.copy()
         beside.limit_to(ledger.room)
-        workers = self._tools.placer.place(beside, item.shape)
+        workers = self._work.place(beside, item)
         if workers is not None and ledger.bind(item.request_id, entitlement,
                                                item.shape, workers):
             return workers
--- a/packages/core/src/trefoilroad_core/rounds.py
+++ b/packages/core/src/trefoilroad_core/rounds.py
@@ -108,6 +108,19 @@
         ends.sort(key=lambda end: end.end_s)
         return ends
 
+    def place(self, capacity: placement.Capacity,
+              item: snapshot.Pending) -> tuple[str, ...] | None:
+        """Finds a placement, if possible without workers to avoid."""
+        placer = self.tools.placer
+        if item.avoid and capacity.can_place(item.shape):
+            index = capacity.layout.index
+            rest = capacity.copy()
+            rest.close([index[name] for name in item.avoid if name in index])
+            workers = placer.place(rest, item.shape)
+            if workers is not None:
+                return workers
+        return placer.place(capacity, item.shape)
+
     def promise(self, promise: Promise) -> None:
         """Takes room that is free, or will be, and counts it as in use."""
         self._take(promise.placement, promise.item.shape)
--- a/packages/core/src/trefoilroad_core/scheduler.py
+++ b/packages/core/src/trefoilroad_core/scheduler.py
@@ -93,9 +93,12 @@
         self._tools.accounting.update(state)
         waiting, refusals, expirations = self._sort_out(state)
         self._drop_promises(waiting)
-        self._tools.ledger.update(state, layout, self._promises)
+        self._tools.ledger.update(
+            state._replace(excluded=state.excluded | state.probation), layout,
+            self._promises)
         free = self._base.update(layout, state)
         saved = free.save()
+        _limit_probation(free, state.probation)
         work = rounds.Round(state=state, tools=self._tools, free=free)
         for promise in self._promises.values():
             work.promise(promise)
@@ -216,6 +219,17 @@
             del self._promises[request_id]
 
 
+def _limit_probation(free: placement.Capacity, names: frozenset[str]) -> None:
+    """Leaves at most one slot of each worker on probation."""
+    rows = {}
+    for name in names & free.layout.index.keys():
+        slots = free.layout.rows[free.layout.index[name]][placement.SLOTS]
+        row = free.get_row(name).copy()
+        row[placement.SLOTS] += 1 - slots
+        rows[name] = row
+    free.limit_rows(rows)
+
+
 def _list_ids(items: Sequence[snapshot.Pending]) -> Iterator[str]:
     for item in items:
         yield item.request_id
--- a/packages/core/src/trefoilroad_core/snapshot.py
+++ b/packages/core/src/trefoilroad_core/snapshot.py
@@ -23,6 +23,7 @@
         checkpoint: Whether its tasks can be checkpointed and resumed.
         declared_s: Declared run time in seconds.
         attempt: Number of the latest attempt, 0 before the first.
+        avoid: Workers on which it failed before; others are preferred.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     checkpoint: bool
     declared_s: float
     attempt: int = 0
+    avoid: frozenset[str] = frozenset()
 
 
 class Running(NamedTuple):
@@ -83,6 +85,8 @@
         configuration: The contracts in force.
         excluded: Workers that get no new work because they are leaving,
             unreachable, drained or quarantined.
+        probation: Workers that get at most one task, which shows whether they
+            still fail everything. No guarantee relies on them.
     """
 
     now_s: float
@@ -91,6 +95,7 @@
     running: tuple[Running, ...]
     configuration: contract.Configuration
     excluded: frozenset[str] = frozenset()
+    probation: frozenset[str] = frozenset()
 
 
 class Start(NamedTuple):
--- /dev/null
+++ b/packages/core/tests/test_admission.py
@@ -0,0 +1,25 @@
+"""Tests of the admission module."""
+
+import pytest
+
+from trefoilroad_core import admission
+
+
+@pytest.mark.parametrize(("counts", "reason"), [((9, 4), None),
+                                                ((10, 0), "team a has 10"),
+                                                ((9, 5), "caller c")])
+def test_queues_are_bounded(build, counts, reason):
+    """Guards against a flood that fills the queue of its whole team."""
+    found = admission.check(build.team("a"), "c", admission.Counts(*counts))
+    assert found == reason or reason in found
+
+
+def test_limit_counts_running_gangs(build):
+    """Guards against lent work growing beyond a team's limit."""
+    team = build.team("a", max_accelerators=16)
+    usage = admission.Usage([build.running(build.pending(), ["r0w0"])])
+    assert usage.is_within_limit(team, build.shape())
+    usage.add("a", build.shape())
+    assert not usage.is_within_limit(team, build.shape())
+    assert usage.is_within_limit(build.team("b", max_accelerators=8),
+                                 build.shape())
