--- a/packages/core/src/trefoilroad_core/job.py
+++ b/packages/core/src/trefoilroad_core/job.py
@@ -38,6 +38,11 @@
         self.tries = 0
         self.retry_s = float("inf")
 
+    @property
+    def is_repeated(self) -> bool:
+        """Whether a send of it was lost."""
+        return self.tries > 1 or self.retry_s < float("inf")
+
 
 class Job:
     """A request with its row, its attempt and its open commit.
--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -64,7 +64,6 @@
         self.jobs: dict[str, jobs.Job] = {}
         self.links = workerlinks.WorkerLinks(epoch=epoch,
                                              bounds=bounds or limits.Limits())
-        self.store_suspect = False
         self._config_version = 0
         self._owner_key = f"owner/{region}"
         self._owner_version = owner_version
@@ -131,6 +130,15 @@
             return f"is tried again in {delay_s:.1f} s: {job.record['reason']}"
         return self._policy.explain(request_id)
 
+    @property
+    def store_suspect(self) -> bool:
+        """Whether some commit got no answer and is being repeated.
+
+        Nothing new is reserved then: it could not be claimed.
+        """
+        return any(job.commit is not None and job.commit.is_repeated
+                   for job in self.jobs.values())
+
     def count_waiting(self) -> dict[tuple[str, str], int]:
         """Returns the number of waiting requests by team and caller."""
         return collections.Counter((job.record["team"], job.record["caller"])
@@ -260,19 +268,16 @@
         return job, job.commit
 
     def _confirm_commit(self, event: events.Committed) -> None:
-        self.store_suspect = False
         job, commit = self._find_commit(event.commit_id)
         if job is not None and commit is not None:
             self._conclude_commit(job, commit.record, event.version)
 
     def _lose_commit(self, event: events.CommitLost) -> None:
-        self.store_suspect = True
         _, commit = self._find_commit(event.commit_id)
         if commit is not None:
             commit.retry_s = self._now_s + self._compute_delay(commit.tries)
 
     def _refuse_commit(self, event: events.CommitRefused) -> None:
-        self.store_suspect = False
         if self._owner_key in event.conflicts:
             self._depose("another node owns the region")
             return
