Remember stopping gangs apart from the promises they serve

A random load found a gang chosen for a stop a second time: the worker it was stopped for had been excluded, which gave up the promise and with it the knowledge that the gang was already stopping.

Also count tasks right on a worker that has a negative amount of a resource that the task does not need.

--- a/packages/core/src/trefoilroad_core/firm.py
+++ b/packages/core/src/trefoilroad_core/firm.py
@@ -20,18 +20,22 @@
     gangs are being stopped for, in later rounds as well.
     """
 
-    def __init__(self, *, work: rounds.Round,
-                 promises: dict[str, rounds.Promise], timeout_s: float):
+    def __init__(self, *, work: rounds.Round, promises: dict[str,
+                                                             rounds.Promise],
+                 stopping: dict[str, float], timeout_s: float):
         """Prepares the pass.
 
         Args:
             work: The round.
             promises: Promises by request; kept between rounds.
+            stopping: Until when each gang that was told to stop is expected to
+                do so, in seconds, by attempt; kept between rounds.
             timeout_s: Longest time to wait for gangs to stop, in seconds.
         """
         self._work = work
         self._tools = work.tools
         self._promises = promises
+        self._stopping = stopping
         self._timeout_s = timeout_s
         self._searches = 0
         self._candidates: list[preemption.Candidate] | None = None
@@ -91,9 +95,6 @@
         promise = self._promises.pop(request_id)
         self._work.give_back(promise)
         self._tools.ledger.unbind(request_id)
-        # Which gangs are being stopped has changed.
-        self._work.future = None
-        self._candidates = None
 
     def _find_workers(
             self, item: snapshot.Pending,
@@ -160,6 +161,7 @@
         work.promise(promise)
         future = self._get_future()
         for victim in plan.victims:
+            self._stopping[victim.attempt_id] = promise.deadline_s
             future.release(victim.placement, victim.shape)
             work.evictions.append(
                 snapshot.Evict(victim.attempt_id, item.request_id))
@@ -172,19 +174,12 @@
             f"guaranteed room")
         return True
 
-    def _list_stopping(self) -> set[str]:
-        return {
-            victim for promise in self._promises.values()
-            for victim in promise.victims
-        }
-
     def _get_future(self) -> placement.Capacity:
         """Returns the room once all gangs being stopped have gone."""
         if self._work.future is None:
-            stopping = self._list_stopping()
             future = self._work.free.copy()
             for item in self._work.state.running:
-                if item.attempt_id in stopping:
+                if item.attempt_id in self._stopping:
                     future.release(item.placement, item.shape)
             self._work.future = future
         return self._work.future
@@ -192,12 +187,11 @@
     def _get_candidates(self) -> list[preemption.Candidate]:
         """Returns the lent gangs that may be stopped."""
         if self._candidates is None:
-            stopping = self._list_stopping()
             self._candidates = [
                 self._build_candidate(item)
                 for item in self._work.state.running
                 if item.evictable and not item.guaranteed and
-                item.attempt_id not in stopping
+                item.attempt_id not in self._stopping
             ]
         return self._candidates
 
--- a/packages/core/src/trefoilroad_core/placement.py
+++ b/packages/core/src/trefoilroad_core/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 from trefoilroad_core import fleet as fleet_module
@@ -242,8 +243,10 @@
         counts = [0] * len(self.rows)
         racks = [0] * len(self.layout.racks)
         rack_of = self.layout.rack_of
-        accelerators, cores = need[ACCELERATORS], need[CORES]
         # Most workers of a busy fleet fit nothing; they are passed over fast.
+        # Promises may make an amount negative that the task does not need.
+        accelerators = need[ACCELERATORS] or -math.inf
+        cores = need[CORES] or -math.inf
         for position, row in enumerate(self.rows):
             if row[0] < accelerators or row[1] < cores or row[3] < 1:
                 continue
--- a/packages/core/src/trefoilroad_core/scheduler.py
+++ b/packages/core/src/trefoilroad_core/scheduler.py
@@ -76,6 +76,7 @@
         self._base = rounds.Base()
         self._misfits: dict[request.Shape, str | None] = {}
         self._promises: dict[str, rounds.Promise] = {}
+        self._stopping: dict[str, float] = {}
         self._reservations: dict[str, backfill_module.Reservation] = {}
         self._reasons: dict[str, str] = {}
         self._degraded: set[str] = set()
@@ -93,6 +94,7 @@
         self._tools.accounting.update(state)
         waiting, refusals, expirations = self._sort_out(state)
         self._drop_promises(waiting)
+        self._forget_stopped(state)
         self._tools.ledger.update(
             state._replace(excluded=state.excluded | state.probation), layout,
             self._promises)
@@ -125,6 +127,7 @@
             ordered = firm.FirmPass(
                 work=work,
                 promises=self._promises,
+                stopping=self._stopping,
                 timeout_s=self._eviction_timeout_s).run(ordered)
         backfill_module.LentPass(work=work,
                                  reservations=self._reservations,
@@ -161,6 +164,16 @@
         """Returns the teams of which guaranteed gangs have no place now."""
         return sorted(self._degraded)
 
+    def list_sites(self) -> list[tuple[tuple[str, ...], request.Shape]]:
+        """Returns where the guaranteed gangs not in use can be placed.
+
+        Returns:
+            Workers and shape of each. All fit at the same time, beside all
+            running work that cannot be evicted and the room promised to
+            requests that wait for an eviction.
+        """
+        return list(self._tools.ledger.list_sites())
+
     def _update_layout(self, state: snapshot.Snapshot) -> placement.Layout:
         if self._layout is None or state.fleet is not self._fleet:
             layout = placement.Layout(fleet=state.fleet)
@@ -213,6 +226,15 @@
         return ("can be neither repeated nor resumed, and no guarantee of team "
                 f"{item.team} covers its shape")
 
+    def _forget_stopped(self, state: snapshot.Snapshot) -> None:
+        """Forgets gangs that have stopped, or should have long ago."""
+        running = {item.attempt_id for item in state.running}
+        self._stopping = {
+            attempt_id: deadline_s
+            for attempt_id, deadline_s in self._stopping.items()
+            if attempt_id in running and state.now_s < deadline_s
+        }
+
     def _drop_promises(self, waiting: Sequence[snapshot.Pending]) -> None:
         """Forgets the promises to requests that have started or gone."""
         for request_id in self._promises.keys() - set(_list_ids(waiting)):
