Add the load tool

It reads a schedule of JSON lines or draws one with a seed, submits every request with an idempotency key, repeats doubtful submissions on other nodes, follows each request to its end and checks its answer. The history holds what callers were told.

--- /dev/null
+++ b/packages/standins/tests/test_session.py
@@ -0,0 +1,138 @@
+"""Tests of a caller's session on a virtual clock."""
+
+import json
+
+import pytest
+
+from trefoilroad_standins import schedule
+from trefoilroad_standins import session
+
+QUEUED = {"request_id": "r1", "state": "queued"}
+ENTRY = schedule.Entry(0.0, "k", "t1", {"payload": {"answer": "whole"}})
+
+
+def reply(status, document):
+    return session.Answer(status, json.dumps(document).encode(), 0.5)
+
+
+LOST = session.Answer(session.NO_ANSWER, took_s=2.0)
+RUNNING = reply(200, {**QUEUED, "state": "running"})
+COMPLETED = reply(200, {**QUEUED, "state": "completed"})
+ANSWER = session.Answer(200, b"whole")
+
+
+def run(*answers, entry=ENTRY, give_up_s=60.0):
+    """Runs a session; the last answer repeats.
+
+    Returns:
+        The session, the requests it sent and the records it left.
+    """
+    script = list(answers)
+    sent = []
+    records = []
+
+    def send(exchange):
+        sent.append(exchange)
+        return script.pop(0) if len(script) > 1 else script[0]
+
+    item = session.Session(entry=entry,
+                           nodes=["a", "b", "c"],
+                           token="secret",
+                           send=send,
+                           record=records.append,
+                           options=session.Options(0.25, give_up_s),
+                           seed=1)
+    now_s: float | None = 10.0
+    while now_s is not None:
+        now_s = item.step(now_s)
+    return item, sent, records
+
+
+def test_request_is_followed_to_its_answer():
+    """Guards against an end without the answer, and wrong latencies."""
+    item, sent, records = run(reply(202, QUEUED), RUNNING, COMPLETED, ANSWER)
+    assert (item.outcome, item.wrong_answer) == ("completed", False)
+    assert item.times_s == {
+        "sent": 10.0,
+        "accepted": 10.5,
+        "running": 11.25,
+        "ended": 12.0
+    }
+    assert sent[0].headers == {
+        "Authorization": "Bearer secret",
+        "Idempotency-Key": "k"
+    }
+    assert sent[-1].path == "/v1/requests/r1/answer"
+    assert [record["event"] for record in records] == [
+        "submit", "told", "status", "status", "status", "answer", "end"
+    ]
+
+
+@pytest.mark.parametrize(
+    "failure", [LOST, reply(503, {"outcome": "unknown"}),
+                reply(500, {})])
+def test_doubtful_submission_is_repeated_elsewhere(failure):
+    """Guards against a lost request, and a repeat under another key."""
+    item, sent, _ = run(failure, failure, reply(202, QUEUED), COMPLETED, ANSWER)
+    assert item.outcome == "completed"
+    assert len({exchange.node for exchange in sent[:3]}) == 3
+    assert {exchange.headers["Idempotency-Key"] for exchange in sent[:3]
+           } == {"k"}
+
+
+@pytest.mark.parametrize(("answer", "outcome"), [
+    (reply(429, {"outcome": "not_run"}), "not_run"),
+    (reply(503, {"outcome": "not_run"}), "not_run"),
+    (reply(422, {}), "rejected"),
+    (LOST, "gave_up"),
+])
+def test_refusals_end_the_session(answer, outcome):
+    """Guards against a caller that goes on after a certain answer."""
+    item, _, records = run(answer)
+    assert item.outcome == outcome
+    assert records[-1]["outcome"] == outcome
+
+
+def test_caller_gives_up_on_time():
+    """Guards against a session that never ends."""
+    item, _, _ = run(reply(202, QUEUED), reply(200, QUEUED), give_up_s=30.0)
+    assert item.outcome == "gave_up"
+    assert item.times_s["ended"] == pytest.approx(40.0, abs=0.6)
+
+
+def test_cancel_is_sent_once_and_repeated_if_lost():
+    """Guards against a cancellation that is lost or never ends."""
+    entry = ENTRY._replace(cancel_after_s=1.0)
+    item, sent, records = run(reply(202, QUEUED),
+                              RUNNING,
+                              LOST,
+                              reply(202, {}),
+                              reply(200, {
+                                  **QUEUED, "state": "cancelled"
+                              }),
+                              entry=entry)
+    assert item.outcome == "cancelled"
+    cancels = [ask for ask in sent if ask.path.endswith("/cancel")]
+    assert len(cancels) == 2
+    assert [record["event"] for record in records].count("cancel_told") == 1
+
+
+@pytest.mark.parametrize(("payload", "content", "wrong"), [
+    ({
+        "answer": "whole"
+    }, b"whol", True),
+    ({
+        "run_s": 1
+    }, b"whole", True),
+    ({
+        "run_s": 1
+    }, b'{"attempt": "r2.1"}', True),
+])
+def test_wrong_answers_are_noticed(payload, content, wrong):
+    """Guards against a cut or crossed answer that counts as right."""
+    entry = ENTRY._replace(body={"payload": payload})
+    item, _, _ = run(reply(202, QUEUED),
+                     COMPLETED,
+                     session.Answer(200, content),
+                     entry=entry)
+    assert item.wrong_answer == wrong
