Split the worker's state machine and share checkpoints

Module tasks held payloads, checkpoints and the machine. Checkpoints can now be kept in a directory, so that a gang resumes on workers of another process. The history records every first stop of an attempt, also of one that never ran: a checker needs it to prove that nothing starts after a stop. The test of a finished task expects that additional entry.

--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/machine.py
@@ -0,0 +1,429 @@
+"""State of one worker, without sockets, clock or randomness."""
+
+from collections.abc import Mapping
+import math
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+from trefoilroad_core import errors
+from trefoilroad_standins import checkpoints as checkpoints_module
+from trefoilroad_standins import fields
+from trefoilroad_standins import payload as payload_module
+from trefoilroad_standins import tasks
+
+VERBS = ("reserve", "start", "stop", "sync", "throttle", "forget", "answer")
+# Commands that a worker can refuse, with the error it gives.
+REFUSABLE = {"reserve": "no_room", "start": "refused"}
+
+
+class Reply(NamedTuple):
+    """Answer to a command.
+
+    Attributes:
+        status: HTTP status.
+        document: Decoded JSON answer, or bytes of a task's answer.
+    """
+
+    status: int
+    document: dict[str, Any] | bytes
+
+
+class Entry(TypedDict):
+    """One line of a worker's history.
+
+    Attributes:
+        event: reserve, start, finish, fail, stop or lapse.
+        at_s: When it took effect, on the monotonic clock.
+        worker: Id of the worker.
+        boot: Boot id at that time.
+        attempt: Attempt concerned.
+        ranks: Ranks of the attempt on this worker, none if it is unknown.
+        epoch: Highest epoch seen.
+        detail: Further facts of the event.
+    """
+
+    event: str
+    at_s: float
+    worker: str
+    boot: str
+    attempt: str
+    ranks: list[int]
+    epoch: int
+    detail: dict[str, Any]
+
+
+class Tombstone(NamedTuple):
+    """What is left of an attempt that is refused from now on.
+
+    Attributes:
+        state: Answer to a repeated stop.
+        checkpoint: Whether a checkpoint was saved.
+    """
+
+    state: str
+    checkpoint: bool
+
+
+class Machine:
+    """One worker: answers commands and ends tasks when their time comes."""
+
+    def __init__(self,
+                 *,
+                 worker_id: str,
+                 capacity: tasks.Capacity,
+                 boot: str,
+                 checkpoints: checkpoints_module.Checkpoints,
+                 usage_lag_s: float = 0.0):
+        """Starts empty.
+
+        Args:
+            worker_id: Id of the worker.
+            capacity: Resources of the worker.
+            boot: Boot id.
+            checkpoints: Where progress of stopped tasks is kept.
+            usage_lag_s: Age of the usage that `sync` reports.
+        """
+        self.worker_id = worker_id
+        self.leaving = False
+        self._fails_everything = False
+        self._capacity = capacity
+        self._checkpoints = checkpoints
+        self._usage_lag_s = usage_lag_s
+        self._history: list[Entry] = []
+        self._clear(boot)
+
+    def _clear(self, boot: str) -> None:
+        self.boot = boot
+        self._epoch = 0
+        self._tasks: dict[str, tasks.Task] = {}
+        self._tombstones: dict[str, Tombstone] = {}
+        self._usage: list[tuple[float, tasks.Capacity]] = [(-math.inf,
+                                                            tasks.Capacity())]
+
+    def fail_everything(self, fails: bool, now_s: float) -> None:
+        """Makes running and later tasks fail at once, or ends that.
+
+        Args:
+            fails: Whether tasks fail.
+            now_s: The time.
+        """
+        self.advance(now_s)
+        for task in self._tasks.values():
+            if task.state == tasks.RUNNING:
+                task.count_work(now_s)
+        self._fails_everything = fails
+        self.advance(now_s)
+
+    def restart(self, boot: str, now_s: float) -> None:
+        """Loses all memory, as a restarted process does.
+
+        Args:
+            boot: New boot id.
+            now_s: The time.
+        """
+        self.advance(now_s)
+        lost = [task for task in self._tasks.values() if task.is_active]
+        for task in lost:
+            self._record_task("stop",
+                              task,
+                              now_s,
+                              state=name_stop(task),
+                              checkpoint=False,
+                              reason="restart")
+        self._clear(boot)
+
+    def take_history(self) -> list[Entry]:
+        """Returns the entries since the last call."""
+        history, self._history = self._history, []
+        return history
+
+    def predict_change(self) -> float:
+        """Returns when `advance` has something to do, infinite if never."""
+        times = [
+            self._predict_end(task)
+            for task in self._tasks.values()
+            if task.is_active
+        ]
+        return min(times, default=math.inf)
+
+    def advance(self, now_s: float) -> None:
+        """Ends all tasks and reservations whose time has come, in order.
+
+        Args:
+            now_s: The time on a monotonic clock, in seconds.
+        """
+        while True:
+            active = [task for task in self._tasks.values() if task.is_active]
+            due = min(active, key=self._predict_end, default=None)
+            if due is None or self._predict_end(due) > now_s:
+                return
+            self._end_task(due, self._predict_end(due))
+
+    def _predict_end(self, task: tasks.Task) -> float:
+        if task.state == tasks.RESERVED:
+            return task.until_s
+        end_s = task.counted_s if self._fails_everything else task.predict_end()
+        return min(task.until_s, end_s)
+
+    def _end_task(self, task: tasks.Task, due_s: float) -> None:
+        if task.state == tasks.RESERVED:
+            del self._tasks[task.attempt]
+            self._record_task("lapse", task, due_s, state=tasks.RESERVED)
+        elif due_s >= task.until_s:
+            task.count_work(due_s)
+            task.end(tasks.FAILED, due_s, tasks.LEASE_LAPSED)
+            self._record_task("lapse", task, due_s, state=tasks.RUNNING)
+        elif self._fails_everything:
+            self._fail(task, due_s, "worker fails everything")
+        elif task.payload.error or task.payload.fails:
+            self._fail(task, due_s, task.payload.error or "payload fails")
+        else:
+            self._finish(task, due_s)
+        self._note_usage(due_s)
+
+    def _fail(self, task: tasks.Task, due_s: float, error: str) -> None:
+        task.end(tasks.FAILED, due_s, error)
+        self._record_task("fail", task, due_s, error=error)
+
+    def _finish(self, task: tasks.Task, due_s: float) -> None:
+        task.end(tasks.FINISHED, due_s)
+        if task.holds_answer:
+            task.answer = task.payload.answer
+        self._record_task("finish",
+                          task,
+                          due_s,
+                          answer=tasks.describe_answer(task))
+
+    def _record_task(self, event: str, task: tasks.Task, at_s: float,
+                     **detail: Any) -> None:
+        self._record(event, task.attempt, task.ranks, at_s, **detail)
+
+    def _record(self, event: str, attempt: str, ranks: list[int], at_s: float,
+                **detail: Any) -> None:
+        self._history.append(
+            Entry(event=event,
+                  at_s=at_s,
+                  worker=self.worker_id,
+                  boot=self.boot,
+                  attempt=attempt,
+                  ranks=ranks,
+                  epoch=self._epoch,
+                  detail=detail))
+
+    def _count_usage(self) -> tasks.Capacity:
+        total = tasks.Capacity()
+        for task in self._tasks.values():
+            if task.is_active:
+                total = total.add(task.capacity)
+        return total
+
+    def _note_usage(self, now_s: float) -> None:
+        self._usage.append((now_s, self._count_usage()))
+
+    def _report_usage(self, now_s: float) -> dict[str, int]:
+        seen_s = now_s - self._usage_lag_s
+        while len(self._usage) > 1 and self._usage[1][0] <= seen_s:
+            del self._usage[0]
+        return self._usage[0][1]._asdict()
+
+    def handle(self, verb: str, body: Mapping[str, Any], now_s: float) -> Reply:
+        """Carries out a command.
+
+        Args:
+            verb: Last part of the command's path.
+            body: Decoded body.
+            now_s: The time on a monotonic clock, in seconds.
+
+        Returns:
+            The answer, which names the boot id.
+
+        Raises:
+            ProtocolError: If the verb is unknown or the body is wrong.
+        """
+        commands = {
+            "reserve": self._reserve,
+            "start": self._start,
+            "stop": self._stop,
+            "sync": self._sync,
+            "throttle": self._throttle,
+            "forget": self._forget,
+            "answer": self._answer,
+        }
+        if verb not in commands:
+            raise errors.ProtocolError(f"unknown command {verb}")
+        epoch = fields.read_field(body, "epoch", int)
+        self.advance(now_s)
+        if epoch < self._epoch:
+            return self._refuse("stale_epoch", epoch=self._epoch)
+        reply = commands[verb](body, now_s, epoch)
+        # Tasks without run time end with the command that starts them.
+        self.advance(now_s)
+        return reply
+
+    def _accept(self, **document: Any) -> Reply:
+        return Reply(200, {**document, "boot": self.boot})
+
+    def _refuse(self, error: str, status: int = 409, **document: Any) -> Reply:
+        return Reply(status, {"error": error, **document, "boot": self.boot})
+
+    def _reserve(self, body: Mapping[str, Any], now_s: float,
+                 epoch: int) -> Reply:
+        attempt = fields.read_field(body, "attempt", str)
+        ttl_s = fields.read_seconds(body, "ttl_s")
+        task = tasks.Task(attempt=attempt,
+                          ranks=fields.read_integers(body, "ranks"),
+                          shape=tasks.parse_shape(
+                              fields.read_field(body, "shape", dict)),
+                          until_s=now_s + ttl_s)
+        tasks.check_ranks(task)
+        self._epoch = epoch
+        if attempt in self._tombstones:
+            return self._refuse("refused")
+        known = self._tasks.get(attempt)
+        if known and (known.ranks, known.shape) != (task.ranks, task.shape):
+            raise errors.ProtocolError("attempt is known with other ranks")
+        if known and known.state != tasks.RESERVED:
+            return self._accept(ok=True)
+        if self.leaving:
+            return self._refuse("leaving")
+        if known:
+            known.until_s = task.until_s
+            return self._accept(ok=True)
+        if not self._capacity.covers(self._count_usage().add(task.capacity)):
+            return self._refuse("no_room")
+        self._tasks[attempt] = task
+        self._record_task("reserve",
+                          task,
+                          now_s,
+                          ttl_s=ttl_s,
+                          shape=task.shape._asdict())
+        self._note_usage(now_s)
+        return self._accept(ok=True)
+
+    def _start(self, body: Mapping[str, Any], now_s: float,
+               epoch: int) -> Reply:
+        attempt = fields.read_field(body, "attempt", str)
+        lease_s = fields.read_seconds(body, "lease_s")
+        holds_answer = fields.read_field(body, "answer", bool)
+        resume = fields.read_field(body, "resume", (str, type(None)))
+        payload = fields.read_field(body, "payload", object)
+        self._epoch = epoch
+        if attempt in self._tombstones:
+            return self._refuse("refused")
+        task = self._tasks.get(attempt)
+        if task is None:
+            return self._refuse("no_reservation")
+        if task.state != tasks.RESERVED:
+            return self._accept(ok=True)
+        done_s = 0.0 if resume is None else self._checkpoints.load(resume)
+        parsed = payload_module.parse_payload(payload,
+                                              attempt=attempt,
+                                              ranks=task.ranks)
+        if done_s is None:
+            error = f"checkpoint {resume} is unknown or incomplete"
+            parsed = parsed._replace(error=error)
+        task.holds_answer = holds_answer
+        task.begin(payload=parsed,
+                   resumed_s=done_s or 0.0,
+                   now_s=now_s,
+                   lease_s=lease_s)
+        self._record_task("start",
+                          task,
+                          now_s,
+                          lease_s=lease_s,
+                          resume=resume,
+                          tasks=task.shape.tasks)
+        return self._accept(ok=True)
+
+    def _stop(self, body: Mapping[str, Any], now_s: float, epoch: int) -> Reply:
+        attempt = fields.read_field(body, "attempt", str)
+        wants_checkpoint = fields.read_field(body, "checkpoint", bool)
+        self._epoch = epoch
+        if attempt not in self._tombstones:
+            task = self._tasks.get(attempt)
+            ranks = task.ranks if task else []
+            tombstone = self._stop_task(attempt, wants_checkpoint, now_s)
+            self._tombstones[attempt] = tombstone
+            self._record("stop", attempt, ranks, now_s, **tombstone._asdict())
+        return self._accept(**self._tombstones[attempt]._asdict())
+
+    def _stop_task(self, attempt: str, wants_checkpoint: bool,
+                   now_s: float) -> Tombstone:
+        task = self._tasks.get(attempt)
+        if task is None:
+            return Tombstone(tasks.NEVER_STARTED, False)
+        if not task.is_active:
+            return bury(task)
+        saves = wants_checkpoint and task.state == tasks.RUNNING
+        if saves:
+            part = checkpoints_module.Part(task.shape.tasks, task.ranks,
+                                           task.count_work(now_s))
+            self._checkpoints.save(attempt, part)
+        del self._tasks[attempt]
+        self._note_usage(now_s)
+        return Tombstone(name_stop(task), saves)
+
+    def _sync(self, body: Mapping[str, Any], now_s: float, epoch: int) -> Reply:
+        lease_s = fields.read_seconds(body, "lease_s")
+        renew = fields.read_strings(body, "renew")
+        self._epoch = epoch
+        for attempt in renew:
+            task = self._tasks.get(attempt)
+            if task and task.state == tasks.RUNNING:
+                task.until_s = now_s + lease_s
+        return self._accept(leaving=self.leaving,
+                            tasks=[
+                                tasks.describe_task(task, now_s)
+                                for task in self._tasks.values()
+                            ],
+                            usage=self._report_usage(now_s))
+
+    def _throttle(self, body: Mapping[str, Any], now_s: float,
+                  epoch: int) -> Reply:
+        attempt = fields.read_field(body, "attempt", str)
+        share = fields.read_seconds(body, "share")
+        if share > 1:
+            raise errors.ProtocolError("share is above 1")
+        self._epoch = epoch
+        task = self._tasks.get(attempt)
+        if task and task.state == tasks.RUNNING:
+            task.count_work(now_s)
+            task.share = share
+        return self._accept(ok=True)
+
+    def _forget(self, body: Mapping[str, Any], now_s: float,
+                epoch: int) -> Reply:
+        del now_s  # Not used by this command.
+        attempts = fields.read_strings(body, "attempts")
+        self._epoch = epoch
+        for attempt in attempts:
+            task = self._tasks.get(attempt)
+            if task is None or task.is_active:
+                continue
+            # A late repeat of the reservation must not run it again.
+            self._tombstones.setdefault(attempt, bury(task))
+            del self._tasks[attempt]
+        return self._accept(ok=True)
+
+    def _answer(self, body: Mapping[str, Any], now_s: float,
+                epoch: int) -> Reply:
+        del now_s  # Not used by this command.
+        attempt = fields.read_field(body, "attempt", str)
+        self._epoch = epoch
+        task = self._tasks.get(attempt)
+        if task is None or task.answer is None:
+            return self._refuse("unknown_attempt", 404)
+        return Reply(200, task.answer)
+
+
+def name_stop(task: tasks.Task) -> str:
+    """Returns what a stop makes of an active task."""
+    ran = task.state == tasks.RUNNING
+    return tasks.STOPPED if ran else tasks.NEVER_STARTED
+
+
+def bury(task: tasks.Task) -> Tombstone:
+    """Returns what is left of a task that has ended."""
+    lapsed = task.error == tasks.LEASE_LAPSED
+    return Tombstone(tasks.STOPPED if lapsed else tasks.FINISHED, False)
--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/payload.py
@@ -0,0 +1,53 @@
+"""Payloads of the stand-ins' tasks."""
+
+import hashlib
+import json
+from typing import Any
+from typing import NamedTuple
+
+from trefoilroad_core import errors
+from trefoilroad_standins import fields
+
+
+class Payload(NamedTuple):
+    """What a task does.
+
+    Attributes:
+        run_s: Run time in seconds at full share.
+        answer: Bytes of the answer.
+        fails: Whether the task fails at the end of its run time.
+        error: Fault of the payload; the task fails at once if it is not empty.
+    """
+
+    run_s: float
+    answer: bytes
+    fails: bool
+    error: str
+
+
+def parse_payload(payload: Any, *, attempt: str, ranks: list[int]) -> Payload:
+    """Reads a payload; a wrong one makes a task that fails at once.
+
+    Args:
+        payload: Decoded JSON as the caller sent it.
+        attempt: Id of the attempt, named in the default answer.
+        ranks: Ranks of the task.
+
+    Returns:
+        What the task does.
+    """
+    digest = hashlib.sha256(json.dumps(payload,
+                                       sort_keys=True).encode()).hexdigest()
+    default = json.dumps({"attempt": attempt, "payload_sha256": digest})
+    try:
+        if not isinstance(payload, dict):
+            raise errors.ProtocolError("payload is not an object")
+        run_s = fields.read_seconds(payload, "run_s", default=0.0)
+        answer = fields.read_field(payload, "answer", str, default=default)
+        fail = fields.read_field(payload, "fail", bool, default=False)
+        fail_ranks = fields.read_integers(payload, "fail_ranks", default=[])
+        encoded = answer.encode()
+    except (errors.ProtocolError, UnicodeEncodeError) as error:
+        return Payload(0.0, b"", True, str(error))
+    fails = bool(set(fail_ranks) & set(ranks)) if fail_ranks else fail
+    return Payload(run_s, encoded, fails, "")
--- a/packages/standins/src/trefoilroad_standins/worker.py
+++ b/packages/standins/src/trefoilroad_standins/worker.py
@@ -15,11 +15,13 @@
 
 from trefoilroad_core import errors
 from trefoilroad_standins import alarms as alarms_module
+from trefoilroad_standins import checkpoints as checkpoints_module
 from trefoilroad_standins import endpoint
 from trefoilroad_standins import exchange
 from trefoilroad_standins import faults
 from trefoilroad_standins import fields
 from trefoilroad_standins import history
+from trefoilroad_standins import machine as machine_module
 from trefoilroad_standins import tasks
 
 COMMANDS_PATH = "/v1/"
@@ -48,7 +50,7 @@
 class Worker(exchange.Service):
     """Serves the worker protocol for one machine."""
 
-    def __init__(self, *, machine: tasks.Machine, rules: faults.Faults,
+    def __init__(self, *, machine: machine_module.Machine, rules: faults.Faults,
                  record: history.History, alarms: alarms_module.Alarms):
         """Serves a machine.
 
@@ -67,18 +69,21 @@
     def handle(self, call: exchange.Call) -> exchange.Action:
         """Answers one request, see exchange.Service."""
         verb = call.path.removeprefix(COMMANDS_PATH)
-        if verb not in tasks.VERBS or verb == call.path:
+        if verb not in machine_module.VERBS or verb == call.path:
             return exchange.build_error(404, "not_found", call.path)
         if call.method != "POST":
             return exchange.build_error(405, "method_not_allowed")
         rule = self._faults.pick(verb, call.node, self.machine.worker_id)
         refuses = rule is not None and rule.mode == faults.Mode.REFUSE
-        if refuses and verb in tasks.REFUSABLE:
+        if refuses and verb in machine_module.REFUSABLE:
             return faults.inject(rule, lambda: self._refuse(verb))
         return faults.inject(rule, lambda: self._carry_out(verb, call.body))
 
     def _refuse(self, verb: str) -> exchange.Reply:
-        document = {"error": tasks.REFUSABLE[verb], "boot": self.machine.boot}
+        document = {
+            "error": machine_module.REFUSABLE[verb],
+            "boot": self.machine.boot
+        }
         return exchange.build_reply(409, document)
 
     def _carry_out(self, verb: str, body: bytes) -> exchange.Reply:
@@ -126,7 +131,7 @@
         """Answers one request, see exchange.Service."""
         route = (call.method, call.path)
         if route == ("POST", "/control/faults"):
-            kinds = frozenset(tasks.VERBS)
+            kinds = frozenset(machine_module.VERBS)
             self._faults.replace(faults.parse_rules(call.body, kinds))
         elif route == ("POST", "/control/state"):
             self._change_states(fields.parse_object(call.body))
@@ -148,7 +153,7 @@
             worker.settle()
 
 
-def change_state(machine: tasks.Machine, leaving: bool | None,
+def change_state(machine: machine_module.Machine, leaving: bool | None,
                  fails: bool | None, restart: bool) -> None:
     """Changes the state of a worker from outside.
 
@@ -177,6 +182,7 @@
 
     def __init__(self, *, loop: endpoint.Loop, host: str,
                  descriptions: list[Description], record: history.History,
+                 checkpoints: checkpoints_module.Checkpoints,
                  usage_lag_s: float, seed: int):
         """Binds a port for each worker and one for control.
 
@@ -185,6 +191,7 @@
             host: Address to listen on.
             descriptions: The workers.
             record: Where events go.
+            checkpoints: Where progress of stopped tasks is kept.
             usage_lag_s: Age of the usage that workers report.
             seed: Seed of the faults.
         """
@@ -192,7 +199,7 @@
         self._host = host
         self._record = record
         self._faults = faults.Faults(seed=seed)
-        self._checkpoints = tasks.Checkpoints()
+        self._checkpoints = checkpoints
         self._usage_lag_s = usage_lag_s
         self._workers: dict[str, Worker] = {}
         self.entries = [self._add(description) for description in descriptions]
@@ -208,11 +215,11 @@
                                  loop=self._loop)
 
     def _add(self, description: Description) -> dict[str, Any]:
-        machine = tasks.Machine(worker_id=description.worker_id,
-                                capacity=description.capacity,
-                                boot=uuid.uuid4().hex,
-                                checkpoints=self._checkpoints,
-                                usage_lag_s=self._usage_lag_s)
+        machine = machine_module.Machine(worker_id=description.worker_id,
+                                         capacity=description.capacity,
+                                         boot=uuid.uuid4().hex,
+                                         checkpoints=self._checkpoints,
+                                         usage_lag_s=self._usage_lag_s)
         worker = Worker(machine=machine,
                         rules=self._faults,
                         record=self._record,
@@ -336,12 +343,19 @@
               "history_file",
               type=click.File("a"),
               help="Append-only JSON lines of what the workers did.")
+@click.option("--checkpoints",
+              "checkpoint_directory",
+              type=click.Path(exists=True,
+                              file_okay=False,
+                              path_type=pathlib.Path),
+              help="Directory that several worker processes share.")
 @click.option("--register",
               help="URL of a platform whose VM list gets the workers.")
 def main(host: str, port: int, workers_file: pathlib.Path | None, count: int,
          per_rack: int, failure_domains: int, id_prefix: str, accelerators: int,
          cores: int, memory_gb: int, slots: int, connections: int,
          usage_lag_s: float, seed: int, history_file: TextIO | None,
+         checkpoint_directory: pathlib.Path | None,
          register: str | None) -> None:
     """Serves the worker protocol for one or many workers."""
     capacity = tasks.Capacity(accelerators, cores, memory_gb, slots,
@@ -354,11 +368,15 @@
                                        capacity=capacity))
     if port and len(descriptions) == 1:
         descriptions = [descriptions[0]._replace(port=port)]
+    checkpoints: checkpoints_module.Checkpoints = (
+        checkpoints_module.DirectoryCheckpoints(checkpoint_directory)
+        if checkpoint_directory else checkpoints_module.MemoryCheckpoints())
     loop = endpoint.Loop()
     site = Site(loop=loop,
                 host=host,
                 descriptions=descriptions,
                 record=history.History(history_file),
+                checkpoints=checkpoints,
                 usage_lag_s=usage_lag_s,
                 seed=seed)
     if register:
--- a/packages/standins/tests/test_faults.py
+++ b/packages/standins/tests/test_faults.py
@@ -60,24 +60,15 @@
     assert final == answer or getattr(final, "status", None) == answer
 
 
-@pytest.mark.parametrize("rule", [{
-    "mode": "other"
-}, {
-    "mode": "slow"
-}, {
-    "mode": "down",
-    "kinds": ["vms"]
-}, {
-    "mode": "down",
-    "node": "n1"
-}, {
-    "mode": "down",
-    "probability": 2
-}, {
-    "mode": "down",
-    "next": True
-}])
+@pytest.mark.parametrize("rule", [
+    '{"mode": "other"}',
+    '{"mode": "slow"}',
+    '{"mode": "down", "kinds": ["vms"]}',
+    '{"mode": "down", "node": "n1"}',
+    '{"mode": "down", "probability": 2}',
+    '{"mode": "down", "next": true}',
+])
 def test_wrong_rules_are_refused(rule):
     """Guards against a misspelt fault that silently never shows."""
     with pytest.raises(errors.ProtocolError):
-        parse(**rule)
+        parse(**json.loads(rule))
--- a/packages/standins/tests/test_tasks.py
+++ b/packages/standins/tests/test_machine.py
@@ -1,12 +1,15 @@
 """Tests of the worker's state machine."""
 
 import hashlib
+import json
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from trefoilroad_core import errors
+from trefoilroad_standins import checkpoints
+from trefoilroad_standins import machine
 from trefoilroad_standins import tasks
 
 CAPACITY = tasks.Capacity(8, 64, 256, 8, 64)
@@ -17,37 +20,31 @@
     """Sends commands to a machine on a virtual clock."""
 
     def __init__(self, **options):
-        self.checkpoints = options.pop("checkpoints", tasks.Checkpoints())
-        self.machine = tasks.Machine(worker_id="w1",
-                                     capacity=CAPACITY,
-                                     boot="b1",
-                                     checkpoints=self.checkpoints,
-                                     **options)
+        self.checkpoints = options.pop("checkpoints",
+                                       checkpoints.MemoryCheckpoints())
+        self.machine = machine.Machine(worker_id="w1",
+                                       capacity=CAPACITY,
+                                       boot="b1",
+                                       checkpoints=self.checkpoints,
+                                       **options)
         self.now_s = 100.0
 
     def send(self, verb, **body):
         return self.machine.handle(verb, {"epoch": 1, **body}, self.now_s)
 
-    def reserve(self,
-                attempt="a.1",
-                ranks=(0, 1),
-                ttl_s=5,
-                shape=SHAPE,
-                **more):
-        return self.send("reserve",
-                         attempt=attempt,
-                         ranks=list(ranks),
-                         ttl_s=ttl_s,
-                         shape=shape,
-                         **more)
-
-    def start(self, attempt="a.1", payload=None, resume=None, lease_s=10):
-        return self.send("start",
-                         attempt=attempt,
-                         lease_s=lease_s,
-                         answer=True,
-                         payload={"run_s": 4} if payload is None else payload,
-                         resume=resume)
+    def reserve(self, attempt="a.1", **more):
+        body = {"ranks": [0, 1], "ttl_s": 5, "shape": SHAPE, **more}
+        return self.send("reserve", attempt=attempt, **body)
+
+    def start(self, attempt="a.1", **more):
+        body = {"lease_s": 10, "answer": True, "resume": None, **more}
+        body.setdefault("payload", {"run_s": 4})
+        return self.send("start", attempt=attempt, **body)
+
+    def stop(self, attempt="a.1", checkpoint=False):
+        reply = self.send("stop", attempt=attempt, checkpoint=checkpoint)
+        assert reply.status == 200
+        return reply.document["state"], reply.document["checkpoint"]
 
     def run(self, **options):
         assert self.reserve().status == 200
@@ -79,12 +76,11 @@
     }
     assert driver.send("answer", attempt="a.1").document == b"whole"
     assert driver.start().status == 200
-    assert driver.send("stop", attempt="a.1",
-                       checkpoint=False).document["state"] == "finished"
+    assert driver.stop() == ("finished", False)
     assert driver.send("forget", attempts=["a.1"]).status == 200
     assert driver.send("answer", attempt="a.1").status == 404
     assert read_error(driver.reserve()) == "refused"
-    assert driver.list_events() == ["reserve", "start", "finish"]
+    assert driver.list_events() == ["reserve", "start", "finish", "stop"]
 
 
 def test_reservation_lapses_and_renews():
@@ -110,30 +106,23 @@
     assert driver.sync()["a.1"]["state"] == "running"
     driver.now_s += 5
     task = driver.sync(renew=["a.1"])["a.1"]
-    assert (task["state"], task["error"],
-            task["ran_s"]) == ("failed", "lease_lapsed", 19.0)
-    assert driver.send("stop", attempt="a.1",
-                       checkpoint=True).document["state"] == "stopped"
+    assert (task["error"], task["ran_s"]) == ("lease_lapsed", 19.0)
+    assert task["state"] == "failed"
     lapse = driver.machine.take_history()[-1]
+    assert driver.stop(checkpoint=True) == ("stopped", False)
     assert (lapse["event"], lapse["at_s"]) == ("lapse", 119.0)
 
 
 def test_stop_refuses_the_attempt_from_then_on():
     """Guards against a start that overtakes or follows a stop."""
     driver = Driver()
-    stop = driver.send("stop", attempt="a.1", checkpoint=False)
-    assert stop.document == {
-        "state": "never_started",
-        "checkpoint": False,
-        "boot": "b1"
-    }
+    assert driver.stop() == ("never_started", False)
     assert read_error(driver.reserve()) == "refused"
     assert read_error(driver.start()) == "refused"
     driver.reserve("b.1")
     driver.start("b.1")
     for _ in range(2):
-        stop = driver.send("stop", attempt="b.1", checkpoint=False)
-        assert stop.document["state"] == "stopped"
+        assert driver.stop("b.1") == ("stopped", False)
     assert driver.sync() == {}
 
 
@@ -142,43 +131,35 @@
     driver = Driver()
     driver.reserve(epoch=3)
     reply = driver.send("stop", epoch=2, attempt="a.1", checkpoint=False)
-    assert (reply.status, reply.document) == (409, {
-        "error": "stale_epoch",
-        "epoch": 3,
-        "boot": "b1"
-    })
+    assert reply.status == 409
+    assert reply.document == {"error": "stale_epoch", "epoch": 3, "boot": "b1"}
     assert driver.send("start", epoch=2).status == 409
-    assert "a.1" in driver.machine.handle("sync", {
-        "epoch": 3,
-        "lease_s": 1,
-        "renew": []
-    }, driver.now_s).document["tasks"][0]["attempt"]
-
-
-@pytest.mark.parametrize("change", [{
-    "accelerators": 5
-}, {
-    "cores": 33
-}, {
-    "memory_gb": 129
-}])
-def test_each_resource_limits_reservations(change):
+    driver.send("sync", epoch=3, lease_s=1, renew=[])
+    assert driver.list_events() == ["reserve"]
+
+
+@pytest.mark.parametrize(("resource", "figure"), [
+    ("accelerators", 5),
+    ("cores", 33),
+    ("memory_gb", 129),
+])
+def test_each_resource_limits_reservations(resource, figure):
     """Guards against a worker that takes more than it has of one resource."""
-    assert read_error(Driver().reserve(shape={
-        **SHAPE, "accelerators": 1,
-        **change
-    })) == "no_room"
+    shape = {**SHAPE, "accelerators": 1, resource: figure}
+    assert read_error(Driver().reserve(shape=shape)) == "no_room"
+    assert Driver().reserve(shape=shape | {resource: figure - 1}).status == 200
 
 
 def test_slots_limit_reservations_and_are_given_back():
     """Guards against slots that stay taken after a stop or a lapse."""
     driver = Driver()
-    small = {**SHAPE, "tasks": 9, "accelerators": 0}
-    assert read_error(driver.reserve(ranks=range(9), shape=small)) == "no_room"
-    assert driver.reserve(ranks=range(8), shape=small).status == 200
-    assert read_error(driver.reserve("b.1", (0,), shape=small)) == "no_room"
-    driver.send("stop", attempt="a.1", checkpoint=False)
-    assert driver.reserve("c.1", (0,), shape=small).status == 200
+    wide = {"shape": {**SHAPE, "tasks": 9, "accelerators": 0}}
+    one = {**wide, "ranks": [8]}
+    assert read_error(driver.reserve(ranks=[*range(9)], **wide)) == "no_room"
+    assert driver.reserve(ranks=[*range(8)], **wide).status == 200
+    assert read_error(driver.reserve("b.1", **one)) == "no_room"
+    driver.stop()
+    assert driver.reserve("c.1", **one).status == 200
 
 
 def test_leaving_worker_takes_no_new_work():
@@ -210,11 +191,10 @@
     driver.send("throttle", attempt="a.1", share=0.5)
     driver.now_s += 4
     assert driver.machine.predict_change() == 116.0
-    stop = driver.send("stop", attempt="a.1", checkpoint=True)
-    assert stop.document["checkpoint"] is True
+    assert driver.stop(checkpoint=True) == ("stopped", True)
     other = Driver(checkpoints=driver.checkpoints)
     other.reserve("a.2")
-    other.start("a.2", {"run_s": 10}, "checkpoint/a.1")
+    other.start("a.2", payload={"run_s": 10}, resume="checkpoint/a.1")
     assert other.machine.predict_change() == 104.0
 
 
@@ -223,37 +203,25 @@
     driver = Driver()
     driver.reserve(ranks=[0])
     driver.start(lease_s=99)
-    driver.send("stop", attempt="a.1", checkpoint=True)
+    driver.stop(checkpoint=True)
     driver.reserve("a.2")
     driver.start("a.2", resume="a.1")
     assert "incomplete" in driver.sync()["a.2"]["error"]
 
 
 @pytest.mark.parametrize(("payload", "state"), [
-    ({
-        "fail": True
-    }, "failed"),
-    ({
-        "fail_ranks": [1]
-    }, "failed"),
-    ({
-        "fail_ranks": [2]
-    }, "finished"),
-    ({
-        "run_s": -1
-    }, "failed"),
-    ({
-        "run_s": 10**400
-    }, "failed"),
-    ({
-        "answer": "\ud800"
-    }, "failed"),
-    ([], "failed"),
+    ('{"fail": true}', "failed"),
+    ('{"fail_ranks": [1]}', "failed"),
+    ('{"fail_ranks": [2]}', "finished"),
+    ('{"run_s": -1}', "failed"),
+    ('{"run_s": 1' + "0" * 400 + "}", "failed"),
+    (r'{"answer": "\ud800"}', "failed"),
+    ("[]", "failed"),
 ])
 def test_payload_decides_the_outcome(payload, state):
     """Guards against payloads that fail the protocol instead of the task."""
     driver = Driver()
-    assert driver.run(payload=payload).status == 200
+    assert driver.run(payload=json.loads(payload)).status == 200
     assert driver.sync()["a.1"]["state"] == state
 
 
@@ -278,34 +246,21 @@
     assert usage["accelerators"] == 0
     driver.now_s += 0.1
     usage = driver.send("sync", lease_s=1, renew=[]).document["usage"]
-    assert usage == {
-        "accelerators": 8,
-        "cores": 2,
-        "memory_gb": 2,
-        "slots": 2,
-        "connections": 2
-    }
+    assert usage == tasks.Capacity(8, 2, 2, 2, 2)._asdict()
 
 
-@pytest.mark.parametrize("body", [{
-    "ranks": []
-}, {
-    "ranks": [0, 0]
-}, {
-    "ranks": [2]
-}, {
-    "ttl_s": float("nan")
-}, {
-    "epoch": True
-}, {
-    "shape": {
-        "tasks": 2
-    }
-}])
+@pytest.mark.parametrize("body", [
+    '{"ranks": []}',
+    '{"ranks": [0, 0]}',
+    '{"ranks": [2]}',
+    '{"ttl_s": NaN}',
+    '{"epoch": true}',
+    '{"shape": {"tasks": 2}}',
+])
 def test_wrong_reservations_are_refused(body):
     """Guards against bodies off the protocol that a worker takes silently."""
     with pytest.raises(errors.ProtocolError):
-        Driver().reserve(**body)
+        Driver().reserve(**json.loads(body))
 
 
 STEPS = strategies.lists(strategies.tuples(
@@ -322,7 +277,7 @@
         if verb == "wait":
             driver.now_s += 3
         elif verb == "stop":
-            driver.send("stop", attempt=attempt, checkpoint=False)
+            driver.stop(attempt)
         elif verb == "sync":
             driver.sync([attempt])
         else:
@@ -331,8 +286,9 @@
     times = [entry["at_s"] for entry in history]
     assert times == sorted(times)
     for attempt in ("a.1", "b.1"):
-        events = [
-            entry["event"] for entry in history if entry["attempt"] == attempt
-        ]
+        mine = [entry for entry in history if entry["attempt"] == attempt]
+        events = [entry["event"] for entry in mine]
         assert events.count("start") <= 1
-        assert "start" not in events or "reserve" in events
+        if "start" in events:
+            assert events[events.index("start") - 1] == "reserve"
+            assert "stop" not in events[:events.index("start")]
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -1,5 +1,7 @@
 """Tests of the platform process."""
 
+from http import client
+
 import httpx
 import pytest
 
@@ -9,31 +11,18 @@
     assert reply.status_code == 200, reply.text
 
 
-def commit(client, key, version, value, **options):
-    return client.post("/v1/commit",
-                       json={
-                           "conditions": [{
-                               "key": key,
-                               "version": version
-                           }],
-                           "writes": [{
-                               "key": key,
-                               "value": value
-                           }]
-                       },
-                       **options)
+def commit(platform, key, version, value, **options):
+    condition = {"key": key, "version": version}
+    body = {"conditions": [condition], "writes": [{"key": key, "value": value}]}
+    return platform.post("/v1/commit", json=body, **options)
 
 
 def test_protocol(platform):
     """Guards against answers that differ from the published protocol."""
     assert commit(platform, "a", 0, {"x": 1}).json() == {"version": 1}
     clash = commit(platform, "a", 0, None)
-    assert (clash.status_code, clash.json()) == (409, {
-        "conflicts": [{
-            "key": "a",
-            "version": 1
-        }]
-    })
+    assert clash.status_code == 409
+    assert clash.json() == {"conflicts": [{"key": "a", "version": 1}]}
     row = {"key": "a", "version": 1, "value": {"x": 1}}
     assert platform.get("/v1/rows?prefix=&since=0").json() == {
         "version": 1,
@@ -50,13 +39,16 @@
 
 def test_connection_is_kept_open(platform):
     """Guards against a connection for each request and unbounded bodies."""
-    replies = [platform.get("/v1/row?key=a") for _ in range(3)]
-    streams = {
-        reply.extensions["network_stream"].get_extra_info("client_addr")
-        for reply in replies
-    }
-    assert len(streams) == 1
-    assert all("content-length" in reply.headers for reply in replies)
+    connection = client.HTTPConnection("127.0.0.1", platform.base_url.port)
+    addresses = set()
+    for _ in range(3):
+        connection.request("GET", "/v1/row?key=a")
+        reply = connection.getresponse()
+        assert len(reply.read()) == int(reply.headers["Content-Length"])
+        assert connection.sock is not None
+        addresses.add(connection.sock.getsockname())
+    connection.close()
+    assert len(addresses) == 1
 
 
 @pytest.mark.parametrize(("method", "path", "content", "status"), [
@@ -81,11 +73,8 @@
 
 def test_lost_answer_takes_effect(platform):
     """Guards against a lost answer that also loses the write."""
-    set_faults(platform, {
-        "mode": "lose_answers",
-        "kinds": ["table_writes"],
-        "next": 1
-    })
+    rule = {"mode": "lose_answers", "kinds": ["table_writes"], "next": 1}
+    set_faults(platform, rule)
     with pytest.raises(httpx.RemoteProtocolError):
         commit(platform, "a", 0, 1)
     assert platform.get("/v1/row?key=a").json()["value"] == 1
@@ -94,13 +83,8 @@
 
 def test_node_is_cut_off_alone(platform):
     """Guards against a cut of one node that hits the others."""
-    set_faults(platform, {
-        "mode": "drop",
-        "nodes": ["n1"]
-    }, {
-        "mode": "down",
-        "nodes": ["n2"]
-    })
+    dropped = {"mode": "drop", "nodes": ["n1"]}
+    set_faults(platform, dropped, {"mode": "down", "nodes": ["n2"]})
     with pytest.raises(httpx.RemoteProtocolError):
         platform.get("/v1/vms", headers={"X-Node": "n1"})
     assert platform.get("/v1/vms", headers={"X-Node": "n2"}).status_code == 503
@@ -109,11 +93,8 @@
 
 def test_slow_write_takes_effect_after_the_client_gave_up(platform):
     """Guards against delays that block other requests or drop the write."""
-    set_faults(platform, {
-        "mode": "slow",
-        "delay_s": 0.4,
-        "kinds": ["table_writes"]
-    })
+    rule = {"mode": "slow", "delay_s": 0.4, "kinds": ["table_writes"]}
+    set_faults(platform, rule)
     with pytest.raises(httpx.ReadTimeout):
         commit(platform, "a", 0, 1, timeout=0.1)
     assert platform.get("/v1/row?key=a").json()["version"] == 0
@@ -128,8 +109,5 @@
     port = launch("platform", "--vms", path)["port"]
     url = f"http://127.0.0.1:{port}/v1/vms"
     httpx.post(url, json={"id": "w1", "state": "leaving"})
-    assert httpx.get(url).json()["vms"] == [{
-        "id": "w1",
-        "address": "h:1",
-        "state": "leaving"
-    }]
+    entry = {"id": "w1", "address": "h:1", "state": "leaving"}
+    assert httpx.get(url).json()["vms"] == [entry]
--- a/packages/standins/tests/test_schedule.py
+++ b/packages/standins/tests/test_schedule.py
@@ -1,34 +1,34 @@
 """Tests of schedules."""
 
+import json
+import tomllib
+
 import pytest
 
 from trefoilroad_core import errors
 from trefoilroad_standins import schedule
 
-MIX = {
-    "kinds": [{
-        "team": "t1",
-        "template": "small",
-        "weight": 3,
-        "callers": 4,
-        "run_s": 2.0,
-        "cancel": 0.5
-    }, {
-        "team": "t2",
-        "template": "large",
-        "run_s": 9.0,
-        "fail": 1.0,
-        "wait_s": 30,
-        "declared_factor": 0,
-        "shape": {
-            "tasks": 4
-        }
-    }]
-}
+MIX = """
+[[kinds]]
+team = "t1"
+template = "small"
+weight = 3
+callers = 4
+run_s = 2.0
+cancel = 0.5
+[[kinds]]
+team = "t2"
+template = "large"
+run_s = 9.0
+fail = 1.0
+wait_s = 30
+declared_factor = 0
+shape = { tasks = 4 }
+"""
 
 
 def generate(seed, count=400):
-    kinds = schedule.parse_kinds(MIX)
+    kinds = schedule.parse_kinds(tomllib.loads(MIX))
     return schedule.generate_entries(kinds,
                                      seed=seed,
                                      count=count,
@@ -58,25 +58,16 @@
     assert schedule.parse_entries([*lines, "\n"]) == entries
 
 
-@pytest.mark.parametrize("kind", [{}, {
-    "team": "t",
-    "template": "x",
-    "run_s": -1
-}, {
-    "team": "t",
-    "template": "x",
-    "run_s": 1,
-    "run": 1
-}, {
-    "team": "t",
-    "template": "x",
-    "run_s": 1,
-    "weight": 0
-}])
+@pytest.mark.parametrize("kind", [
+    '{}',
+    '{"team": "t", "template": "x", "run_s": -1}',
+    '{"team": "t", "template": "x", "run_s": 1, "run": 1}',
+    '{"team": "t", "template": "x", "run_s": 1, "weight": 0}',
+])
 def test_wrong_mix_is_refused(kind):
     """Guards against a misspelt mix that gives other load."""
     with pytest.raises(errors.ProtocolError):
-        schedule.parse_kinds({"kinds": [kind]})
+        schedule.parse_kinds({"kinds": [json.loads(kind)]})
 
 
 def test_repeated_keys_are_refused():
--- a/packages/standins/tests/test_session.py
+++ b/packages/standins/tests/test_session.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from trefoilroad_standins import payload as payload_module
 from trefoilroad_standins import schedule
 from trefoilroad_standins import session
 
@@ -19,6 +20,10 @@
 RUNNING = reply(200, {**QUEUED, "state": "running"})
 COMPLETED = reply(200, {**QUEUED, "state": "completed"})
 ANSWER = session.Answer(200, b"whole")
+REFUSED = reply(503, {"outcome": "not_run"})
+PLAIN = {"run_s": 1}
+DEFAULT = payload_module.parse_payload(PLAIN, attempt="r1.1", ranks=[0]).answer
+CANCELLED = reply(200, {**QUEUED, "state": "cancelled"})
 
 
 def run(*answers, entry=ENTRY, give_up_s=60.0):
@@ -52,16 +57,10 @@
     """Guards against an end without the answer, and wrong latencies."""
     item, sent, records = run(reply(202, QUEUED), RUNNING, COMPLETED, ANSWER)
     assert (item.outcome, item.wrong_answer) == ("completed", False)
-    assert item.times_s == {
-        "sent": 10.0,
-        "accepted": 10.5,
-        "running": 11.25,
-        "ended": 12.0
-    }
-    assert sent[0].headers == {
-        "Authorization": "Bearer secret",
-        "Idempotency-Key": "k"
-    }
+    assert list(item.times_s) == ["sent", "accepted", "running", "ended"]
+    assert list(item.times_s.values()) == [10.0, 10.5, 11.25, 12.0]
+    assert sent[0].headers["Authorization"] == "Bearer secret"
+    assert sent[0].headers["Idempotency-Key"] == "k"
     assert sent[-1].path == "/v1/requests/r1/answer"
     assert [record["event"] for record in records] == [
         "submit", "told", "status", "status", "status", "answer", "end"
@@ -81,9 +80,9 @@
 
 
 @pytest.mark.parametrize(("answer", "outcome"), [
-    (reply(429, {"outcome": "not_run"}), "not_run"),
-    (reply(503, {"outcome": "not_run"}), "not_run"),
-    (reply(422, {}), "rejected"),
+    (REFUSED._replace(status=429), "not_run"),
+    (REFUSED, "not_run"),
+    (REFUSED._replace(status=422, content=b"{}"), "rejected"),
     (LOST, "gave_up"),
 ])
 def test_refusals_end_the_session(answer, outcome):
@@ -103,36 +102,34 @@
 def test_cancel_is_sent_once_and_repeated_if_lost():
     """Guards against a cancellation that is lost or never ends."""
     entry = ENTRY._replace(cancel_after_s=1.0)
-    item, sent, records = run(reply(202, QUEUED),
-                              RUNNING,
-                              LOST,
-                              reply(202, {}),
-                              reply(200, {
-                                  **QUEUED, "state": "cancelled"
-                              }),
-                              entry=entry)
+    script = [reply(202, QUEUED), RUNNING, LOST, reply(202, {}), CANCELLED]
+    item, sent, records = run(*script, entry=entry)
     assert item.outcome == "cancelled"
     cancels = [ask for ask in sent if ask.path.endswith("/cancel")]
     assert len(cancels) == 2
     assert [record["event"] for record in records].count("cancel_told") == 1
 
 
-@pytest.mark.parametrize(("payload", "content", "wrong"), [
+def answer_with(payload, content):
+    entry = ENTRY._replace(body={"payload": payload})
+    final = session.Answer(200, content)
+    return run(reply(202, QUEUED), COMPLETED, final, entry=entry)[0]
+
+
+@pytest.mark.parametrize(("payload", "content"), [
     ({
         "answer": "whole"
-    }, b"whol", True),
-    ({
-        "run_s": 1
-    }, b"whole", True),
-    ({
-        "run_s": 1
-    }, b'{"attempt": "r2.1"}', True),
+    }, b"whol"),
+    (PLAIN, b"whole"),
+    (PLAIN, b'{"attempt": "r1.1", "payload_sha256": "0"}'),
+    (PLAIN, DEFAULT.replace(b"r1.1", b"r2.1")),
 ])
-def test_wrong_answers_are_noticed(payload, content, wrong):
+def test_wrong_answers_are_noticed(payload, content):
     """Guards against a cut or crossed answer that counts as right."""
-    entry = ENTRY._replace(body={"payload": payload})
-    item, _, _ = run(reply(202, QUEUED),
-                     COMPLETED,
-                     session.Answer(200, content),
-                     entry=entry)
-    assert item.wrong_answer == wrong
+    item = answer_with(payload, content)
+    assert item.wrong_answer
+
+
+def test_default_answer_is_right():
+    """Guards against a check that takes every default answer for wrong."""
+    assert not answer_with(PLAIN, DEFAULT).wrong_answer
--- a/packages/standins/tests/test_tables.py
+++ b/packages/standins/tests/test_tables.py
@@ -60,8 +60,5 @@
     assert not vms.change({"id": "w3", "state": "live"}, 11.0)
     assert [entry["id"] for entry in vms.list_entries(11.9)] == ["w1"]
     assert vms.list_entries(12.0) == []
-    assert vms.list_entries(13.0) == [{
-        "id": "w2",
-        "state": "live",
-        "address": "h:1"
-    }]
+    entry = {"id": "w2", "state": "live", "address": "h:1"}
+    assert vms.list_entries(13.0) == [entry]
--- a/packages/standins/tests/test_worker.py
+++ b/packages/standins/tests/test_worker.py
@@ -28,21 +28,10 @@
 
 
 def run(site, index, attempt, **payload):
-    send(site,
-         index,
-         "reserve",
-         attempt=attempt,
-         ranks=[0],
-         shape=SHAPE,
-         ttl_s=5)
-    return send(site,
-                index,
-                "start",
-                attempt=attempt,
-                lease_s=5,
-                payload=payload,
-                answer=True,
-                resume=None)
+    reservation = {"ranks": [0], "shape": SHAPE, "ttl_s": 5}
+    send(site, index, "reserve", attempt=attempt, **reservation)
+    start = {"lease_s": 5, "payload": payload, "answer": True, "resume": None}
+    return send(site, index, "start", attempt=attempt, **start)
 
 
 def control(site, path, **body):
@@ -84,16 +73,9 @@
 
 def test_faults_hit_the_named_worker_and_command(site):
     """Guards against faults that hit other workers or commands."""
-    control(site,
-            "faults",
-            faults=[{
-                "mode": "hang",
-                "kinds": ["sync"],
-                "workers": ["w000"]
-            }, {
-                "mode": "refuse",
-                "workers": ["w000"]
-            }])
+    hang = {"mode": "hang", "kinds": ["sync"], "workers": ["w000"]}
+    refuse = {"mode": "refuse", "workers": ["w000"]}
+    control(site, "faults", faults=[hang, refuse])
     with pytest.raises(httpx.ReadTimeout):
         send(site, 0, "sync", lease_s=1, renew=[])
     refused = run(site, 0, "a.1")
