Answer requests that the HTTP library fails on

A Content-Length that is not a number raises in the library's parser, and the client waited for an answer until its own time-out. The listener now answers 400 and closes the connection. Failures of handlers are logged to stderr.

--- a/packages/standins/src/trefoilroad_standins/endpoint.py
+++ b/packages/standins/src/trefoilroad_standins/endpoint.py
@@ -1,6 +1,8 @@
 """The event loop and HTTP listeners of a stand-in process."""
 
 from collections.abc import Callable
+import socket
+import sys
 import time
 from typing import Any
 from urllib import parse
@@ -9,13 +11,19 @@
 from circuits.core import pollers
 from circuits.net import events as net_events
 from circuits.net import sockets
+from circuits.web import errors as web_errors
 from circuits.web import events as web_events
 from circuits.web import http
+from circuits.web import wrappers
+import structlog
 
 from trefoilroad_core import errors
 from trefoilroad_standins import alarms
 from trefoilroad_standins import exchange
 
+LOG: structlog.typing.WrappedLogger = structlog.wrap_logger(
+    structlog.PrintLogger(sys.stderr))
+
 # Events that concern every component, whatever channel they are fired on.
 LIFE_CYCLE_EVENTS = frozenset({"registered", "started", "stopped"})
 
@@ -69,6 +77,16 @@
                                   event, channel, **kwargs))
         return handlers
 
+    @circuits.handler("exception")
+    def _on_exception(self,
+                      *error: Any,
+                      handler: Any = None,
+                      fevent: Any = None) -> None:
+        LOG.error("handler failed", handler=str(handler), exc_info=error[1])
+        listener = self._listeners.get(fevent.channels[0])
+        if listener and fevent.name == "read":
+            listener.reject(fevent.args[0])
+
     @circuits.handler("signal", channel="*")
     def _on_signal(self, *_: Any) -> None:
         raise SystemExit(0)
@@ -106,6 +124,16 @@
         """Port that the listener is bound to."""
         return int(self._server.port)
 
+    def reject(self, sock: socket.socket) -> None:
+        """Answers what the library's parser fails on, such as a wrong length.
+
+        Args:
+            sock: Connection to answer and close.
+        """
+        request = wrappers.Request(sock, server=self._server)
+        response = wrappers.Response(request)
+        self.fire(web_errors.httperror(request, response, 400))
+
     @circuits.handler("request")
     def _on_request(self, request: Any, response: Any) -> bool:
         call = build_call(request)
@@ -117,8 +145,8 @@
     def _on_httperror(self, event: Any, request: Any, response: Any, *_: Any,
                       **__: Any) -> None:
         event.stop()
-        reply = exchange.build_error(event.code, "http_error",
-                                     event.description)
+        message = event.description or event.data["name"]
+        reply = exchange.build_error(event.code, "http_error", message)
         self._send(request, response, reply)
 
     def _answer(self, request: Any, response: Any,
--- a/packages/standins/tests/test_platform.py
+++ b/packages/standins/tests/test_platform.py
@@ -1,6 +1,8 @@
 """Tests of the platform process."""
 
 from http import client
+import json
+import socket
 
 import httpx
 import pytest
@@ -71,6 +73,22 @@
     assert reply.json()["error"]
 
 
+@pytest.mark.parametrize("head", [
+    b"POST /v1/commit HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n{}",
+    b"GET /v1/vms HTTP/1.1\r\n\r\n",
+    b"nonsense\r\n\r\n",
+])
+def test_malformed_requests_get_json_errors(platform, head):
+    """Guards against clients that wait forever for an answer."""
+    address = ("127.0.0.1", platform.base_url.port)
+    with socket.create_connection(address, timeout=5) as connection:
+        connection.sendall(head)
+        status, *_, body = connection.makefile().read().splitlines()
+    assert status == "HTTP/1.1 400 Bad Request"
+    assert json.loads(body)["error"] == "http_error"
+    assert platform.get("/v1/vms").status_code == 200
+
+
 def test_lost_answer_takes_effect(platform):
     """Guards against a lost answer that also loses the write."""
     rule = {"mode": "lose_answers", "kinds": ["table_writes"], "next": 1}
