--- a/packages/standins/src/trefoilroad_standins/soak.py
+++ b/packages/standins/src/trefoilroad_standins/soak.py
@@ -305,12 +305,10 @@
     def _break_worker(self, duration_s: float) -> str:
         worker = self._pick_worker()
         machine = self.world.machines[worker]
-        machine.fails_everything = True
-
-        def repair() -> None:
-            machine.fails_everything = False
-
-        self._later(duration_s, repair)
+        clock = self.world.clock
+        machine.fail_everything(True, clock.now_s)
+        self._later(duration_s,
+                    lambda: machine.fail_everything(False, clock.now_s))
         return f"break {worker}"
 
     def _delay_network(self, duration_s: float) -> str:
@@ -344,7 +342,7 @@
             node.host.thaw()
             self._start_again(name)
         for worker, machine in world.machines.items():
-            machine.fails_everything = False
+            machine.fail_everything(False, world.clock.now_s)
             self._bring_back(worker)
 
     # Judgement.
