tests: cover three faults that no test noticed

A trial that put faults into copies of the modules found three that passed all tests: 429 taken as final after an uncertain try, true accepted as a time, and true taken as equal to 1 in comparisons.

--- a/packages/client/tests/test_api.py
+++ b/packages/client/tests/test_api.py
@@ -102,6 +102,13 @@
     assert caught.value.retry_after_s == 7.0
 
 
+def test_full_queue_is_retried_after_an_uncertain_try():
+    """Guards against "unknown" where a repeat can settle the outcome."""
+    nodes, result = submit(UNKNOWN, FULL, ACCEPTED)
+    assert result.status.request_id == "r1"
+    assert nodes.now_s >= 7.0
+
+
 @pytest.mark.parametrize("first", [
     httpx.ReadTimeout("slow"),
     httpx.RemoteProtocolError("cut"), UNKNOWN,
--- a/packages/core/tests/test_document.py
+++ b/packages/core/tests/test_document.py
@@ -86,6 +86,7 @@
          "whole number"),
         (TEMPLATE, "priority = 3", "prioritty = 3", 4, "template.prioritty",
          "did you mean 'priority'"),
+        (TEMPLATE, "= 60", "= true", 5, "template.wait_s", "a number"),
         (TEMPLATE, "wait_s = 60", "wait_s = nan", 5, "template.wait_s",
          "a number"),
         (TEMPLATE, "idempotent = true\n", "", 1, "template.idempotent",
@@ -182,7 +183,8 @@
 def test_comparison_lists_changed_keys_only():
     """Guards against audit entries that hide or invent changes."""
     new = dict(DOCUMENTS)
-    new["templates/photo.toml"] = "# note\n" + TEMPLATE.replace("60", "90")
+    new["templates/photo.toml"] = "# note\n" + TEMPLATE.replace(
+        "true", "1").replace("60", "90")
     new["teams/knit.toml"] = TEAM.replace("gangs = 2", "gangs = true")
     new["operators.toml"] = OPERATOR.replace("ama", "efua")
     del new["fleet.toml"]
@@ -194,6 +196,7 @@
         ("operators.toml:operator[efua].name", None, "efua"),
         ("operators.toml:operator[efua].token_sha256", None, "b" * 64),
         ("teams/knit.toml:guarantee[0].gangs", 2, True),
+        ("templates/photo.toml:template.idempotent", True, 1),
         ("templates/photo.toml:template.wait_s", 60, 90),
     ]
 
