core: report a wrong limit once

A max_queued that was not valid also gave a finding that max_queued_per_caller is more than 1, the value that took its place. The comparison is left out if max_queued itself has a finding.

--- a/packages/client/src/trefoilroad_client/callers.py
+++ b/packages/client/src/trefoilroad_client/callers.py
@@ -141,7 +141,9 @@
         text = f"{elapsed_s:.1f} s: {current.state}"
         if current.attempt:
             text += f", attempt {current.attempt}"
-        click.echo(output.clean(f"{text} {current.reason}"), err=True)
+        if current.reason:
+            text += f", {current.reason}"
+        click.echo(output.clean(text), err=True)
 
     return client.wait(request_id, timeout_s=timeout_s, on_change=report)
 
--- a/packages/client/src/trefoilroad_client/operators.py
+++ b/packages/client/src/trefoilroad_client/operators.py
@@ -50,7 +50,8 @@
         output.print_json({"base_version": current.version, "changes": changes})
         return
     output.print_changes(changes, err=False)
-    click.echo(f"{len(changes)} changes to version {current.version}", err=True)
+    click.echo(f"changes to version {current.version}: {len(changes)}",
+               err=True)
 
 
 @session.make_command
@@ -77,7 +78,7 @@
         version = current.version
         if changes or base != current.version:
             if not yes:
-                click.confirm(f"Publish {len(changes)} changes?",
+                click.confirm(f"Publish these changes ({len(changes)})?",
                               abort=True,
                               err=True)
             version = client.publish(documents, base_version=base)
--- a/packages/client/src/trefoilroad_client/session.py
+++ b/packages/client/src/trefoilroad_client/session.py
@@ -73,7 +73,7 @@
         output.print_json({"error": "InvalidDocuments", "findings": findings})
     for finding in findings:
         click.echo(output.clean(finding), err=True)
-    click.echo(f"{len(findings)} findings; nothing was changed", err=True)
+    click.echo(f"findings: {len(findings)}; nothing was changed", err=True)
 
 
 def _report_error(session: Session, error: errors.TrefoilroadError) -> None:
--- a/packages/core/src/trefoilroad_core/document.py
+++ b/packages/core/src/trefoilroad_core/document.py
@@ -169,7 +169,8 @@
 
 
 def _check_limits(values: table.Table, team: contract.Team) -> None:
-    if team.max_queued_per_caller > team.max_queued:
+    if (team.max_queued_per_caller > team.max_queued and
+            not values.is_wrong("max_queued")):
         values.report(
             "max_queued_per_caller",
             f"{team.max_queued_per_caller} is more than max_queued; "
--- a/packages/core/src/trefoilroad_core/table.py
+++ b/packages/core/src/trefoilroad_core/table.py
@@ -147,9 +147,11 @@
         self._path = path
         self._values = values
         self._known: set[str] = set()
+        self._wrong: set[str] = set()
 
     def report(self, key: str, message: str) -> None:
         """Records a finding about a key of this table."""
+        self._wrong.add(key)
         path = join_path(self._path, key) if key else self._path
         self._document.report(path, message)
 
@@ -158,6 +160,10 @@
         self._known.add(key)
         return key in self._values
 
+    def is_wrong(self, key: str) -> bool:
+        """Tells whether there is a finding about the key."""
+        return key in self._wrong
+
     def close(self) -> None:
         """Reports each key that is not known."""
         for key in self._values:
--- a/packages/core/tests/test_document.py
+++ b/packages/core/tests/test_document.py
@@ -146,6 +146,13 @@
     ]
 
 
+def test_wrong_value_gives_one_finding():
+    """Guards against findings that only result from another one."""
+    text = TEAM.replace("max_queued = 50", "max_queued = 0")
+    findings = find(DOCUMENTS | {"teams/knit.toml": text})
+    assert [finding.key for finding in findings] == ["team.max_queued"]
+
+
 def test_two_teams_with_one_token_are_refused():
     """Guards against requests that are booked on the wrong team."""
     other = TEAM.replace('"knit"', '"sock"')
