--- a/packages/core/src/trefoilroad_core/document.py
+++ b/packages/core/src/trefoilroad_core/document.py
@@ -87,16 +87,17 @@
     def read_team(self, top: table.Table, name: str) -> None:
         values = top.read_table("team")
         _check_name(values, name)
+        max_queued = values.read_int("max_queued", 1, MAX_QUEUED,
+                                     DEFAULT_MAX_QUEUED)
         team = contract.Team(
             name=name,
             weight=values.read_float("weight", MIN_WEIGHT, MAX_WEIGHT,
                                      DEFAULT_WEIGHT),
             guarantees=_read_guarantees(top),
-            max_queued=values.read_int("max_queued", 1, MAX_QUEUED,
-                                       DEFAULT_MAX_QUEUED),
+            max_queued=max_queued,
             max_queued_per_caller=values.read_int(
                 "max_queued_per_caller", 1, MAX_QUEUED,
-                DEFAULT_MAX_QUEUED_PER_CALLER),
+                min(DEFAULT_MAX_QUEUED_PER_CALLER, max_queued)),
             max_accelerators=values.read_int("max_accelerators", 0,
                                              MAX_TEAM_ACCELERATORS, 0),
             templates=values.read_texts("templates"),
--- a/packages/core/tests/test_document.py
+++ b/packages/core/tests/test_document.py
@@ -146,6 +146,14 @@
     ]
 
 
+def test_default_limit_of_a_caller_is_not_above_the_team():
+    """Guards against a finding about a value that nobody wrote."""
+    text = TEAM.replace("max_queued_per_caller = 10\n", "")
+    documents = DOCUMENTS | {"teams/knit.toml": text}
+    team = document.parse_documents(documents, 1).teams["knit"]
+    assert team.max_queued_per_caller == 50
+
+
 def test_wrong_value_gives_one_finding():
     """Guards against findings that only result from another one."""
     text = TEAM.replace("max_queued = 50", "max_queued = 0")
