--- a/packages/client/src/trefoilroad_client/session.py
+++ b/packages/client/src/trefoilroad_client/session.py
@@ -83,7 +83,8 @@
             "message": str(error),
             **vars(error)
         })
-    click.echo(f"Error: {error}", err=True)
+    for line in f"Error: {error}".splitlines():
+        click.echo(output.clean(line), err=True)
 
 
 def _switch_to_json(ctx: click.Context, _: click.Parameter,
--- a/packages/client/tests/test_cli.py
+++ b/packages/client/tests/test_cli.py
@@ -108,6 +108,19 @@
         assert f"key {body['key']}" in done.stderr
 
 
+def test_interrupted_wait_has_its_own_exit_code():
+    """Guards against an interruption that looks like a refusal."""
+    nodes = Nodes(**build_status("running", "yes"))
+
+    def interrupt(_):
+        raise KeyboardInterrupt
+
+    nodes.sleep = interrupt
+    done = nodes.run("wait", "r1")
+    assert done.exit_code == 130
+    assert "recorded requests go on" in done.stderr
+
+
 def test_submit_sends_options_and_waits():
     """Guards against options that do not reach the node."""
     nodes = Nodes(**{"POST /v1/requests": (202, STATUS)} |
@@ -222,6 +235,8 @@
     row = STATUS | {"reason": "\x1b[2Jwaits\nlong"}
     done = run({"GET /v1/requests": (200, {"requests": [row]})}, "requests")
     assert done.stdout.splitlines()[1].endswith("?[2Jwaits?long")
+    refusal = (400, {"message": "\x1b[2J"})
+    assert "\x1b" not in run({"GET /v1/requests": refusal}, "requests").stderr
 
 
 def test_operator_commands():
