--- a/packages/core/tests/test_document.py
+++ b/packages/core/tests/test_document.py
@@ -86,6 +86,7 @@
          "whole number"),
         (TEMPLATE, "priority = 3", "prioritty = 3", 4, "template.prioritty",
          "did you mean 'priority'"),
+        (TEMPLATE, "= 60", "= true", 5, "template.wait_s", "a number"),
         (TEMPLATE, "wait_s = 60", "wait_s = nan", 5, "template.wait_s",
          "a number"),
         (TEMPLATE, "idempotent = true\n", "", 1, "template.idempotent",
@@ -145,6 +146,21 @@
     ]
 
 
+def test_default_limit_of_a_caller_is_not_above_the_team():
+    """Guards against a finding about a value that nobody wrote."""
+    text = TEAM.replace("max_queued_per_caller = 10\n", "")
+    documents = DOCUMENTS | {"teams/knit.toml": text}
+    team = document.parse_documents(documents, 1).teams["knit"]
+    assert team.max_queued_per_caller == 50
+
+
+def test_wrong_value_gives_one_finding():
+    """Guards against findings that only result from another one."""
+    text = TEAM.replace("max_queued = 50", "max_queued = 0")
+    findings = find(DOCUMENTS | {"teams/knit.toml": text})
+    assert [finding.key for finding in findings] == ["team.max_queued"]
+
+
 def test_two_teams_with_one_token_are_refused():
     """Guards against requests that are booked on the wrong team."""
     other = TEAM.replace('"knit"', '"sock"')
@@ -182,7 +198,8 @@
 def test_comparison_lists_changed_keys_only():
     """Guards against audit entries that hide or invent changes."""
     new = dict(DOCUMENTS)
-    new["templates/photo.toml"] = "# note\n" + TEMPLATE.replace("60", "90")
+    new["templates/photo.toml"] = "# note\n" + TEMPLATE.replace(
+        "true", "1").replace("60", "90")
     new["teams/knit.toml"] = TEAM.replace("gangs = 2", "gangs = true")
     new["operators.toml"] = OPERATOR.replace("ama", "efua")
     del new["fleet.toml"]
@@ -194,6 +211,7 @@
         ("operators.toml:operator[efua].name", None, "efua"),
         ("operators.toml:operator[efua].token_sha256", None, "b" * 64),
         ("teams/knit.toml:guarantee[0].gangs", 2, True),
+        ("templates/photo.toml:template.idempotent", True, 1),
         ("templates/photo.toml:template.wait_s", 60, 90),
     ]
 
