--- a/packages/replay/src/trefoilroad_replay/generator.py
+++ b/packages/replay/src/trefoilroad_replay/generator.py
@@ -179,6 +179,24 @@
     generator.expect("completed")
 
 
+def _expect_of_others(generator: Generator) -> None:
+    """States that the other teams' work is done, urgent work at once."""
+    plan = generator.plan
+    for row in plan.teams:
+        name = row["name"]
+        used = {
+            stream.template for stream in plan.streams if stream.team == name
+        }
+        if name == plan.flood_team or not used:
+            continue
+        generator.expect("completed", team=name)
+        if plan.urgent in used:
+            generator.expect("completed",
+                             team=name,
+                             template=plan.urgent,
+                             start_p99_s=URGENT_START_S)
+
+
 def _add_flood(generator: Generator, template: str, **options: Any) -> None:
     plan = generator.plan
     shape = options.get("shape", generator.templates[template]["shape"])
@@ -189,13 +207,7 @@
         generator.release(begin_s + FLOOD_S * float(generator.random.random()),
                           plan.flood_team, f"{plan.flood_team}-flood", template,
                           generator.draw_run(run_s), **options)
-    for row in plan.teams:
-        if row["name"] != plan.flood_team:
-            generator.expect("completed", team=row["name"])
-            generator.expect("completed",
-                             team=row["name"],
-                             template=plan.urgent,
-                             start_p99_s=URGENT_START_S)
+    _expect_of_others(generator)
 
 
 def add_least_flood(generator: Generator) -> None:
@@ -297,6 +309,14 @@
     generator.expect("completed", requests=sorted(before))
 
 
+def _expect_of_idempotent(generator: Generator, **options: Any) -> None:
+    """States that work that may run again is done."""
+    used = {stream.template for stream in generator.plan.streams}
+    for row in generator.templates.values():
+        if row["idempotent"] and row["name"] in used:
+            generator.expect("completed", template=row["name"], **options)
+
+
 def _lose(generator: Generator, workers: list[str]) -> None:
     begin_s = generator.plan.day_s / 2
     for at_s, state in ((begin_s, "failed"),
@@ -307,9 +327,7 @@
             "workers": workers,
             "state": state
         })
-    for row in generator.templates.values():
-        if row["idempotent"]:
-            generator.expect("completed", template=row["name"])
+    _expect_of_idempotent(generator)
 
 
 def add_rack_loss(generator: Generator) -> None:
@@ -341,9 +359,7 @@
                 "workers": leaving,
                 "state": state
             })
-    for row in generator.templates.values():
-        if row["idempotent"]:
-            generator.expect("completed", template=row["name"])
+    _expect_of_idempotent(generator)
 
 
 def add_bad_workers(generator: Generator) -> None:
@@ -356,9 +372,7 @@
         "after_s": 2.0,
         "workers": [racks[0][0], racks[0][1], racks[1][0]]
     })
-    for row in generator.templates.values():
-        if row["idempotent"]:
-            generator.expect("completed", template=row["name"], min_share=0.99)
+    _expect_of_idempotent(generator, min_share=0.99)
 
 
 def add_outage(generator: Generator) -> None:
@@ -394,12 +408,17 @@
     "design": deployment.build_design,
 }
 TRACES = {
-    "nkabom": [kind for kind in KINDS if kind != "large-bursts"],
+    # Each failure domain of nkabom and kalahari has one rack.
+    "nkabom": [
+        kind for kind in KINDS if kind not in ("large-bursts", "rack-lost")
+    ],
     "kalahari": [
         "ordinary", "large-bursts", "least-flood", "urgent-flood",
         "declarations", "domain-lost"
     ],
-    "design": ["ordinary", "least-flood", "urgent-flood", "domain-lost"],
+    "design": [
+        "ordinary", "least-flood", "urgent-flood", "rack-lost", "domain-lost"
+    ],
 }
 FLOODS = ("least-flood", "urgent-flood")
 
--- a/packages/replay/src/trefoilroad_replay/measures.py
+++ b/packages/replay/src/trefoilroad_replay/measures.py
@@ -284,10 +284,11 @@
     """Returns the longest wait beyond what the work ahead needs.
 
     By the time a gang is served in fair order, its team has been served what
-    its team had waiting before it, and each other team no more than its weight
-    allows in that time, or all that it released until then. The gang also
-    waits for what runs, the longest of which may hold its rack. Work counts
-    with its true run time.
+    it had waiting before, and each other team no more than its weight allows
+    in that time, or all that it released until then. Work inside guarantees
+    goes first. The gang also waits for what runs, the longest of which may
+    hold its rack. Work counts with its true run time, and adjacent gangs with
+    the share of a rack that they leave to others of their size.
     """
     return max((_compute_wait(result) - _bound_wait(replay, result)
                 for result in large),
@@ -298,14 +299,15 @@
     at_s = gang.received_s
     until_s = math.inf if gang.started_s is None else gang.started_s
     shape = gang.release.shape
+    rack = _find_largest_rack(replay)
     accelerators = sum(worker.accelerators
                        for worker in replay.trace.fleet.workers.values()
                        if worker.accelerators >= shape.accelerators)
-    longest_s = running = own = 0.0
+    longest_s = running = own = firm = 0.0
     others: dict[str, float] = {}
     for result in replay.results:
         release = result.release
-        size = release.shape.total_accelerators
+        size = _get_rack_share(release.shape, rack)
         if result is gang or not size or result.received_s > until_s:
             continue
         begin_s = math.inf if result.started_s is None else result.started_s
@@ -318,24 +320,36 @@
             longest_s = max(longest_s, left_s)
         elif release.team != gang.release.team:
             work = size * release.run_s
+            if result.is_first_guaranteed and begin_s <= until_s:
+                firm += work
+                continue
             others[release.team] = others.get(release.team, 0.0) + work
         elif result.received_s <= at_s:
             own += size * release.run_s
-    served = own + shape.total_accelerators * gang.release.run_s
+    served = own + _get_rack_share(shape, rack) * gang.release.run_s
     teams = replay.trace.configuration.teams
     weight = teams[gang.release.team].weight
-    ahead = own + running + sum(
+    ahead = own + running + firm + sum(
         min(work, served * teams[name].weight / weight)
         for name, work in others.items())
     return ahead / accelerators + longest_s
 
 
+def _get_rack_share(shape: request.Shape, rack: int) -> float:
+    """Returns the accelerators that a gang takes from others of its size."""
+    size = shape.total_accelerators
+    if shape.adjacent != "rack" or not size or size > rack:
+        return size
+    return rack / (rack // size)
+
+
 def _measure_callers(
         replay: results.Replay,
         completed: Sequence[results.Result]) -> tuple[float, float]:
     """Compares small callers with large ones.
 
-    Large callers are the fewest that together ask for half of all work.
+    Large callers are the fewest that together ask for half of all work, and
+    the fewest that together send half of all requests.
     """
     work: dict[tuple[str, str], float] = {}
     slowdowns: dict[tuple[str, str], list[float]] = {}
@@ -343,13 +357,13 @@
         caller = result.release.team, result.release.caller
         work[caller] = work.get(caller, 0.0) + _compute_work(replay, result)
         slowdowns.setdefault(caller, []).append(compute_slowdown(result))
-    large: list[float] = []
-    small: list[float] = []
-    covered = 0.0
-    for caller in sorted(work, key=lambda caller: -work[caller]):
-        is_large = covered < sum(work.values()) / 2
-        (large if is_large else small).extend(slowdowns[caller])
-        covered += work[caller]
+    sent = {caller: float(len(each)) for caller, each in slowdowns.items()}
+    names = _find_half(work) | _find_half(sent)
+    large = [each for caller in names for each in slowdowns[caller]]
+    small = [
+        each for caller in slowdowns.keys() - names
+        for each in slowdowns[caller]
+    ]
     if not large or not small:
         return math.nan, math.nan
     speeds = [1.0 / float(numpy.mean(each)) for each in slowdowns.values()]
@@ -357,6 +371,18 @@
     return spread(small).p95 / spread(large).p95, jain
 
 
+def _find_half(sizes: dict[tuple[str, str], float]) -> set[tuple[str, str]]:
+    """Returns the fewest callers that have half of the total."""
+    found = set()
+    covered = 0.0
+    for caller in sorted(sizes, key=lambda caller: (-sizes[caller], caller)):
+        if covered >= sum(sizes.values()) / 2:
+            break
+        found.add(caller)
+        covered += sizes[caller]
+    return found
+
+
 def _measure_use(replay: results.Replay) -> tuple[float, float]:
     horizon_s = _find_horizon(replay)
     trace = replay.trace
@@ -443,9 +469,6 @@
             filter(None, (expectation.team, expectation.template,
                           f"{len(expectation.requests)} requests"
                           if expectation.requests else ""))) or "all"
-        if not found:
-            yield f"{expectation.place}: {what}: selects no request"
-            continue
         share = sum(result.outcome == expectation.outcome
                     for result in found) / len(found)
         if share < expectation.min_share:
--- a/packages/replay/src/trefoilroad_replay/reference.py
+++ b/packages/replay/src/trefoilroad_replay/reference.py
@@ -20,7 +20,8 @@
     """Measures the use of a schedule that knows the run times.
 
     It sees the fleet as one pool of accelerators, so it loses nothing to
-    placement, and starts everything that fits in the best of ORDERS.
+    placement, and starts everything that fits in the best of ORDERS. Requests
+    that have waited for their limit are dropped, as in a replay.
 
     Args:
         trace: A trace.
@@ -57,6 +58,8 @@
         left = []
         for release in waiting:
             size = release.shape.total_accelerators
+            if now_s > release.at_s + release.wait_s:
+                continue
             if size > free:
                 left.append(release)
                 continue
--- a/packages/replay/src/trefoilroad_replay/replayer.py
+++ b/packages/replay/src/trefoilroad_replay/replayer.py
@@ -19,6 +19,7 @@
 from trefoilroad_core import errors
 from trefoilroad_core import fleet as fleet_module
 from trefoilroad_core import guarantee
+from trefoilroad_core import health as health_module
 from trefoilroad_core import placement
 from trefoilroad_core import request
 from trefoilroad_core import scheduler as scheduler_module
@@ -34,6 +35,7 @@
 LEASE_S = 10.0  # A lost gang is queued again after its lease.
 RETRY_S = 2.0  # Mean of the first backoff; it doubles with each failure.
 MAX_FAILURES = 3
+QUARANTINE_TICK_S = 5.0  # Rounds while workers are in quarantine.
 MEMORY_KILL_S = 1.0  # Time until a worker stops a task that takes too much.
 
 MAX_TIME_S = 14 * 24 * 3600.0
@@ -132,6 +134,7 @@
                  trace: trace_module.Trace,
                  scheduler: scheduler_module.Scheduler,
                  policy: str,
+                 health: health_module.Health | None = None,
                  round_interval_s: float = ROUND_INTERVAL_S):
         """Prepares a replay.
 
@@ -139,11 +142,13 @@
             trace: The trace.
             scheduler: A new scheduler.
             policy: Name of the policy, for the record.
+            health: Puts workers into quarantine; none if it is None.
             round_interval_s: Least time between two rounds.
         """
         self._trace = trace
         self._scheduler = scheduler
         self._policy = policy
+        self._health = health
         self._round_interval_s = round_interval_s
         self._fleet = trace.fleet
         self._layout = placement.Layout(fleet=trace.fleet)
@@ -163,6 +168,7 @@
         self._now_s = 0.0
         self._last_round_s = -round_interval_s
         self._is_round_due = False
+        self._is_tick_due = False
         self._store_until_s = 0.0
         self._samples: list[results.Sample] = []
         self._deliveries: list[results.Delivery] = []
@@ -247,7 +253,7 @@
         same guarantee counts as using it, so this errs towards False. While
         workers are missing, guarantees may have no place.
         """
-        if self._site.excluded or self._site.down:
+        if self._site.closed or self._site.down:
             return False
         team = self._trace.configuration.teams[release.team]
         for entry in team.guarantees:
@@ -272,7 +278,7 @@
     def _check_room(self, release: trace_module.Release) -> bool:
         """Tells whether a gang fits beside all that run."""
         free = placement.Capacity(layout=self._layout,
-                                  excluded=self._site.excluded)
+                                  excluded=self._site.closed)
         for job in self._running.values():
             free.take(job.placement, job.release.shape)
         return free.can_place(release.shape)
@@ -324,7 +330,7 @@
         job = self._jobs[start.request_id]
         if start.request_id not in self._pending:
             raise errors.PolicyError(f"{start.request_id} does not wait")
-        closed = self._site.excluded.intersection(start.placement)
+        closed = self._site.closed.intersection(start.placement)
         if closed or len(start.placement) != job.release.shape.tasks:
             raise errors.PolicyError(
                 f"{start.request_id} cannot start on {start.placement}")
@@ -354,13 +360,9 @@
             job.first_start_s = job.run_begin_s
         self._schedule(job.run_begin_s + job.left_s, self._complete, job,
                        job.attempt)
-        failing = [
-            self._site.bad[worker_id]
-            for worker_id in workers & self._site.bad.keys()
-        ]
-        if failing:
-            self._schedule(job.run_begin_s + min(failing), self._fail, job,
-                           job.attempt)
+        for worker_id in sorted(workers & self._site.bad.keys()):
+            self._schedule(job.run_begin_s + self._site.bad[worker_id],
+                           self._fail, job, job.attempt, worker_id)
         for worker_id in sorted(workers):
             if self._site.is_short_of_memory(worker_id):
                 self._schedule(job.run_begin_s + MEMORY_KILL_S,
@@ -379,15 +381,36 @@
             return
         resumed = job.left_s < job.release.run_s
         self._deliver(job, self._now_s)
+        for worker_id in set(job.placement):
+            self._record_health(job, worker_id, failed=False)
         self._stop(job, completed=not resumed)
         self._finish(job, request.State.COMPLETED)
 
-    def _fail(self, job: Job, attempt: int) -> None:
+    def _record_health(self, job: Job, worker_id: str, *, failed: bool) -> None:
+        if self._health is not None:
+            release = job.release
+            self._health.record(
+                health_module.Event(worker_id=worker_id,
+                                    request_id=release.request_id,
+                                    team=release.team,
+                                    template=release.template,
+                                    failed=failed,
+                                    at_s=self._now_s))
+
+    def _is_given_up(self, job: Job) -> bool:
+        if not job.can_be_lent or job.failures >= MAX_FAILURES:
+            return True
+        if self._health is None:
+            return False
+        return self._health.judge(job.release.request_id) is not None
+
+    def _fail(self, job: Job, attempt: int, worker_id: str) -> None:
         if not self._is_current(job, attempt):
             return
+        self._record_health(job, worker_id, failed=True)
         self._stop(job)
         job.failures += 1
-        if job.failures >= MAX_FAILURES or not job.can_be_lent:
+        if self._is_given_up(job):
             self._finish(job, request.State.FAILED)
             return
         delay_s = RETRY_S * 2**job.failures * self._random.uniform(0.25, 0.75)
@@ -404,7 +427,7 @@
             if not offenders:
                 return
             last = max(offenders, key=lambda job: job.run_begin_s)
-            self._fail(last, last.attempt)
+            self._fail(last, last.attempt, worker_id)
 
     def _stop(self, job: Job, completed: bool = False) -> None:
         """Frees what a gang uses."""
@@ -528,6 +551,7 @@
             self._request_round()
             return
         self._last_round_s = self._now_s
+        self._update_quarantine()
         state = self._build_snapshot()
         begin_s = time.process_time()
         decisions = self._scheduler.decide(state)
@@ -548,6 +572,26 @@
                            running=len(self._running),
                            decision_s=decision_s))
 
+    def _update_quarantine(self) -> None:
+        if self._health is None:
+            return
+        self._health.update(self._now_s, len(self._fleet.workers))
+        quarantined = self._health.find(health_module.Status.QUARANTINED)
+        busy = {
+            worker_id for job in self._running.values()
+            for worker_id in job.placement
+        }
+        # On probation a worker gets no work beside what it already runs.
+        probation = self._health.find(health_module.Status.PROBATION) & busy
+        self._site.quarantined = quarantined | probation
+        if quarantined and self._pending and not self._is_tick_due:
+            self._is_tick_due = True
+            self._schedule(self._now_s + QUARANTINE_TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._is_tick_due = False
+        self._request_round()
+
     def _build_snapshot(self) -> scheduler_module.Snapshot:
         running = [
             job.running
@@ -560,7 +604,7 @@
             pending=tuple(self._pending.values()),
             running=tuple(running),
             configuration=self._trace.configuration,
-            excluded=frozenset(self._site.excluded))
+            excluded=self._site.closed)
 
     def _build_result(self, job: Job) -> results.Result:
         return results.Result(release=job.release,
--- a/packages/replay/src/trefoilroad_replay/site.py
+++ b/packages/replay/src/trefoilroad_replay/site.py
@@ -55,7 +55,8 @@
     Attributes:
         down: Workers that run nothing.
         bad: Workers that fail everything, with the time to each failure.
-        excluded: Workers that are known to get no new work.
+        excluded: Workers that are known to be leaving or unreachable.
+        quarantined: Workers that get no new work because of failures.
         used: Accelerators in use.
     """
 
@@ -68,8 +69,14 @@
         self.down: set[str] = set()
         self.bad: dict[str, float] = {}
         self.excluded: set[str] = set()
+        self.quarantined: frozenset[str] = frozenset()
         self.used = 0
 
+    @property
+    def closed(self) -> frozenset[str]:
+        """Workers that get no new work."""
+        return self.quarantined | self.excluded
+
     def take(self, placement: tuple[str, ...], shape: request.Shape,
              true_shape: request.Shape) -> None:
         """Takes the resources of a gang.
@@ -108,11 +115,12 @@
 
     def measure_free(self) -> Free:
         """Measures what is free on workers that can get new work."""
+        closed = self.closed
         total = adjacent = whole = 0
         for members in self._fleet.racks.values():
             rack_adjacent = rack_whole = 0
             for worker_id in members:
-                if worker_id in self.excluded:
+                if worker_id in closed:
                     continue
                 use = self._uses[worker_id]
                 size = self._fleet.workers[worker_id].accelerators
--- a/packages/replay/src/trefoilroad_replay/trace.py
+++ b/packages/replay/src/trefoilroad_replay/trace.py
@@ -140,7 +140,7 @@
 
     Attributes:
         place: File and line.
-        requests: Requests by id; empty for a class.
+        requests: Requests by id; empty for all of a class.
         team: Team of the class, or None for all.
         template: Template of the class, or None for all.
         outcome: One of request.State.
@@ -150,7 +150,7 @@
     """
 
     place: str
-    requests: tuple[str, ...]
+    requests: frozenset[str]
     team: str | None
     template: str | None
     outcome: str
@@ -160,8 +160,8 @@
 
     def selects(self, release: Release) -> bool:
         """Tells whether a request is one of those meant."""
-        if self.requests:
-            return release.request_id in self.requests
+        if self.requests and release.request_id not in self.requests:
+            return False
         return (self.team in (None, release.team) and
                 self.template in (None, release.template))
 
@@ -358,7 +358,7 @@
     def _read_expectation(self, row: rows.Row) -> None:
         expectation = Expectation(
             place=row.place,
-            requests=row.names("requests", optional=True),
+            requests=frozenset(row.names("requests", optional=True)),
             team=row.text("team", optional=True) or None,
             template=row.text("template", optional=True) or None,
             outcome=row.text("outcome"),
@@ -367,7 +367,7 @@
             end_within_s=_read_bound(row, "end_within_s"))
         if expectation.outcome not in request.FINAL:
             row.note("outcome", f"expected one of {sorted(request.FINAL)}")
-        for request_id in expectation.requests:
+        for request_id in sorted(expectation.requests):
             self._references.append((row, "requests", request_id))
         self._expectations.append(expectation)
 
@@ -375,6 +375,10 @@
         for row, key, request_id in self._references:
             if request_id not in self._releases:
                 row.note(key, f"{request_id!r} is never released")
+        for expectation in self._expectations:
+            if not any(map(expectation.selects, self._releases.values())):
+                self.findings.append(
+                    errors.Finding(expectation.place, "", "selects no request"))
 
     def _build(self) -> Trace:
         return Trace(fleet=self._fleet,
