--- a/packages/replay/src/trefoilroad_replay/measures.py
+++ b/packages/replay/src/trefoilroad_replay/measures.py
@@ -390,11 +390,12 @@
                     max(0.0,
                         min(each.end_s, horizon_s) - each.begin_s)
                     for each in replay.deliveries)
-    use = delivered / (trace.fleet.accelerators * horizon_s)
+    use = _divide(delivered, trace.fleet.accelerators * horizon_s)
     has_faults = trace.changes or trace.outages or trace.bad or trace.cancels
     if has_faults:
         return use, math.nan
-    return use, delivered / reference.measure_known_use(trace, horizon_s)
+    return use, _divide(delivered,
+                        reference.measure_known_use(trace, horizon_s))
 
 
 def _measure_floods(replay: results.Replay, base: results.Replay) -> Floods:
--- a/packages/replay/src/trefoilroad_replay/report.py
+++ b/packages/replay/src/trefoilroad_replay/report.py
@@ -72,9 +72,9 @@
     with futures.ProcessPoolExecutor(max_workers=jobs) as pool:
         tasks: dict[str, dict[str, futures.Future[results.Replay]]] = {}
         for policy in chosen:
-            tasks[policy] = {
-                name: pool.submit(replay, paths[name], policy) for name in needed
-            }
+            tasks[policy] = {}
+            for name in needed:
+                tasks[policy][name] = pool.submit(replay, paths[name], policy)
         for policy in list(tasks):
             # Records are dropped as soon as they have been measured.
             records = {
