node: answer with the fields that the client reads

The client reads state, entries, keys, text, config_version and ready, as docs/OPERATIONS.md lists them; the node wrote outcome, audit, changed, explanation and configuration. Every status call of the client failed with a protocol error, and a client waiting for a version saw version 0 for ever. Audit entries also name number, at and action; a drain is told apart from a publish.

--- a/packages/node/src/trefoilroad_node/edge.py
+++ b/packages/node/src/trefoilroad_node/edge.py
@@ -57,12 +57,14 @@
         "team": record["team"],
         "caller": record["caller"],
         "template": record["template"],
-        "outcome": record["state"],
+        "state": record["state"],
         "final": request.is_final(record),
         "ran": record["ran"],
         "reason": record["reason"],
         "cancel_requested": record["cancel"],
         "attempt": record["attempt"],
+        "placement": record["placement"],
+        "waited_s": record["waited_s"],
         "submitted_at": record["submitted_at"],
         "answer": record["answer"]
     }
@@ -70,7 +72,7 @@
 
 def describe_refusal(reason: str) -> dict[str, Any]:
     """Describes a request that certainly left no trace."""
-    return {"outcome": "not_run", "final": True, "ran": "no", "reason": reason}
+    return {"outcome": "not_run", "final": True, "ran": "no", "error": reason}
 
 
 def describe_unknown(request_id: str) -> dict[str, Any]:
@@ -80,7 +82,7 @@
         "outcome": "unknown",
         "final": False,
         "ran": "maybe",
-        "reason": "the store did not answer; ask again with the same key"
+        "error": "the store did not answer; ask again with the same key"
     }
 
 
--- a/packages/node/src/trefoilroad_node/operations.py
+++ b/packages/node/src/trefoilroad_node/operations.py
@@ -71,7 +71,8 @@
             "owner": owner.node,
             "epoch": owner.epoch,
             "is_owner": core is not None,
-            "configuration": current.configuration.version,
+            "config_version": current.configuration.version,
+            "ready": self.check_ready()[0],
             "workers": len(self._region.fleet.workers),
             "uptime_s": time.monotonic() - self._begun_s
         }
@@ -144,7 +145,8 @@
                                 base_version=current.configuration.version,
                                 who=who,
                                 workers=self._region.fleet,
-                                on_done=take)
+                                on_done=take,
+                                action="drain" if drained else "undrain")
 
     def show_audit(self, since: str, respond: Respond) -> None:
         """Responds with the audit trail after a version."""
@@ -161,7 +163,7 @@
                  for row in result.rows
                  if row.value and row.value["version"] > int(since)),
                 key=lambda entry: entry["version"])
-            respond(Response(200, {"audit": entries}))
+            respond(Response(200, {"entries": entries}))
 
         self._store.read_rows(AUDIT_PREFIX, 0, take)
 
@@ -169,12 +171,17 @@
         """Responds with why a request is where it is."""
 
         def use(result: Response) -> None:
-            if result.status != 200 or result.body["final"]:
+            if result.status != 200:
                 respond(result)
                 return
+            if result.body["final"]:
+                reason = result.body["reason"] or "no further reason"
+                text = f"is {result.body['state']}: {reason}"
+                respond(Response(200, result.body | {"text": text}))
+                return
             self._ask_owner(
                 request_id, lambda text: respond(
-                    Response(200, result.body | {"explanation": text})))
+                    Response(200, result.body | {"text": text})))
 
         self._edge.show(team, request_id, use)
 
@@ -199,7 +206,7 @@
             409, {
                 "error": "somebody else has published meanwhile",
                 "version": result.version,
-                "changed": result.keys
+                "keys": result.keys
             })
     if isinstance(result, errors.InvalidDocuments):
         findings = [finding._asdict() for finding in result.findings]
--- a/packages/node/src/trefoilroad_node/publication.py
+++ b/packages/node/src/trefoilroad_node/publication.py
@@ -110,9 +110,14 @@
         _log.info("configuration in force", version=configuration.version)
         self._on_change(self.current)
 
-    def publish(self, *, documents: Mapping[str,
-                                            str], base_version: int, who: str,
-                workers: fleet.Fleet, on_done: Callable[[Any], None]) -> None:
+    def publish(self,
+                *,
+                documents: Mapping[str, str],
+                base_version: int,
+                who: str,
+                workers: fleet.Fleet,
+                on_done: Callable[[Any], None],
+                action: str = "publish") -> None:
         """Publishes a new version, if nobody else has meanwhile.
 
         Args:
@@ -122,13 +127,14 @@
             workers: Fleet on which all guarantees must fit.
             on_done: Gets the Published version, or a Clash,
                 InvalidDocuments or StoreError.
+            action: What the operator does, for the audit trail.
         """
         self.refresh(lambda: self._publish(documents, base_version, who,
-                                           workers, on_done))
+                                           workers, on_done, action))
 
-    def _publish(self, documents: Mapping[str,
-                                          str], base_version: int, who: str,
-                 workers: fleet.Fleet, on_done: Callable[[Any], None]) -> None:
+    def _publish(self, documents: Mapping[str, str], base_version: int,
+                 who: str, workers: fleet.Fleet, on_done: Callable[[Any], None],
+                 action: str) -> None:
         if base_version != self.current.configuration.version:
             on_done(self._describe_clash(base_version))
             return
@@ -151,11 +157,15 @@
             "token": token
         }
         audit = {
+            "number":
+                base_version + 1,
             "version":
                 base_version + 1,
+            "action":
+                action,
             "who":
                 who,
-            "when":
+            "at":
                 time.time(),
             "changes": [
                 change._asdict() for change in document.compare_documents(
