Quarantine workers on which different requests fail

Failures count for the worker or for the request by the evidence of others; a quarantined worker gets nothing, one on probation one gang at a time.

--- a/packages/core/src/trefoilroad_core/limits.py
+++ b/packages/core/src/trefoilroad_core/limits.py
@@ -29,6 +29,7 @@
         round_interval_s: Longest time between two scheduling rounds.
         retry_s: First delay before a repeat; doubles, with jitter.
         max_retry_s: Longest delay before a repeat.
+        failed_retry_s: Further delay for each failed try of a request.
         max_tries: Attempts before a request that keeps failing is failed.
     """
 
@@ -47,4 +48,5 @@
     round_interval_s: float = 1.0
     retry_s: float = 0.25
     max_retry_s: float = 8.0
+    failed_retry_s: float = 2.0
     max_tries: int = 3
--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -15,6 +15,7 @@
 from trefoilroad_core import contract
 from trefoilroad_core import events
 from trefoilroad_core import fleet
+from trefoilroad_core import health
 from trefoilroad_core import job as jobs
 from trefoilroad_core import limits
 from trefoilroad_core import request
@@ -68,6 +69,7 @@
         self._owner_key = f"owner/{region}"
         self._owner_version = owner_version
         self._policy = policy
+        self._health = health.Health()
         self._rng = rng
         self._bounds = bounds or limits.Limits()
         self._taken_over_s = now_s
@@ -637,14 +639,17 @@
     def _retry(self, job: jobs.Job, reason: StopReason, ran: request.Ran,
                text: str) -> None:
         tries = job.record["tries"] + (reason in COUNTED_REASONS)
-        if tries >= self._bounds.max_tries:
+        verdict = None
+        if reason is StopReason.TASK_FAILED:
+            verdict = self._health.judge(job.request_id)
+        if verdict is not None or tries >= self._bounds.max_tries:
+            text = f"{text}; {verdict or f'tried {tries} times'}"
             self._finish(job, request.State.FAILED, ran, text, tries=tries)
-        else:
-            self._requeue(job, reason, {
-                "tries": tries,
-                "ran": ran,
-                "reason": text
-            })
+            return
+        self._requeue(job, reason, {"tries": tries, "ran": ran, "reason": text})
+        if reason is StopReason.TASK_FAILED:
+            # Time for a bad worker to be found out by other requests.
+            job.not_before_s += self._bounds.failed_retry_s * tries
 
     def _requeue(self, job: jobs.Job, reason: StopReason,
                  changes: dict[str, Any]) -> None:
@@ -768,6 +773,7 @@
         elif task["state"] == "finished":
             member.state = MemberState.FINISHED
             member.answer = task["answer"]
+            self._note_health(job, member, failed=False)
             if attempt.all_in(MemberState.FINISHED):
                 self._store_answer(job, attempt)
         elif task["state"] == "failed" and task["error"] == "lease_lapsed":
@@ -775,8 +781,19 @@
         elif task["state"] == "failed":
             member.state = MemberState.FAILED
             member.error = str(task.get("error", ""))
+            self._note_health(job, member, failed=True)
             self._stop(job, attempt, StopReason.TASK_FAILED)
 
+    def _note_health(self, job: jobs.Job, member: attempts.Member, *,
+                     failed: bool) -> None:
+        self._health.record(
+            health.Event(worker_id=member.worker_id,
+                         request_id=job.request_id,
+                         team=job.record["team"],
+                         template=job.record["template"],
+                         failed=failed,
+                         at_s=self._now_s))
+
     # Answers.
 
     def _store_answer(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
@@ -951,6 +968,7 @@
     def _build_snapshot(self) -> scheduler.Snapshot:
         excluded = self.links.get_excluded(self._now_s)
         excluded |= self.configuration.drained
+        excluded |= self._find_unhealthy()
         pending = tuple(
             self._describe_pending(job)
             for job in self.jobs.values()
@@ -967,6 +985,16 @@
                                   configuration=self.configuration,
                                   excluded=frozenset(excluded))
 
+    def _find_unhealthy(self) -> frozenset[str]:
+        """Returns quarantined workers, and busy ones on probation."""
+        self._health.update(self._now_s, len(self._fleet.workers))
+        busy = {
+            worker_id for job in self.jobs.values() if job.attempt is not None
+            for worker_id in job.attempt.members
+        }
+        probation = self._health.find(health.Status.PROBATION)
+        return self._health.find(health.Status.QUARANTINED) | (probation & busy)
+
     def _describe_pending(self, job: jobs.Job) -> scheduler.Pending:
         record = job.record
         expires_s = job.received_s + record["wait_s"]
