--- a/packages/standins/tests/test_machine.py
+++ b/packages/standins/tests/test_machine.py
@@ -83,6 +83,15 @@
     assert driver.list_events() == ["reserve", "start", "finish", "stop"]
 
 
+def test_forgotten_attempt_is_refused():
+    """Guards against a late repeat of commands after a forget."""
+    driver = Driver()
+    driver.run(payload={})
+    driver.send("forget", attempts=["a.1"])
+    assert driver.sync() == {}
+    assert read_error(driver.reserve()) == "refused"
+
+
 def test_reservation_lapses_and_renews():
     """Guards against a start after the reservation time has passed."""
     driver = Driver()
@@ -213,6 +222,7 @@
     ('{"fail": true}', "failed"),
     ('{"fail_ranks": [1]}', "failed"),
     ('{"fail_ranks": [2]}', "finished"),
+    ('{"fail": true, "fail_ranks": [2]}', "finished"),
     ('{"run_s": -1}', "failed"),
     ('{"run_s": 1' + "0" * 400 + "}", "failed"),
     (r'{"answer": "\ud800"}', "failed"),
