Start nothing without a recent VM list

The owner starts nothing when the list is older than 3 s, and looks at the members once more between claim and start. Excluding workers by the age of their own sync was ruled out, since the platform marks the VM and not the worker's process. Idle workers are synced every 2 s in place of 1 s.

--- a/packages/core/src/trefoilroad_core/attempt.py
+++ b/packages/core/src/trefoilroad_core/attempt.py
@@ -47,7 +47,7 @@
     MEMBER_LOST = "a worker was lost"
     TASK_FAILED = "a task failed"
     EVICTED = "evicted for guaranteed work"
-    DRAINED = "moved away from a leaving worker"
+    LEAVING = "a worker began to leave before the start"
     CANCELLED = "cancelled by the caller"
     RECOVERED = "not running as a whole when a new owner took over"
 
--- a/packages/core/src/trefoilroad_core/limits.py
+++ b/packages/core/src/trefoilroad_core/limits.py
@@ -20,9 +20,12 @@
         start_timeout_s: Time in which all members must acknowledge the start.
         lease_s: Life of a task on the worker without renewal.
         lease_guard_s: Time after which a task has certainly been stopped.
-        sync_interval_s: Time between two syncs of one worker.
+        sync_interval_s: Time between two syncs of a worker that runs tasks.
+        idle_sync_interval_s: The same for a worker without tasks.
         sync_rate: Most syncs a second over all workers.
         suspect_s: Silence after which a worker gets no new work.
+        list_age_s: Age of the VM list from which nothing is started, since
+            workers could be leaving unnoticed.
         unlisted_s: Time for which a worker that has left the VM list still
             counts as part of the fleet that a shape could fit; a lost rack
             or failure domain comes back or is replaced in that time.
@@ -42,8 +45,10 @@
     lease_s: float = 10.0
     lease_guard_s: float = 12.0
     sync_interval_s: float = 1.0
+    idle_sync_interval_s: float = 2.0
     sync_rate: float = 150.0
-    suspect_s: float = 3.0
+    suspect_s: float = 4.0
+    list_age_s: float = 3.0
     unlisted_s: float = 3600.0
     round_interval_s: float = 1.0
     retry_s: float = 0.25
--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -81,6 +81,7 @@
         self._storing: dict[str, str] = {}
         self._dirty = True
         self._last_round_s = float("-inf")
+        self._list_read_s = float("-inf")
         self._fleet = fleet.Fleet(workers=())
         self._handlers: dict[type, Callable[[Any], None]] = {
             events.RequestSeen: self._see_request,
@@ -197,6 +198,7 @@
             self._cancel(job)
 
     def _see_workers(self, event: events.WorkersSeen) -> None:
+        self._list_read_s = self._now_s
         self.links.update(event.workers, self._now_s)
         needed = {
             worker_id for job in self.jobs.values() if job.attempt is not None
@@ -339,7 +341,7 @@
         elif cancel:
             self._cancel(job)
         elif job.attempt is not None and job.attempt.phase is Phase.CLAIMING:
-            self._start(job, job.attempt)
+            self._start_claimed(job, job.attempt)
 
     def _begin_next_commit(self, job: jobs.Job) -> None:
         assert job.next_commit is not None
@@ -525,6 +527,20 @@
                 "reason": ""
             })
 
+    def _start_claimed(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Starts a claimed gang, unless a worker is leaving by now."""
+        leaving = any(
+            self.links.is_leaving(worker_id) for worker_id in attempt.members)
+        if leaving or self._is_list_stale():
+            self._stop(job, attempt, StopReason.LEAVING)
+        else:
+            self._start(job, attempt)
+
+    def _is_list_stale(self) -> bool:
+        """Whether the VM list is too old to tell which workers are leaving."""
+        age_s = self._now_s - self._list_read_s
+        return age_s > self._bounds.list_age_s
+
     def _start(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
         attempt.phase = Phase.STARTING
         attempt.deadline_s = self._now_s + self._bounds.start_timeout_s
@@ -687,7 +703,8 @@
                 renew.append(attempt.attempt_id)
                 attempt.members[worker_id].basis_s = self.links.get_basis(
                     worker_id, self._now_s)
-        link.next_sync_s = self._now_s + self.links.get_sync_interval()
+        busy = bool(renew)
+        link.next_sync_s = self._now_s + self.links.get_sync_interval(busy)
         link.sync_id = self._send(worker_id, "/v1/sync", {
             "lease_s": self._bounds.lease_s,
             "renew": renew
@@ -946,7 +963,7 @@
                                 "waited longer than its limit")
         for eviction in decisions.evictions:
             self._evict(eviction.attempt_id)
-        if self.store_suspect:
+        if self.store_suspect or self._is_list_stale():
             return
         for start in decisions.starts:
             job = self.jobs[start.request_id]
--- a/packages/core/src/trefoilroad_core/workerlinks.py
+++ b/packages/core/src/trefoilroad_core/workerlinks.py
@@ -177,6 +177,12 @@
             return now_s
         return link.basis_s
 
+    def is_leaving(self, worker_id: str) -> bool:
+        """Tells whether a worker is leaving or has left the VM list."""
+        link = self.links.get(worker_id)
+        return (link is None or not link.listed or link.leaving or
+                link.worker.leaving)
+
     def get_excluded(self, now_s: float) -> set[str]:
         """Returns the workers that must not get new work."""
         return {
@@ -184,14 +190,20 @@
             if not link.is_usable(now_s, self._bounds.suspect_s)
         }
 
-    def get_sync_interval(self) -> float:
-        """Returns the time between two syncs of one worker, in seconds.
+    def get_sync_interval(self, busy: bool) -> float:
+        """Returns the time to the next sync of one worker, in seconds.
 
         It grows with the fleet so that the rate of all syncs stays bounded,
-        and stays below a third of the lease.
+        and stays below a third of the lease. A worker without tasks is asked
+        less often: nothing can end there.
+
+        Args:
+            busy: Whether the worker runs anything.
         """
-        interval_s = max(self._bounds.sync_interval_s,
-                         len(self.links) / self._bounds.sync_rate)
+        interval_s = self._bounds.sync_interval_s
+        if not busy:
+            interval_s = self._bounds.idle_sync_interval_s
+        interval_s = max(interval_s, len(self.links) / self._bounds.sync_rate)
         return min(interval_s, self._bounds.lease_s / 3)
 
     def get_due(self, now_s: float) -> list[WorkerLink]:
--- a/packages/node/src/trefoilroad_node/region.py
+++ b/packages/node/src/trefoilroad_node/region.py
@@ -22,6 +22,8 @@
 
 TICK_INTERVAL_S = 0.05
 REQUEST_POLL_INTERVAL_S = 1.0
+# An older reading of the VM list, as after a freeze, is not used to begin with.
+FLEET_MAX_AGE_S = 2.0
 REQUEST_PREFIX = "request/"
 
 _log = structlog.get_logger()
@@ -54,6 +56,7 @@
         self._rng = rng
         self._metrics = metrics
         self._on_deposed = on_deposed
+        self._fleet_read_s = float("-inf")
         self._published = publication.NOTHING
         self._since = 0
         self._reading = False
@@ -69,7 +72,8 @@
                                  rng=self._rng,
                                  now_s=self._timers.read_clock())
         self._since = 0
-        self._feed(events.WorkersSeen(tuple(self.fleet.workers.values())))
+        if self._timers.read_clock() - self._fleet_read_s < FLEET_MAX_AGE_S:
+            self.see_workers(self.fleet)
         self.see_configuration(self._published)
         self.read_requests()
 
@@ -87,6 +91,7 @@
     def see_workers(self, workers: fleet.Fleet) -> None:
         """Takes over a new reading of the VM list."""
         self.fleet = workers
+        self._fleet_read_s = self._timers.read_clock()
         self._workers.set_addresses({
             worker.worker_id: worker.address
             for worker in workers.workers.values()
--- a/packages/standins/src/trefoilroad_standins/soak.py
+++ b/packages/standins/src/trefoilroad_standins/soak.py
@@ -89,7 +89,7 @@
 class Schedule:
     """One random run."""
 
-    def __init__(self, *, seed: int, requests: int = 14, faults: int = 6):
+    def __init__(self, *, seed: int, requests: int = 20, faults: int = 9):
         """Draws a schedule.
 
         Args:
@@ -241,9 +241,13 @@
 
     def _cut_worker(self, duration_s: float) -> str:
         worker = self._pick_worker()
-        pairs = [(name, worker) for name in NODES]
-        self._cut(pairs + [(b, a) for a, b in pairs], duration_s)
-        return f"cut {worker}"
+        commands = [(name, worker) for name in NODES]
+        replies = [(worker, name) for name in NODES]
+        way, pairs = self._rng.choice([("both ways", commands + replies),
+                                       ("commands", commands),
+                                       ("replies", replies)])
+        self._cut(pairs, duration_s)
+        return f"cut {way} of {worker}"
 
     def _cut_worker_one_way(self, duration_s: float) -> str:
         worker = self._pick_worker()
