--- a/packages/standins/src/trefoilroad_standins/soak.py
+++ b/packages/standins/src/trefoilroad_standins/soak.py
@@ -347,7 +347,8 @@
             self._start_again(name)
         for worker, machine in world.machines.items():
             machine.fail_everything(False, world.clock.now_s)
-            self._bring_back(worker)
+            world.down.discard(worker)
+            self._mark_staying(worker)
 
     # Judgement.
 
