Backfill by the run time that few gangs exceed

The estimate is the median, which half of the gangs exceed by definition, so backfilled gangs put reservations off too often. Backfilling now goes by the 0.9 quantile; charges and planned starts still use the median.

--- a/packages/core/src/trefoilroad_core/accounting.py
+++ b/packages/core/src/trefoilroad_core/accounting.py
@@ -169,6 +169,11 @@
             self._estimates[item.request_id] = estimated_s
         return estimated_s
 
+    def estimate_longest_s(self, item: snapshot.Pending) -> float:
+        """Estimates a run time that a request seldom exceeds, in seconds."""
+        return self._estimator.estimate_longest(item.team, item.template,
+                                                item.declared_s)
+
     def compute_cost(self, item: snapshot.Pending) -> float:
         """Computes the charge of a waiting request, in accelerator seconds."""
         return self.compute_rate(item.shape) * self.estimate_s(item)
--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -210,7 +210,9 @@
         reservation = self._reservations.get(item.request_id)
         if reservation is not None:
             return self._try_reserved(item, reservation)
-        end_s = self._now_s + self._tools.accounting.estimate_s(item)
+        # Gangs that end late on reserved room put the reservation off, so the
+        # usual run time is not enough to go by.
+        end_s = self._now_s + self._tools.accounting.estimate_longest_s(item)
         limit = self._work.free if end_s <= self._shadow_s else self._late
         workers = None
         if limit.can_place(item.shape):
@@ -247,7 +249,7 @@
 
     def _list_room(self, item: snapshot.Pending) -> placement.Capacity:
         """Returns the room that other reservations leave to a request."""
-        end_s = self._now_s + self._tools.accounting.estimate_s(item)
+        end_s = self._now_s + self._tools.accounting.estimate_longest_s(item)
         limits = [
             outlook.rows
             for request_id, outlook in self._outlooks.items()
--- a/packages/core/src/trefoilroad_core/estimate.py
+++ b/packages/core/src/trefoilroad_core/estimate.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 import math
 import statistics
@@ -12,6 +13,9 @@
 MINIMUM_OBSERVATIONS = 3
 """Fewer observations than this say less than those of all teams together."""
 
+HIGH_QUANTILE = 0.9
+"""Share of gangs that end within the longest estimated run time."""
+
 MINIMUM_S = 0.1
 """Lower bound of an estimate, so that no work is free of charge."""
 
@@ -32,6 +36,20 @@
             The estimated run time in seconds, more than zero.
         """
 
+    @abc.abstractmethod
+    def estimate_longest(self, team: str, template: str,
+                         declared_s: float) -> float:
+        """Estimates a run time that few gangs exceed.
+
+        Args:
+            team: Team that submitted the request.
+            template: Name of its template.
+            declared_s: Declared run time in seconds.
+
+        Returns:
+            A run time in seconds, no less than that of `estimate`.
+        """
+
     @abc.abstractmethod
     def observe(self, team: str, template: str, declared_s: float,
                 real_s: float) -> None:
@@ -52,6 +70,11 @@
         """Returns the declared run time; see Estimator.estimate."""
         return max(declared_s, MINIMUM_S)
 
+    def estimate_longest(self, team: str, template: str,
+                         declared_s: float) -> float:
+        """Returns the declared run time; see Estimator.estimate_longest."""
+        return max(declared_s, MINIMUM_S)
+
     def observe(self, team: str, template: str, declared_s: float,
                 real_s: float) -> None:
         """Ignores the observation."""
@@ -65,6 +88,7 @@
         self.times: collections.deque[float] = collections.deque(maxlen=size)
         self.ratio: float | None = None
         self.time: float | None = None
+        self.stretch = 1.0
 
     def add(self, declared_s: float, real_s: float) -> None:
         time = math.log(real_s)
@@ -77,8 +101,10 @@
         time, time_spread = _summarize(self.times)
         if ratio_spread <= time_spread:
             self.ratio = math.exp(ratio)
+            self.stretch = math.exp(_find_high(self.ratios) - ratio)
         else:
             self.time = math.exp(time)
+            self.stretch = math.exp(_find_high(self.times) - time)
 
     def estimate(self, declared_s: float) -> float | None:
         if self.ratio is not None:
@@ -91,6 +117,10 @@
     return median, statistics.median([abs(value - median) for value in values])
 
 
+def _find_high(values: Collection[float]) -> float:
+    return sorted(values)[int(len(values) * HIGH_QUANTILE)]
+
+
 class Observed(Estimator):
     """Learns from a bounded window of run times by team and template.
 
@@ -107,13 +137,23 @@
 
     def estimate(self, team: str, template: str, declared_s: float) -> float:
         """Returns the learnt run time; see Estimator.estimate."""
+        return self._estimate(team, template, declared_s)[0]
+
+    def estimate_longest(self, team: str, template: str,
+                         declared_s: float) -> float:
+        """Returns a high quantile; see Estimator.estimate_longest."""
+        estimated_s, stretch = self._estimate(team, template, declared_s)
+        return estimated_s * stretch
+
+    def _estimate(self, team: str, template: str,
+                  declared_s: float) -> tuple[float, float]:
         declared_s = max(declared_s, MINIMUM_S)
         for key in ((team, template), ("", template)):
             window = self._windows.get(key)
             learnt = window.estimate(declared_s) if window else None
-            if learnt is not None:
-                return max(learnt, MINIMUM_S)
-        return declared_s
+            if window is not None and learnt is not None:
+                return max(learnt, MINIMUM_S), window.stretch
+        return declared_s, 1.0
 
     def observe(self, team: str, template: str, declared_s: float,
                 real_s: float) -> None:
