--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -5,9 +5,11 @@
 import math
 from typing import NamedTuple
 
+from trefoilroad_core import clearing
 from trefoilroad_core import placement
 from trefoilroad_core import request
 from trefoilroad_core import rounds
+from trefoilroad_core import shares as shares_module
 from trefoilroad_core import snapshot
 
 MAX_RESERVATIONS = 4
@@ -18,6 +20,12 @@
 every change; the limit bounds the room that is kept free.
 """
 
+PATIENCE = 0.1
+"""Share of its run time that a request waits before it reclaims its share.
+
+A wait that is short beside the run time is cheaper than stopping other work.
+"""
+
 MAX_MOVES = 3
 """Most times that a reservation moves to other room.
 
@@ -71,15 +79,24 @@
     "The ANL/IBM SP scheduling system", JSSPP 1995).
     """
 
-    def __init__(self, *, work: rounds.Round,
-                 reservations: dict[str, Reservation], backfill: bool):
+    def __init__(self, *, work: rounds.Round, reservations: dict[str,
+                                                                 Reservation],
+                 clears: clearing.Clearing, shares: shares_module.Shares,
+                 backfill: bool, reclaim: bool):
         """Prepares the pass.
 
         Args:
             work: The round; firm requests are decided already.
             reservations: Reservations by request; kept between rounds.
+            clears: Stops lent gangs.
+            shares: Use and fair share of the teams.
             backfill: Whether later requests may start ahead of one that waits.
+            reclaim: Whether teams within their fair share may stop lent gangs
+                of teams beyond theirs.
         """
+        self._clears = clears
+        self._shares = shares
+        self._reclaim = reclaim
         self._work = work
         self._tools = work.tools
         self._reservations = reservations
@@ -102,9 +119,11 @@
         self._restrict()
         blocked = False
         for item in items:
+            if self._keep_promise(item):
+                continue
             if not self._work.is_within_limit(item):
                 continue
-            if self._try_start(item):
+            if self._try_start(item) or self._try_reclaim(item):
                 continue
             if not self._backfill:
                 self._explain_order(items, item)
@@ -113,6 +132,36 @@
                 self._reserve(item)
             blocked = True
 
+    def _keep_promise(self, item: snapshot.Pending) -> bool:
+        """Starts a request on room that was cleared for it, or lets it wait."""
+        promise = self._clears.get_promise(item)
+        if promise is None:
+            return False
+        if self._clears.redeem(promise):
+            self._start(item, promise.placement)
+            return True
+        if self._clears.is_valid(promise):
+            self._clears.explain(promise)
+            return True
+        self._clears.give_up(promise)
+        return False
+
+    def _try_reclaim(self, item: snapshot.Pending) -> bool:
+        """Stops gangs of teams beyond their share for one within its own."""
+        if not self._reclaim or not self._shares.is_within(
+                item.team, item.shape):
+            return False
+        patience_s = PATIENCE * self._tools.accounting.estimate_s(item)
+        if (self._now_s - item.received_s < patience_s or
+                not self._clears.may_search()):
+            return False
+        plan = self._clears.choose_over_share(item)
+        if plan is None:
+            return False
+        self._clears.commit(item, plan, guaranteed=False)
+        self._reservations.pop(item.request_id, None)
+        return True
+
     def _is_eligible(self, item: snapshot.Pending) -> bool:
         if rounds.can_be_lent(item) or not self._tools.ledger.reserving:
             return True
--- a/packages/core/src/trefoilroad_core/rounds.py
+++ b/packages/core/src/trefoilroad_core/rounds.py
@@ -21,12 +21,14 @@
         placement: Where it starts once the room is free.
         victims: Attempts that are being stopped for it.
         deadline_s: When the promise is given up, in seconds.
+        guaranteed: Whether the request is inside its team's guarantee.
     """
 
     item: snapshot.Pending
     placement: tuple[str, ...]
     victims: frozenset[str]
     deadline_s: float
+    guaranteed: bool
 
 
 class End(NamedTuple):
--- a/packages/core/src/trefoilroad_core/scheduler.py
+++ b/packages/core/src/trefoilroad_core/scheduler.py
@@ -1,10 +1,8 @@
 """The decision round: which requests start, where, and what makes room."""
 
-from collections.abc import Iterator
-from collections.abc import Sequence
-
 from trefoilroad_core import accounting
 from trefoilroad_core import backfill as backfill_module
+from trefoilroad_core import clearing
 from trefoilroad_core import estimate
 from trefoilroad_core import firm
 from trefoilroad_core import guarantee
@@ -13,6 +11,7 @@
 from trefoilroad_core import queue
 from trefoilroad_core import request
 from trefoilroad_core import rounds
+from trefoilroad_core import shares as shares_module
 from trefoilroad_core import snapshot
 
 Pending = snapshot.Pending
@@ -47,6 +46,7 @@
                  backfill: bool = True,
                  firm_first: bool = True,
                  reserve_guarantees: bool = True,
+                 reclaim_shares: bool = True,
                  eviction_timeout_s: float = EVICTION_TIMEOUT_S):
         """Composes a scheduler; each mechanism can be switched off alone.
 
@@ -60,11 +60,14 @@
                 and may evict.
             reserve_guarantees: Whether a start must leave room for all
                 guaranteed gangs that are not in use.
+            reclaim_shares: Whether requests of teams within their fair share
+                may evict lent gangs of teams beyond theirs.
             eviction_timeout_s: Longest time to wait for gangs to stop.
         """
         self._order = order
         self._backfill = backfill
         self._firm_first = firm_first
+        self._reclaim = reclaim_shares
         self._eviction_timeout_s = eviction_timeout_s
         self._tools = rounds.Tools(
             placer=placer,
@@ -75,8 +78,7 @@
         self._fleet: object = None
         self._base = rounds.Base()
         self._misfits: dict[request.Shape, str | None] = {}
-        self._promises: dict[str, rounds.Promise] = {}
-        self._stopping: dict[str, float] = {}
+        self._clearing = clearing.Memory({}, {})
         self._reservations: dict[str, backfill_module.Reservation] = {}
         self._reasons: dict[str, str] = {}
         self._degraded: set[str] = set()
@@ -93,17 +95,14 @@
         layout = self._update_layout(state)
         self._tools.accounting.update(state)
         waiting, refusals, expirations = self._sort_out(state)
-        self._drop_promises(waiting)
-        self._forget_stopped(state)
+        self._clearing.update(state, {item.request_id for item in waiting})
         self._tools.ledger.update(
             state._replace(excluded=state.excluded | state.probation), layout,
-            self._promises)
+            self._clearing.promises)
         free = self._base.update(layout, state)
         saved = free.save()
         _limit_probation(free, state.probation)
         work = rounds.Round(state=state, tools=self._tools, free=free)
-        for promise in self._promises.values():
-            work.promise(promise)
         self._run_passes(work, waiting)
         free.restore(saved)
         self._reasons = work.reasons
@@ -115,7 +114,8 @@
                     waiting: list[snapshot.Pending]) -> None:
         items = [
             item for item in waiting
-            if item.request_id in self._promises or work.is_within_limit(item)
+            if item.request_id in self._clearing.promises or
+            work.is_within_limit(item)
         ]
         weights = {
             name: team.weight
@@ -123,15 +123,21 @@
         }
         cost = self._tools.accounting.compute_cost
         ordered = list(self._order.arrange(items, cost, weights))
+        shares = shares_module.Shares(state=work.state,
+                                      accounts=self._tools.accounting,
+                                      weights=weights)
+        clears = clearing.Clearing(work=work,
+                                   memory=self._clearing,
+                                   shares=shares,
+                                   timeout_s=self._eviction_timeout_s)
         if self._firm_first:
-            ordered = firm.FirmPass(
-                work=work,
-                promises=self._promises,
-                stopping=self._stopping,
-                timeout_s=self._eviction_timeout_s).run(ordered)
+            ordered = firm.FirmPass(work=work, clears=clears).run(ordered)
         backfill_module.LentPass(work=work,
                                  reservations=self._reservations,
-                                 backfill=self._backfill).run(ordered)
+                                 clears=clears,
+                                 shares=shares,
+                                 backfill=self._backfill,
+                                 reclaim=self._reclaim).run(ordered)
 
     def explain(self, request_id: str) -> str:
         """Tells why a request waits, as of the latest round.
@@ -226,20 +232,6 @@
         return ("can be neither repeated nor resumed, and no guarantee of team "
                 f"{item.team} covers its shape")
 
-    def _forget_stopped(self, state: snapshot.Snapshot) -> None:
-        """Forgets gangs that have stopped, or should have long ago."""
-        running = {item.attempt_id for item in state.running}
-        self._stopping = {
-            attempt_id: deadline_s
-            for attempt_id, deadline_s in self._stopping.items()
-            if attempt_id in running and state.now_s < deadline_s
-        }
-
-    def _drop_promises(self, waiting: Sequence[snapshot.Pending]) -> None:
-        """Forgets the promises to requests that have started or gone."""
-        for request_id in self._promises.keys() - set(_list_ids(waiting)):
-            del self._promises[request_id]
-
 
 def _limit_probation(free: placement.Capacity, names: frozenset[str]) -> None:
     """Leaves at most one slot of each worker on probation."""
@@ -252,11 +244,6 @@
     free.limit_rows(rows)
 
 
-def _list_ids(items: Sequence[snapshot.Pending]) -> Iterator[str]:
-    for item in items:
-        yield item.request_id
-
-
 def build_default() -> Scheduler:
     """Builds the scheduler that the product uses."""
     return Scheduler(placer=placement.RackPack(),
@@ -277,4 +264,5 @@
                      estimator=estimate.Declared(),
                      backfill=False,
                      firm_first=False,
-                     reserve_guarantees=False)
+                     reserve_guarantees=False,
+                     reclaim_shares=False)
--- a/packages/core/tests/test_guarantee.py
+++ b/packages/core/tests/test_guarantee.py
@@ -189,7 +189,7 @@
         sites = self.world.subject.list_sites()
         used = sum(g.guaranteed for g in self.world.running.values())
         promised = sum(
-            self.world.subject.explain(name).startswith("waits until")
+            "stopped on its guaranteed" in self.world.subject.explain(name)
             for name in self.world.pending)
         total = len(guarantee.list_entitlements(self.world.configuration))
         assert used + promised + len(sites) == total
