--- a/packages/replay/src/trefoilroad_replay/replayer.py
+++ b/packages/replay/src/trefoilroad_replay/replayer.py
@@ -332,8 +332,8 @@
             raise errors.PolicyError(f"{start.request_id} does not wait")
         closed = self._site.closed.intersection(start.placement)
         if closed or len(start.placement) != job.release.shape.tasks:
-            raise errors.PolicyError(
-                f"{start.request_id} cannot start on {start.placement}")
+            raise errors.PolicyError(f"{start.request_id} cannot start on "
+                                     f"{', '.join(start.placement)}")
         self._unqueue(job)
         if job.first_start_s is None:
             job.is_first_guaranteed = start.guaranteed
--- a/packages/replay/src/trefoilroad_replay/report.py
+++ b/packages/replay/src/trefoilroad_replay/report.py
@@ -53,8 +53,9 @@
                              policy=policy).run()
 
 
-def run(paths: dict[str, pathlib.Path], names: Iterable[str],
-        chosen: Iterable[str], jobs: int) -> Iterator[measures.Measures]:
+def run(paths: dict[str,
+                    pathlib.Path], names: Iterable[str], chosen: Iterable[str],
+        jobs: int, failures: list[str]) -> Iterator[measures.Measures]:
     """Replays traces with policies.
 
     Args:
@@ -62,6 +63,7 @@
         names: Traces to report.
         chosen: Policies to report.
         jobs: Replays to run at once.
+        failures: Where replays with impossible decisions are noted.
 
     Yields:
         Figures of each trace and policy, policy by policy.
@@ -77,13 +79,16 @@
                 tasks[policy][name] = pool.submit(replay, paths[name], policy)
         for policy in list(tasks):
             # Records are dropped as soon as they have been measured.
-            records = {
-                name: task.result() for name, task in tasks.pop(policy).items()
-            }
+            records: dict[str | None, results.Replay] = {}
+            for name, task in tasks.pop(policy).items():
+                try:
+                    records[name] = task.result()
+                except errors.PolicyError as error:
+                    failures.append(f"{name}, {policy}: {error}")
             for name in names:
-                base = bases[name]
-                yield measures.measure(records[name],
-                                       records[base] if base else None)
+                if name in records:
+                    base = records.get(bases[name])
+                    yield measures.measure(records[name], base)
 
 
 def _format(value: float, digits: int = 2) -> str:
@@ -268,14 +273,19 @@
     default_policies = QUICK_POLICIES if quick else tuple(policies.POLICIES)
     selected = _choose(names, paths, default_names, "trace")
     compared = _choose(chosen, policies.POLICIES, default_policies, "policy")
+    failures: list[str] = []
     try:
-        found = list(run(paths, selected, compared, jobs))
+        found = list(run(paths, selected, compared, jobs, failures))
     except errors.InvalidDocuments as error:
         for finding in error.findings:
             click.echo(str(finding), err=True)
         raise SystemExit(2) from error
     click.echo(write_report(found, out))
     click.echo(f"Tables and plots are in {out}.")
+    for failure in failures:
+        click.echo(f"FAILED: {failure}", err=True)
+    if failures:
+        raise SystemExit(1)
 
 
 if __name__ == "__main__":
