--- a/packages/replay/src/trefoilroad_replay/plots.py
+++ b/packages/replay/src/trefoilroad_replay/plots.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 import math
 import pathlib
+from typing import Any
 from typing import NamedTuple
 
 import matplotlib
@@ -15,6 +16,8 @@
 
 from trefoilroad_replay import measures
 
+LINEAR_BELOW = 0.1  # Logarithmic axes are linear below this.
+
 
 class Plot(NamedTuple):
     """A figure to plot.
@@ -84,15 +87,32 @@
 
 def _plot(plot: Plot, found: Sequence[measures.Measures],
           path: pathlib.Path) -> None:
+    """Draws one row for each deployment, which starts the traces' names."""
     values = {
         (figures.trace, figures.policy): plot.read(figures) for figures in found
     }
-    names = list(dict.fromkeys(name for name, _ in values))
+    rows: dict[str, list[str]] = {}
+    for name in dict.fromkeys(name for name, _ in values):
+        rows.setdefault(name.partition("-")[0], []).append(name)
     chosen = list(dict.fromkeys(policy for _, policy in values))
+    figure, grid = pyplot.subplots(max(1, len(rows)),
+                                   figsize=(16.0, 1.0 + 4.0 * len(rows)),
+                                   layout="constrained",
+                                   squeeze=False)
+    for axes, names in zip(grid[:, 0], rows.values(), strict=False):
+        _draw_bars(axes, plot, names, chosen, values)
+    figure.suptitle(plot.title)
+    handles, labels = grid[0, 0].get_legend_handles_labels()
+    figure.legend(handles, labels, loc="outside lower center", ncols=6)
+    figure.savefig(path, dpi=80)
+    pyplot.close(figure)
+
+
+def _draw_bars(axes: Any, plot: Plot, names: Sequence[str],
+               chosen: Sequence[str], values: dict[tuple[str, str],
+                                                   float]) -> None:
     positions = numpy.arange(len(names))
     width = 0.8 / len(chosen)
-    figure, axes = pyplot.subplots(figsize=(max(6.0, 1.2 * len(names)), 5.0),
-                                   layout="constrained")
     for index, policy in enumerate(chosen):
         heights = [values.get((name, policy), math.nan) for name in names]
         heights = [
@@ -105,9 +125,5 @@
     if plot.bound is not None:
         axes.axhline(plot.bound, color="black", linestyle="--", label="target")
     if plot.is_logarithmic:
-        axes.set_yscale("symlog", linthresh=0.01)
-    axes.set_xticks(positions, names, rotation=60, ha="right")
-    axes.set_title(plot.title)
-    axes.legend(fontsize="small", ncols=3)
-    figure.savefig(path, dpi=80)
-    pyplot.close(figure)
+        axes.set_yscale("symlog", linthresh=LINEAR_BELOW)
+    axes.set_xticks(positions, names, rotation=15, ha="right")
