--- a/packages/replay/tests/test_measures.py
+++ b/packages/replay/tests/test_measures.py
@@ -5,6 +5,7 @@
 import pytest
 import replay_builders as builders
 
+from trefoilroad_replay import figures as figures_module
 from trefoilroad_replay import measures
 from trefoilroad_replay import reference
 from trefoilroad_replay import results
@@ -140,4 +141,4 @@
                                  release("r2", "route", run_s=100.0),
                                  release("r3", "once", at_s=100.0, run_s=1.0))
     assert reference.measure_known_use(trace, 100.0) == 1600.0
-    assert math.isnan(measures.spread([]).p95)
+    assert math.isnan(figures_module.spread([]).p95)
