--- a/packages/replay/src/trefoilroad_replay/checker.py
+++ b/packages/replay/src/trefoilroad_replay/checker.py
@@ -124,6 +124,39 @@
         """Number of requests that were judged."""
         return len(self._told)
 
+    def count_judged(self) -> dict[str, int]:
+        """Counts what the rules had to judge; a rule with 0 proves nothing.
+
+        Returns:
+            Numbers of requests, starts, attempts of several ranks, starts of
+            requests that are not idempotent, claims that a request did not
+            run, answers received, and leaving marks.
+        """
+        told = [each for rows in self._told.values() for each in rows]
+        once = {each.request_id for each in told if not each.idempotent}
+        gangs = [
+            attempt for attempt, events in self._by_attempt.items()
+            if len({rank for event in events for rank in event.ranks}) > 1
+        ]
+        return {
+            "requests":
+                self.requests,
+            "starts":
+                self.starts,
+            "gangs":
+                len(gangs),
+            "once":
+                sum(len(self._starts.get(name, ())) for name in once),
+            "not_run":
+                sum(map(_claims_not_run, told)),
+            "answers":
+                sum(bool(each.digest) for each in told),
+            "marks":
+                sum(event.event == "leaving"
+                    for events in self._by_worker.values()
+                    for event in events)
+        }
+
     def find_violations(self) -> list[Violation]:
         """Judges all rules.
 
@@ -421,9 +454,7 @@
         click.echo(str(violation))
     click.echo(
         json.dumps({
-            "requests": checker.requests,
-            "starts": checker.starts,
-            "violations": len(violations)
+            **checker.count_judged(), "violations": len(violations)
         }))
     if not checker.requests or not checker.starts:
         click.echo("the recording holds no requests or no starts", err=True)
--- a/packages/replay/tests/test_checker.py
+++ b/packages/replay/tests/test_checker.py
@@ -202,3 +202,23 @@
         ["--workers", str(workers), "--callers",
          str(callers)])
     assert result.exit_code == code, result.output
+
+
+def test_what_was_judged_is_counted():
+    """Guards against a rule that had nothing to judge and seems to hold."""
+    events = [*gang(), event("leaving", "a", 0.0, "")]
+    judge = checker.Checker(events=history.parse_events("w",
+                                                        map(json.dumps, events),
+                                                        []),
+                            told=history.parse_told("c", map(json.dumps, DONE),
+                                                    []),
+                            bounds=checker.Bounds())
+    assert judge.count_judged() == {
+        "requests": 1,
+        "starts": 2,
+        "gangs": 1,
+        "once": 2,
+        "not_run": 0,
+        "answers": 1,
+        "marks": 1
+    }
