node: do not judge guarantees against an unknown fleet

A node that had read no VM list yet refused every publish: all guarantees 'have no place', with the advice to lower them. Seen when documents were published within the lag of the VM list after a start. It now answers 503 not_run, and the client goes on to another node or tries again. The cluster fixture of test_processes failed on it in 9 of 11 tests.

--- a/packages/node/src/trefoilroad_node/operations.py
+++ b/packages/node/src/trefoilroad_node/operations.py
@@ -109,6 +109,14 @@
         if problem:
             respond(Response(400, {"error": problem}))
             return
+        if not self._region.fleet.workers:
+            # Guarantees that are checked against no workers would be refused
+            # as too large.
+            respond(
+                Response(
+                    503,
+                    edges.describe_refusal("this node knows no workers yet")))
+            return
         self._published.publish(
             documents=body["documents"],
             base_version=body["base_version"],
