--- a/packages/standins/src/trefoilroad_standins/virtual.py
+++ b/packages/standins/src/trefoilroad_standins/virtual.py
@@ -20,7 +20,9 @@
 from trefoilroad_node import settings as node_settings
 from trefoilroad_node import store as stores
 from trefoilroad_node import workers as node_workers
+from trefoilroad_standins import checkpoints as checkpoints_module
 from trefoilroad_standins import clock as clocks
+from trefoilroad_standins import machine as machines
 from trefoilroad_standins import tables
 from trefoilroad_standins import tasks
 
@@ -379,7 +381,7 @@
         self.platform = Platform(vms=vms, clock=self.clock, rng=self.rng)
         self.history: list[dict[str, Any]] = []
         self.down: set[str] = set()
-        checkpoints = tasks.Checkpoints()
+        checkpoints = checkpoints_module.MemoryCheckpoints()
         self.machines = {
             entry["id"]: self._build_machine(entry, checkpoints)
             for entry in entries
@@ -390,17 +392,18 @@
         for name in node_names:
             self.start_node(name)
 
-    def _build_machine(self, entry: dict[str, Any],
-                       checkpoints: tasks.Checkpoints) -> tasks.Machine:
+    def _build_machine(
+            self, entry: dict[str, Any],
+            checkpoints: checkpoints_module.Checkpoints) -> machines.Machine:
         capacity = tasks.Capacity(accelerators=entry["accelerators"],
                                   cores=entry["cores"],
                                   memory_gb=entry["memory_gb"],
                                   slots=entry["slots"],
                                   connections=entry["connections"])
-        return tasks.Machine(worker_id=entry["id"],
-                             capacity=capacity,
-                             boot=f"{entry['id']}-0",
-                             checkpoints=checkpoints)
+        return machines.Machine(worker_id=entry["id"],
+                                capacity=capacity,
+                                boot=f"{entry['id']}-0",
+                                checkpoints=checkpoints)
 
     # Nodes.
 
@@ -429,7 +432,7 @@
     # Workers.
 
     def command(self, worker_id: str, verb: str,
-                body: dict[str, Any]) -> tasks.Reply | None:
+                body: dict[str, Any]) -> machines.Reply | None:
         """Gives a command to a worker; None if it does not answer."""
         machine = self.machines.get(worker_id)
         if machine is None or worker_id in self.down:
@@ -452,7 +455,7 @@
             "state": state
         }, self.clock.now_s)
 
-    def _settle(self, machine: tasks.Machine) -> None:
+    def _settle(self, machine: machines.Machine) -> None:
         for entry in machine.take_history():
             self.history.append({**entry, "wall_s": entry["at_s"]})
         due_s = machine.predict_change()
@@ -462,7 +465,7 @@
             self.clock.schedule(due_s - self.clock.now_s,
                                 lambda: self._wake(machine, due_s))
 
-    def _wake(self, machine: tasks.Machine, due_s: float) -> None:
+    def _wake(self, machine: machines.Machine, due_s: float) -> None:
         if self._alarms.get(machine.worker_id) == due_s:
             del self._alarms[machine.worker_id]
         machine.advance(self.clock.now_s)
