node: answer each HTTP request once, in order, and on its own

circuits.web keeps one request per connection. A request that was sent before the one ahead had its answer got that one's answer: a status call behind a slow list call was answered with the list. After a HEAD the next GET got the head of the HEAD and no body. Balancers reuse connections in both ways. Further: a body beyond Content-Length was read as part of the request; Content-Encoding gzip was unpacked without limit; a bad Content-Length or chunk was never answered (closed after 20 s); an exception, or since= with 5000 digits, was never answered, counted as open for ever and held up a planned stop for 10 s; the library printed received data, with the bearer token, when it failed.

--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import hashlib
 import hmac
+import http
 import json
 import re
 from typing import Any
@@ -11,6 +12,7 @@
 
 import circuits
 from circuits.web import events as web_events
+from circuits.web import http as web_http
 from circuits.web import servers
 import structlog
 
@@ -128,6 +130,11 @@
         self.open_requests = 0
         self.stopping = False
 
+    @property
+    def http(self) -> web_http.HTTP:
+        """Parser of the requests."""
+        return self._server.http
+
     @property
     def port(self) -> int:
         """Port that was bound."""
@@ -147,7 +154,12 @@
                 self.open_requests -= 1
                 self._send(request, response, result)
 
-        self._dispatch(request, respond)
+        try:
+            self._dispatch(request, respond)
+        except Exception as error:
+            # Without an answer the exchange would count as open for ever.
+            _log.exception("request failed", error=repr(error))
+            respond(Response(500, {"error": "internal error"}))
         # A truth value tells circuits.web that the response comes later.
         return True
 
@@ -159,7 +171,9 @@
         if event.error:
             _log.error("request failed", error=repr(event.error[1]))
         response.close = True
-        error = "internal error" if status >= 500 else event.description
+        error = event.description or http.HTTPStatus(status).phrase
+        if event.error:
+            error = "internal error"
         self._send(request, response, Response(status, {"error": error}))
 
     def _send(self, request: Any, response: Any, result: Response) -> None:
--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -73,6 +73,7 @@
                              max_open=settings.max_open_requests)
         self._api.register(self)
         guards.Guard(channel=self._api.channel,
+                     server=self._api.http,
                      timers=self._timers,
                      max_body_bytes=settings.max_body_bytes).register(self)
 
@@ -87,6 +88,12 @@
     def _take_message(self, message: node_links.Message) -> None:
         self._node.take_message(message)
 
+    @circuits.handler("exception", channel="*")
+    def _on_exception(self, _: type[BaseException], error: BaseException,
+                      trace: list[str], **__: Any) -> None:
+        """Logs a fault; the library would also print the data, with tokens."""
+        _log.error("unexpected error", error=repr(error), trace="".join(trace))
+
     @circuits.handler("signal", channel="*", priority=100)
     def _on_signal(self, event: Any, *_: Any) -> None:
         event.stop()
--- a/packages/node/src/trefoilroad_node/operations.py
+++ b/packages/node/src/trefoilroad_node/operations.py
@@ -1,6 +1,7 @@
 """What a node does for operators: publish, audit, drain, status, explain."""
 
 from collections.abc import Callable
+import re
 import time
 from typing import Any
 
@@ -19,6 +20,7 @@
 # How often a drain is tried again when somebody publishes at the same moment.
 MAX_DRAIN_TRIES = 5
 AUDIT_PREFIX = "audit/"
+_VERSION = re.compile(r"[0-9]{1,15}")
 
 AskOwner = Callable[[str, Callable[[str], None]], None]
 
@@ -158,7 +160,7 @@
 
     def show_audit(self, since: str, respond: Respond) -> None:
         """Responds with the audit trail after a version."""
-        if not since.isdecimal():
+        if not _VERSION.fullmatch(since):
             respond(Response(400, {"error": "since is not a version"}))
             return
 
