core: keep the time waited in rows written after the start

Rows of requests that had started said waited_s 0, so that every completed request showed no waiting time, and a new owner counted the wait of a request that had run from the takeover. The demo showed 0.00 s for all 78 completed requests.

--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -233,7 +233,7 @@
 
     def _build_row(self, job: jobs.Job, changes: dict[str,
                                                       Any]) -> request.Record:
-        waited_s = 0.0
+        waited_s = job.record["waited_s"]
         if job.record["ran"] == request.Ran.NO:
             waited_s = self._now_s - job.received_s
         fields = {
