--- a/packages/standins/src/trefoilroad_standins/processes.py
+++ b/packages/standins/src/trefoilroad_standins/processes.py
@@ -114,6 +114,11 @@
         Raises:
             TimeoutError: If it does not become ready.
         """
+        self.launch()
+        self.wait_ready()
+
+    def launch(self) -> None:
+        """Starts the process."""
         with self.log.open("ab") as log:
             # In a session of its own, so that an interrupt from a terminal
             # reaches only the parent, which ends its children in order.
@@ -121,6 +126,13 @@
                                              stdout=subprocess.PIPE,
                                              stderr=log,
                                              start_new_session=True)
+
+    def wait_ready(self) -> None:
+        """Waits until the process is ready.
+
+        Raises:
+            TimeoutError: If it does not become ready.
+        """
         self.ready = json.loads(self._read_line(READY_TIMEOUT_S))
 
     def _read_line(self, timeout_s: float) -> bytes:
@@ -252,6 +264,15 @@
         """Sets the state of a VM in the list."""
         _post(self.port, "/v1/vms", {"id": worker_id, "state": state})
 
+    def count_writes(self, node_id: str) -> int:
+        """Returns the number of writes to the table by a node so far."""
+        reply = httpx.get(f"http://{HOST}:{self.port}/control/counters",
+                          timeout=CONTROL_TIMEOUT_S,
+                          trust_env=False)
+        reply.raise_for_status()
+        counts = reply.json()["nodes"].get(node_id, {})
+        return int(counts.get("table", {}).get("writes", 0))
+
     def read_rows(self, prefix: str) -> dict[str, Any]:
         """Returns the values of all rows under a prefix, by key."""
         reply = httpx.get(f"http://{HOST}:{self.port}/v1/rows",
@@ -428,7 +449,9 @@
                         operator_token=self._operator_token)
             self.nodes[node.name] = node
             stack.callback(node.close)
-            node.start()
+            node.launch()
+        for node in self.nodes.values():
+            node.wait_ready()
 
     def connect(self,
                 *node_ids: str,
--- /dev/null
+++ b/packages/standins/tests/test_processes.py
@@ -0,0 +1,502 @@
+"""Tests of the product as real processes on loopback."""
+
+import concurrent.futures
+import contextlib
+import gzip
+import json
+import pathlib
+import re
+import socket
+import time
+import uuid
+
+import httpx
+import pytest
+
+from trefoilroad_core import document
+from trefoilroad_core import errors
+from trefoilroad_core import request
+from trefoilroad_standins import callers
+from trefoilroad_standins import demo
+from trefoilroad_standins import deployments
+from trefoilroad_standins import processes
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+DEPLOYMENT = deployments.NKABOM
+OPERATORS = ("demo-nkabom-operator-ama", "demo-nkabom-operator-kofi")
+TEAM_TOKEN = "demo-nkabom-intake"
+TAKEOVER_LIMIT_S = 5.0
+CHANGE_LIMIT_S = 4.0
+LEAVING_LIMIT_S = 5.0
+
+
+@pytest.fixture
+def documents():
+    return demo.read_documents(EXAMPLES / DEPLOYMENT.name / "contracts")
+
+
+@pytest.fixture
+def cluster(tmp_path, documents):
+    """Three nodes with the example documents in force."""
+    with processes.Cluster(folder=tmp_path,
+                           deployment=DEPLOYMENT,
+                           operator_token=OPERATORS[0],
+                           vm_lag_s=1.0) as running:
+        running.find_owner()
+        version = running.connect().publish(documents, base_version=0)
+        running.wait_configured(version)
+        yield running
+
+
+@pytest.fixture
+def people(cluster, documents, tmp_path):
+    """Callers of all teams."""
+    return callers.Callers(cluster=cluster,
+                           configuration=document.parse_documents(documents, 1),
+                           log=tmp_path / "callers.jsonl",
+                           token_prefix=f"demo-{DEPLOYMENT.name}-")
+
+
+def submit_mix(people, *nodes, run_s):
+    """Submits gangs of several sizes, of which one may run only once."""
+    return [
+        people.submit("matching", "donor-match", *nodes, run_s=run_s),
+        people.submit("routes", "route-draft", *nodes, run_s=run_s),
+        people.submit("intake", "donor-notice", *nodes, run_s=run_s),
+        people.submit("intake", "photo-check", *nodes, run_s=run_s)
+    ]
+
+
+def wait_running(people, asks):
+    for ask in asks:
+        people.wait_state(ask, request.State.RUNNING)
+
+
+def assert_all_right(cluster, people, asks, starts=1):
+    """Checks outcomes, answers, number of starts and the whole recording."""
+    for ask in asks:
+        outcome = people.finish(ask)
+        assert (outcome.status.state, outcome.is_right) == ("completed", True)
+        # A final status that says 0 has lost the time until the start.
+        assert outcome.status.waited_s > 0.0
+    counts = cluster.workers.count_starts()
+    found = {ask.request_id: counts.get(ask.request_id, 0) for ask in asks}
+    if starts is not None:
+        assert found == dict.fromkeys(found, starts)
+    assert people.find_violations() == []
+
+
+def find_starts(cluster, ask):
+    """Returns the wall times at which a request's attempts started."""
+    return [
+        entry["wall_s"]
+        for entry in cluster.workers.read_history()
+        if entry["event"] == "start" and
+        entry["attempt"].startswith(ask.request_id)
+    ]
+
+
+def split_nodes(cluster):
+    """Returns the owner and the other nodes."""
+    owner = cluster.find_owner()
+    return owner, [name for name in cluster.nodes if name != owner]
+
+
+def test_killed_owner_is_replaced(cluster, people, record_property):
+    """Guards against work that is lost or run again when the owner dies."""
+    asks = submit_mix(people, run_s=4.0)
+    wait_running(people, asks)
+    owner, others = split_nodes(cluster)
+    cluster.nodes[owner].kill()
+    killed_s = time.time()
+    probe = people.submit("intake", "photo-check", *others, run_s=0.1)
+    assert_all_right(cluster, people, [*asks, probe])
+    takeover_s = find_starts(cluster, probe)[0] - killed_s
+    record_property("takeover_s", takeover_s)
+    assert takeover_s < TAKEOVER_LIMIT_S
+
+
+def test_frozen_owner_steps_down(cluster, people):
+    """Guards against a start by an owner whose lease lapsed in a pause.
+
+    The claim is recorded while the owner is frozen, so that the owner finds
+    the confirmation, which allows the start, when it runs again.
+    """
+    owner, others = split_nodes(cluster)
+    cluster.platform.set_faults({
+        "mode": "slow",
+        "kinds": ["table_writes"],
+        "nodes": [owner],
+        "delay_s": 0.5
+    })
+    ask = people.submit("intake", "donor-notice", *others, run_s=0.5)
+    processes.wait_until(
+        lambda: any(entry["event"] == "reserve"
+                    for entry in cluster.workers.read_history()),
+        timeout_s=5.0,
+        what="the owner reserves")
+    cluster.nodes[owner].freeze()
+    processes.wait_until(lambda: cluster.platform.read_rows("request/")[
+        f"request/{ask.request_id}"]["state"] == "claimed",
+                         timeout_s=5.0,
+                         what="the claim is recorded")
+    successor = cluster.find_owner(*others)
+    cluster.nodes[owner].thaw()
+    processes.wait_until(lambda: cluster.read_status(owner).owner == successor,
+                         timeout_s=5.0,
+                         what="the old owner steps down")
+    cluster.platform.set_faults()
+    assert_all_right(cluster, people, [ask])
+
+
+def test_lost_answers_of_the_store(cluster, people):
+    """Guards against requests that are lost or doubled by a lost answer."""
+    cluster.platform.set_faults({
+        "mode": "lose_answers",
+        "kinds": ["table_writes"],
+        "probability": 0.3
+    })
+    asks = [ask for _ in range(3) for ask in submit_mix(people, run_s=0.5)]
+    for ask in asks:
+        assert people.repeat(ask).status.request_id == ask.request_id
+    assert_all_right(cluster, people, asks, starts=None)
+    once = [ask for ask in asks if not ask.idempotent]
+    counts = cluster.workers.count_starts()
+    assert [counts[ask.request_id] for ask in once] == [1] * len(once)
+
+
+def test_store_outage_stops_no_gang(cluster, people):
+    """Guards against leases that lapse because the store is down.
+
+    The tasks run longer than the 10 s of a lease, all of it in the outage.
+    """
+    asks = submit_mix(people, run_s=11.0)
+    wait_running(people, asks)
+    cluster.platform.set_faults({"mode": "down"})
+    impatient = cluster.connect(token=TEAM_TOKEN, timeout_s=2.0)
+    with pytest.raises((errors.OutcomeUnknown, errors.NotRun)):
+        impatient.submit(template="photo-check", payload={"run_s": 0})
+    processes.wait_until(lambda: {
+        entry["attempt"].partition(".")[0]
+        for entry in cluster.workers.read_history()
+        if entry["event"] == "finish"
+    } >= {ask.request_id for ask in asks},
+                         timeout_s=20.0,
+                         what="all tasks finish in the outage")
+    cluster.platform.set_faults()
+    assert_all_right(cluster, people, asks)
+
+
+def post_request(address, headers):
+    """Submits to one node without any retry."""
+    return httpx.post(f"http://{address}/v1/requests",
+                      headers=headers,
+                      json={
+                          "template": "photo-check",
+                          "payload": {
+                              "run_s": 0.1,
+                              "answer": ""
+                          }
+                      },
+                      timeout=10.0,
+                      trust_env=False)
+
+
+def test_planned_stops_cut_nothing_short(cluster, people):
+    """Guards against a stop that drops running gangs or open exchanges."""
+    asks = []
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        for node in cluster.nodes.values():
+            asks += submit_mix(people, run_s=2.0)
+            cluster.platform.set_faults({
+                "mode": "slow",
+                "kinds": ["table_writes"],
+                "nodes": [node.name],
+                "delay_s": 0.5
+            })
+            before = cluster.platform.count_writes(node.name)
+            headers = {
+                "Authorization": f"Bearer {TEAM_TOKEN}",
+                "Idempotency-Key": uuid.uuid4().hex
+            }
+            future = pool.submit(post_request, node.address, headers)
+            processes.wait_until(lambda node=node, before=before: cluster.
+                                 platform.count_writes(node.name) > before,
+                                 timeout_s=5.0,
+                                 what="the request is on its way")
+            node.request_stop()
+            reply = future.result()
+            assert reply.status_code == 202 or (reply.status_code == 503 and
+                                                reply.json()["outcome"]
+                                                == "not_run"), reply.text
+            assert node.wait_stopped() == 0
+            cluster.platform.set_faults()
+            node.restart()
+            cluster.find_owner()
+            cluster.wait_configured(1)
+    for ask in asks:
+        outcome = people.finish(ask)
+        assert (outcome.status.state, outcome.is_right) == ("completed", True)
+    counts = cluster.workers.count_starts()
+    assert {counts[ask.request_id] for ask in asks} == {1}
+
+
+def drop_template(documents, name):
+    """Returns documents without a template, which teams must not name."""
+    return {
+        path: text.replace(f'"{name}", ', "").replace(f', "{name}"', "")
+        for path, text in documents.items()
+        if path != f"templates/{name}.toml"
+    }
+
+
+def test_change_while_a_node_is_frozen(cluster, people, documents,
+                                       record_property):
+    """Guards against admissions under a configuration of the past."""
+    _, (frozen, *_) = split_nodes(cluster)
+    others = [name for name in cluster.nodes if name != frozen]
+    cluster.nodes[frozen].freeze()
+    begun_s = time.monotonic()
+    changed = drop_template(documents, "donor-notice")
+    version = cluster.connect(*others).publish(changed, base_version=1)
+    cluster.wait_configured(version, *others)
+    took_s = time.monotonic() - begun_s
+    record_property("change_s", took_s)
+    assert took_s < CHANGE_LIMIT_S
+    cluster.nodes[frozen].thaw()
+    with pytest.raises(errors.CallRefused):
+        people.submit("intake", "donor-notice", frozen)
+    assert cluster.platform.read_rows("request/") == {}
+
+
+def test_operators_clash(cluster, documents):
+    """Guards against a change that a concurrent one undoes silently."""
+    teams = ("intake", "routes")
+    clients = [
+        cluster.connect(node, token=token)
+        for node, token in zip(("n1", "n2"), OPERATORS, strict=True)
+    ]
+
+    def publish(client, team, base):
+        try:
+            return client.publish(demo.change_weight(documents, team),
+                                  base_version=base)
+        except errors.VersionConflict as error:
+            return error
+
+    for base in (1, 2, 3):
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            results = list(pool.map(publish, clients, teams, (base, base)))
+        won = results.index(base + 1)
+        clash = results[1 - won]
+        assert isinstance(clash, errors.VersionConflict)
+        assert clash.keys == (f"teams/{teams[won]}.toml:team.weight",)
+        documents = demo.change_weight(documents, teams[won])
+        assert clients[0].fetch_config().documents == documents
+    entries = clients[1].audit()
+    assert [entry.version for entry in entries] == [1, 2, 3, 4]
+
+
+def mark_listed(cluster, worker_id):
+    cluster.platform.change_vm(worker_id, "leaving")
+
+
+def mark_itself(cluster, worker_id):
+    cluster.workers.change_state([worker_id], leaving=True)
+
+
+@pytest.mark.parametrize("mark", [mark_listed, mark_itself])
+def test_leaving_worker_gets_no_work(cluster, people, mark):
+    """Guards against starts on a worker that is about to go away."""
+
+    def run_one():
+        ask = people.submit("intake", "photo-check", run_s=0.0)
+        return people.finish(ask).status.placement[0]
+
+    worker_id = run_one()
+    mark(cluster, worker_id)
+    marked_s = time.time()
+    while time.time() < marked_s + LEAVING_LIMIT_S + 1.0:
+        run_one()
+    late = [
+        entry["worker"]
+        for entry in cluster.workers.read_history()
+        if entry["event"] == "start" and entry["wall_s"] > marked_s +
+        LEAVING_LIMIT_S
+    ]
+    assert late
+    assert worker_id not in late
+
+
+def build_call(body, *headers, target="POST /v1/requests HTTP/1.1"):
+    lines = [
+        target, "Host: node", f"Authorization: Bearer {TEAM_TOKEN}", *headers
+    ]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def build_json(value):
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return build_call(body, f"Content-Length: {len(body)}",
+                      f"Idempotency-Key: {uuid.uuid4().hex}")
+
+
+GOOD = {"template": "photo-check", "payload": {"run_s": 0, "answer": "x"}}
+HOSTILE = {
+    "oversized body":
+        build_call(b"x" * (3 << 20), f"Content-Length: {3 << 20}"),
+    "oversized headers":
+        build_call(b"", *[f"X-{n}: {'y' * 1000}" for n in range(3000)]),
+    "bad request line":
+        b"\x00\x01 nonsense\r\n\r\n",
+    "unknown version":
+        b"GET / HTTP/9.9\r\n\r\n",
+    "bad chunk":
+        build_call(b"zz\r\nabc\r\n", "Transfer-Encoding: chunked"),
+    "bad length":
+        build_call(b"{}", "Content-Length: -5"),
+    "length that is no number":
+        build_call(b"{}", "Content-Length: many"),
+    "body that is no JSON":
+        build_json(b"{"),
+    "body that is not UTF-8":
+        build_json(b'{"template": "\xff\xfe"}'),
+    "deep nesting":
+        build_json(b"[" * 100_000),
+    "list for an object":
+        build_json([]),
+    "numbers for texts":
+        build_json({
+            "template": 5,
+            "caller": 7,
+            "payload": None
+        }),
+    "list as template":
+        build_json({
+            **GOOD, "template": ["photo-check"]
+        }),
+    "text for a shape":
+        build_json({
+            **GOOD, "shape": "big"
+        }),
+    "infinite time":
+        build_json(b'{"template": "photo-check", "payload": 1, "wait_s": '
+                   b"Infinity}"),
+    "key that is not text":
+        build_call(b"{}", "Content-Length: 2", "Idempotency-Key: \xff\xfe"),
+    "token that is not text":
+        build_call(b"", "Authorization: Bearer \xff\xfe"),
+    "no key":
+        build_call(
+            json.dumps(GOOD).encode(),
+            f"Content-Length: {len(json.dumps(GOOD))}"),
+    "path that is not UTF-8":
+        build_call(b"", target="GET /v1/requests/%ff%fe HTTP/1.1"),
+    "compressed body":
+        build_call(gzip.compress(b" " * (1 << 24)), "Content-Encoding: gzip",
+                   f"Content-Length: {len(gzip.compress(b' ' * (1 << 24)))}"),
+    "method without body":
+        build_call(b"", target="HEAD /healthz HTTP/1.1"),
+    "unknown method":
+        build_call(b"", target="BREW /v1/requests HTTP/1.1"),
+}
+# The library redirects from paths that it has to correct.
+REFUSED = re.compile(rb"HTTP/\d\.\d (4\d\d|505|301) ")
+OPERATOR_HOSTILE = {
+    "GET /v1/audit?since=" + "9" * 5000: b"",
+    "GET /v1/audit?since=%C2%B2": b"",
+    "GET /v1/audit?since=x": b"",
+    "PUT /v1/config": b'{"base_version": true, "documents": {}}',
+    "PUT /v1/config ": b'{"base_version": 1, "documents": {"a": 5}}',
+    "PUT /v1/config  ": b'{"base_version": 1, "documents": {"a/../b": ""}}',
+    "POST /v1/workers/%00/drain": b"",
+}
+
+
+def send_raw(address, data, timeout_s=5.0):
+    """Sends bytes and returns all that comes back until a pause or close."""
+    host, _, port = address.rpartition(":")
+    received = b""
+    with socket.create_connection((host, int(port)), timeout=timeout_s) as sock:
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(data)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                part = sock.recv(1 << 16)
+                received += part
+                head, end, body = received.partition(b"\r\n\r\n")
+                if not part or (end and is_complete(head, body)):
+                    break
+    return received
+
+
+def is_complete(head, body):
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            return len(body) >= int(line.partition(b":")[2])
+    return False
+
+
+def test_hostile_input(cluster, people):
+    """Guards against input that stops a node from serving others."""
+    node = cluster.nodes["n1"]
+    host, _, port = node.address.rpartition(":")
+    with contextlib.ExitStack() as stack:
+        slow = []
+        for _ in range(50):
+            sock = socket.create_connection((host, int(port)), timeout=30.0)
+            stack.callback(sock.close)
+            sock.sendall(b"POST /v1/requests HTTP/1.1\r\nHost: ")
+            slow.append(sock)
+        for name, data in HOSTILE.items():
+            assert REFUSED.match(send_raw(node.address, data)), name
+            assert httpx.get(f"http://{node.address}/healthz").is_success, name
+        for target, body in OPERATOR_HOSTILE.items():
+            data = build_call(body,
+                              f"Content-Length: {len(body)}",
+                              target=f"{target.strip()} HTTP/1.1").replace(
+                                  TEAM_TOKEN.encode(), OPERATORS[0].encode())
+            assert REFUSED.match(send_raw(node.address, data)), target
+        assert send_raw(node.ready["link"],
+                        b"\xff" * 1000 + b"\r\n\r\n") is not None
+        assert people.finish(
+            people.submit("intake", "photo-check", "n1", run_s=0.0)).is_right
+        for sock in slow:
+            with contextlib.suppress(ConnectionError):
+                assert len(sock.recv(1 << 16)) < 1 << 16
+    begun_s = time.monotonic()
+    assert node.terminate() == 0
+    # An exchange that was never answered would hold up the stop for 10 s.
+    assert time.monotonic() - begun_s < 5.0
+
+
+@pytest.mark.parametrize("together", [True, False])
+def test_pipelined_requests(cluster, together):
+    """Guards against an answer that is taken for that of another request.
+
+    The first request waits for the store, the second does not.
+    """
+    cluster.platform.set_faults({
+        "mode": "slow",
+        "kinds": ["table_reads"],
+        "delay_s": 0.5
+    })
+    address = cluster.nodes["n1"].address
+    host, _, port = address.rpartition(":")
+    first = build_call(b"", target="GET /v1/requests HTTP/1.1")
+    second = build_call(b"", target="GET /v1/status HTTP/1.1")
+    received = b""
+    with socket.create_connection((host, int(port)), timeout=5.0) as sock:
+        if together:
+            sock.sendall(first + second)
+        else:
+            sock.sendall(first)
+            # The node takes connections in order, so that it has the first
+            # request when it answers here.
+            httpx.get(f"http://{address}/healthz")
+            sock.sendall(second)
+        while part := sock.recv(1 << 16):
+            received += part
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert b"connection: close" in head.lower()
+    assert json.loads(body) == {"requests": []}
