Accept the stop of an unheard-of attempt in worker histories

A worker that is told to stop an attempt it never heard of, for instance after a restart, records no ranks. Only a stop whose state is never_started may now lack ranks; a test keeps the other case an error.

--- a/packages/replay/src/trefoilroad_replay/history.py
+++ b/packages/replay/src/trefoilroad_replay/history.py
@@ -3,7 +3,8 @@
 Worker histories are JSON lines with `event`, `worker`, `boot`, `attempt`
 ("<request id>.<number>"), `ranks`, `epoch`, `at_s` (monotonic), `wall_s` and
 `detail`. Events are `reserve`, `start`, `finish` (`detail.answer.sha256` on the
-member that holds rank 0), `fail`, `stop`, `lapse`, and, with an empty attempt,
+member that holds rank 0), `fail`, `stop` (without ranks if `detail.state` is
+"never_started"), `lapse`, and, with an empty attempt,
 `restart` and `down` (everything that ran there has ended), `leaving` and
 `staying` (a mark is set or withdrawn).
 
@@ -122,7 +123,10 @@
                   digest=answer["sha256"] if answer else "")
     if event.event not in TASK_EVENTS + WORKER_EVENTS:
         row.note("event", f"unknown event {event.event!r}")
-    if event.event in TASK_EVENTS and not (event.request_id and event.ranks):
+    # A worker that is told to stop an attempt it never heard of knows no ranks.
+    unheard = event.event == "stop" and detail.get("state") == "never_started"
+    if event.event in TASK_EVENTS and not (event.request_id and
+                                           (event.ranks or unheard)):
         row.note("attempt", "expected an attempt and its ranks")
     return event
 
--- a/packages/replay/tests/test_checker.py
+++ b/packages/replay/tests/test_checker.py
@@ -177,6 +177,15 @@
     assert check(events, told_rows) == {rule}
 
 
+@pytest.mark.parametrize(("state", "count"), [("never_started", 0),
+                                              ("stopped", 1)])
+def test_only_an_unheard_of_attempt_is_stopped_without_ranks(state, count):
+    findings = []
+    line = event("stop", "a", 1.0, detail={"state": state, "checkpoint": False})
+    history.parse_events("w", [json.dumps(line)], findings)
+    assert len(findings) == count
+
+
 def test_findings_of_both_files_are_reported_together(tmp_path):
     """Guards against a misread recording being judged as clean."""
     workers, callers = tmp_path / "w.jsonl", tmp_path / "c.jsonl"
