Read the state field in the callers of the virtual world

The status of a request names its state as "state" since the edge answers with the fields that the client reads. The virtual callers still read "outcome" and every soak schedule ended in a KeyError.

--- a/packages/standins/src/trefoilroad_standins/virtual_callers.py
+++ b/packages/standins/src/trefoilroad_standins/virtual_callers.py
@@ -122,11 +122,11 @@
         self._world.clock.schedule(POLL_S, self._poll)
 
     def _finish(self, body: dict[str, Any]) -> None:
-        if body["outcome"] == request.State.COMPLETED:
+        if body["state"] == request.State.COMPLETED:
             self._fetch(body)
             return
-        self._note(body["outcome"], body)
-        self.outcome = body["outcome"]
+        self._note(body["state"], body)
+        self.outcome = body["state"]
 
     def _fetch(self, body: dict[str, Any]) -> None:
 
@@ -134,8 +134,8 @@
             if response is None or response.status != 200:
                 self._world.clock.schedule(POLL_S, lambda: self._fetch(body))
                 return
-            self._note(body["outcome"], body, response.body)
-            self.outcome = body["outcome"]
+            self._note(body["state"], body, response.body)
+            self.outcome = body["state"]
             self.completed_s = self._world.clock.now_s
 
         self._ask(
