Never send a commit again for a request that was dropped

Cause: when a notification of a new request was delayed until after its outcome, the owner took the request up again and tried to claim it. The claim was refused, the row was read back and was final, and the request was dropped, but the dropped job kept its open commit. The comparison that follows then sent the claim again, conditional on the version just read, and so overwrote the outcome; a non-idempotent request ran twice.

Ruled out: the edge (it wrote once) and the workers (two different attempts, each claimed).

--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -349,6 +349,9 @@
         """Forgets a request whose outcome is on record."""
         if job.commit is not None:
             self._commits.pop(job.commit.commit_id, None)
+            # Whoever still holds the job must not send the commit again: it
+            # would overwrite the outcome.
+            job.commit = None
         if job.attempt is not None:
             self._storing.pop(job.attempt.attempt_id, None)
             self._forget(job.attempt)
