Test random fault schedules and drawn sequences of faults

The judgement of a run and the faults of a schedule are now usable one by one, so that a Hypothesis state machine draws submissions, cancellations and faults and checks the recorded histories after each step.

--- a/packages/standins/src/trefoilroad_standins/machine.py
+++ b/packages/standins/src/trefoilroad_standins/machine.py
@@ -271,6 +271,17 @@
         self.advance(now_s)
         return reply
 
+    def refuse(self, verb: str) -> Reply:
+        """Refuses a command without effect.
+
+        Args:
+            verb: One of REFUSABLE.
+
+        Returns:
+            The refusal.
+        """
+        return self._refuse(REFUSABLE[verb])
+
     def _accept(self, **document: Any) -> Reply:
         return Reply(200, {**document, **self._identify()})
 
--- a/packages/standins/src/trefoilroad_standins/soak.py
+++ b/packages/standins/src/trefoilroad_standins/soak.py
@@ -15,8 +15,7 @@
 import structlog
 
 from trefoilroad_core import request
-from trefoilroad_replay import checker
-from trefoilroad_replay import history
+from trefoilroad_standins import judgement
 from trefoilroad_standins import virtual
 from trefoilroad_standins import virtual_callers
 
@@ -113,21 +112,30 @@
     def run(self) -> Result:
         """Runs the schedule to its end and judges it."""
         world = self.world
-        world.clock.schedule(1.0,
-                             lambda: world.publish("n1", build_documents()))
+        self.begin()
         for index in range(self._requests):
             self._plan_request(index)
         for _ in range(self._faults):
             at_s = self._rng.uniform(FAULTS_BEGIN_S, FAULTS_END_S)
             world.clock.schedule(at_s, self._show_fault)
-        world.clock.schedule(0.5, self._watch)
         world.run(FAULTS_END_S + 10.0)
-        self._heal()
-        self._settle()
+        self.end()
         return Result(seed=self._seed,
                       faults=self._shown,
                       outcomes=self._count_outcomes(),
-                      violations=self._judge())
+                      violations=self.judge())
+
+    def begin(self) -> None:
+        """Has the first configuration published and watched."""
+        world = self.world
+        world.clock.schedule(1.0,
+                             lambda: world.publish("n1", build_documents()))
+        world.clock.schedule(0.5, self._watch)
+
+    def end(self) -> None:
+        """Ends all faults and waits until all callers know their outcomes."""
+        self._heal()
+        self._settle()
 
     def _settle(self) -> None:
         for _ in range(int(SETTLE_S)):
@@ -138,43 +146,61 @@
     def _plan_request(self, index: int) -> None:
         rng = self._rng
         name = rng.choice(sorted(TEMPLATES))
+        run_s = rng.choice([0.5, 2.0, 6.0])
+        caller = self.add_caller(name, run_s, fails=rng.random() < 0.1)
+        at_s = rng.uniform(3.0, 40.0)
+        self.world.clock.schedule(at_s, caller.begin)
+        if rng.random() < 0.2:
+            self.world.clock.schedule(at_s + rng.uniform(0.0, 8.0),
+                                      caller.cancel)
+
+    def add_caller(self, template: str, run_s: float, *,
+                   fails: bool) -> virtual_callers.Caller:
+        """Adds a caller, which submits when its `begin` is called.
+
+        Args:
+            template: One of TEMPLATES.
+            run_s: Run time in seconds.
+            fails: Whether the tasks fail.
+
+        Returns:
+            The caller.
+        """
+        index = len(self.callers)
         payload: dict[str, Any] = {
-            "run_s": rng.choice([0.5, 2.0, 6.0]),
-            "answer": f"answer of {self._seed}/{index}"
+            "run_s": run_s,
+            "answer": f"answer of {self._seed}/{index}",
+            "fail": fails
         }
-        if rng.random() < 0.1:
-            payload["fail"] = True
+        rng = random.Random(self._rng.getrandbits(64))
         caller = virtual_callers.Caller(world=self.world,
                                         team=TEAM,
                                         key=f"key-{index}",
                                         body={
-                                            "template": name,
+                                            "template": template,
                                             "caller": f"c{index % 3}",
                                             "payload": payload
                                         },
-                                        shape=TEMPLATES[name],
-                                        idempotent=IDEMPOTENT[name],
-                                        rng=random.Random(rng.getrandbits(64)))
+                                        shape=TEMPLATES[template],
+                                        idempotent=IDEMPOTENT[template],
+                                        rng=rng)
         self.callers.append(caller)
-        at_s = rng.uniform(3.0, 40.0)
-        self.world.clock.schedule(at_s, caller.begin)
-        if rng.random() < 0.2:
-            self.world.clock.schedule(at_s + rng.uniform(0.0, 8.0),
-                                      caller.cancel)
+        return caller
 
     # Faults.
 
     def _show_fault(self) -> None:
-        faults: list[Callable[[float], str]] = [
-            self._kill_node, self._kill_owner, self._freeze_owner,
-            self._freeze_node, self._break_store, self._cut_store,
-            self._cut_worker, self._cut_worker_one_way, self._restart_worker,
-            self._lose_worker, self._mark_leaving, self._break_worker,
-            self._delay_network, self._cut_nodes, self._publish,
-            self._publish_twice
-        ]
         duration_s = self._rng.choice([0.3, 1.5, 4.0, 9.0, 16.0])
-        text = self._rng.choice(faults)(duration_s)
+        self.show_fault(self._rng.choice(list(FAULTS)), duration_s)
+
+    def show_fault(self, name: str, duration_s: float) -> None:
+        """Shows a fault now.
+
+        Args:
+            name: One of FAULTS.
+            duration_s: Seconds until it ends, if it does.
+        """
+        text = FAULTS[name](self, duration_s)
         self._shown.append(f"{self.world.clock.now_s:.2f} {text}"
                            f" {duration_s} s")
 
@@ -280,27 +306,15 @@
     def _mark_leaving(self, duration_s: float) -> str:
         worker = self._pick_worker()
         self.world.mark_worker(worker, "leaving")
-        self.world.history.append(self._describe_mark(worker, "leaving"))
+        self.world.history.append(
+            judgement.describe_mark(self.world, worker, "leaving"))
         self._later(duration_s, lambda: self._mark_staying(worker))
         return f"leaving {worker}"
 
     def _mark_staying(self, worker: str) -> None:
         self.world.mark_worker(worker, "live")
-        self.world.history.append(self._describe_mark(worker, "staying"))
-
-    def _describe_mark(self, worker: str, event: str) -> dict[str, Any]:
-        now_s = self.world.clock.now_s
-        return {
-            "event": event,
-            "worker": worker,
-            "boot": "",
-            "attempt": "",
-            "ranks": [],
-            "epoch": 0,
-            "at_s": now_s,
-            "wall_s": now_s,
-            "detail": {}
-        }
+        self.world.history.append(
+            judgement.describe_mark(self.world, worker, "staying"))
 
     def _break_worker(self, duration_s: float) -> str:
         worker = self._pick_worker()
@@ -365,25 +379,30 @@
             counts[outcome] = counts.get(outcome, 0) + 1
         return counts
 
-    def _judge(self) -> list[str]:
-        findings: list[Any] = []
-        events = history.parse_events(
-            "workers", [json.dumps(line) for line in self.world.history],
-            findings)
-        told = history.parse_told("callers", [
-            json.dumps(line) for caller in self.callers for line in caller.told
-        ], findings)
-        judge = checker.Checker(events=events,
-                                told=told,
-                                bounds=checker.Bounds())
-        violations = [str(item) for item in judge.find_violations()]
-        violations += [str(finding) for finding in findings]
-        violations += self._reverted
-        violations += [
-            f"no outcome: {caller.request_id}" for caller in self.callers
-            if not caller.is_done
-        ]
-        return violations
+    def judge(self) -> list[str]:
+        """Returns what was violated so far."""
+        return judgement.find_violations(self.world,
+                                         self.callers) + self._reverted
+
+
+FAULTS: dict[str, Callable[[Schedule, float], str]] = {
+    "kill node": Schedule._kill_node,
+    "kill owner": Schedule._kill_owner,
+    "freeze owner": Schedule._freeze_owner,
+    "freeze node": Schedule._freeze_node,
+    "break store": Schedule._break_store,
+    "cut store": Schedule._cut_store,
+    "cut worker": Schedule._cut_worker,
+    "cut worker one way": Schedule._cut_worker_one_way,
+    "restart worker": Schedule._restart_worker,
+    "lose worker": Schedule._lose_worker,
+    "mark leaving": Schedule._mark_leaving,
+    "break worker": Schedule._break_worker,
+    "delay network": Schedule._delay_network,
+    "cut nodes": Schedule._cut_nodes,
+    "publish": Schedule._publish,
+    "publish twice": Schedule._publish_twice
+}
 
 
 def run_schedules(first: int, count: int) -> list[Result]:
--- a/packages/standins/src/trefoilroad_standins/virtual.py
+++ b/packages/standins/src/trefoilroad_standins/virtual.py
@@ -28,6 +28,8 @@
 
 STORE_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 5.0
+STOP_TIMEOUT_S = 10.0
+STOP_POLL_S = 0.05
 MIN_DELAY_S = 0.0005
 MAX_DELAY_S = 0.005
 REGION = "region"
@@ -43,6 +45,22 @@
     LOSE_ANSWERS = "lose answers"
 
 
+class Fate(enum.Enum):
+    """What happens to a command on its way to a worker."""
+
+    REFUSE = "refuse"
+    LOSE_COMMAND = "lose command"
+    LOSE_ANSWER = "lose answer"
+
+
+# Called with a step of the gang protocol and the worker or key it concerns.
+Observe = Callable[[str, str], None]
+
+
+def ignore_step(step: str, subject: str) -> None:
+    """Observes nothing."""
+
+
 class Network:
     """Delays and cuts between hosts; a cut may be one way."""
 
@@ -56,6 +74,10 @@
         """Drops everything from source to target."""
         self._cuts.add((source, target))
 
+    def join(self, source: str, target: str) -> None:
+        """Ends the cut from source to target."""
+        self._cuts.discard((source, target))
+
     def heal(self) -> None:
         """Ends all cuts."""
         self._cuts.clear()
@@ -103,6 +125,8 @@
         self.mode = StoreMode.UP
         self.reads = 0
         self.writes = 0
+        self.lost_answers = 0
+        self.observe: Observe = ignore_step
         self._clock = clock
         self._rng = rng
 
@@ -117,6 +141,9 @@
             return errors.CommitConflict({
                 conflict.key: conflict.version for conflict in commit.conflicts
             })
+        for key, value in writes.items():
+            if key.startswith("request/"):
+                self.observe(f"{value['state']} commit", key)
         return commit.version
 
     def read_row(self, key: str) -> stores.Row:
@@ -140,6 +167,7 @@
         """Stores an object."""
         self.writes += 1
         self.objects[key] = data
+        self.observe("stored answer", key)
         return key
 
     def get_object(self, key: str) -> bytes | None:
@@ -153,6 +181,9 @@
 
     def loses_answer(self) -> bool:
         """Tells whether an answer is lost after the effect."""
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return True
         return (self.mode is StoreMode.LOSE_ANSWERS and
                 self._rng.random() < 0.5)
 
@@ -299,8 +330,11 @@
         if address not in self._addresses:
             return False
         fixed = copy.deepcopy(message)
-        self._network.send(self._name, address,
-                           lambda: self._world.take_message(address, fixed))
+        delay_s = self._world.message_delays.pop(message["type"], 0.0)
+        self._network.clock.schedule(
+            delay_s, lambda: self._network.send(
+                self._name, address, lambda: self._world.take_message(
+                    address, fixed)))
         return True
 
     def broadcast(self, message: node_links.Message) -> None:
@@ -314,6 +348,7 @@
 
     def __init__(self, *, name: str, world: "World"):
         self.name = name
+        self.open_exchanges = 0
         self.host = clocks.Host(clock=world.clock)
         rng = random.Random(world.rng.getrandbits(64))
         # Monotonic clocks of different VMs have nothing in common.
@@ -381,6 +416,11 @@
         self.platform = Platform(vms=vms, clock=self.clock, rng=self.rng)
         self.history: list[dict[str, Any]] = []
         self.down: set[str] = set()
+        # What happens to the next command of a verb.
+        self.fates: dict[str, Fate] = {}
+        # Delay of the next message between nodes by type, in seconds.
+        self.message_delays: dict[str, float] = {}
+        self.observe: Observe = ignore_step
         checkpoints = checkpoints_module.MemoryCheckpoints()
         self.machines = {
             entry["id"]: self._build_machine(entry, checkpoints)
@@ -429,6 +469,23 @@
         if target is not None:
             target.host.deliver(lambda: target.node.take_message(message))
 
+    def stop_node(self, name: str) -> None:
+        """Stops a node as planned: open exchanges end, then the process."""
+        node = self.nodes[name]
+        deadline_s = self.clock.now_s + STOP_TIMEOUT_S
+        node.host.deliver(lambda: node.node.begin_stop(lambda: self._end_soon(
+            node, deadline_s)))
+
+    def _end_soon(self, node: VirtualNode, deadline_s: float) -> None:
+        self.clock.schedule(STOP_POLL_S,
+                            lambda: self._end_when_idle(node, deadline_s))
+
+    def _end_when_idle(self, node: VirtualNode, deadline_s: float) -> None:
+        if not node.open_exchanges or self.clock.now_s >= deadline_s:
+            node.host.alive = False
+        else:
+            self._end_soon(node, deadline_s)
+
     # Workers.
 
     def command(self, worker_id: str, verb: str,
@@ -437,9 +494,15 @@
         machine = self.machines.get(worker_id)
         if machine is None or worker_id in self.down:
             return None
+        fate = self.fates.pop(verb, None)
+        if fate is Fate.LOSE_COMMAND:
+            return None
+        if fate is Fate.REFUSE:
+            return machine.refuse(verb)
         reply = machine.handle(verb, body, self.clock.now_s)
         self._settle(machine)
-        return reply
+        self.observe(f"{verb} command", worker_id)
+        return None if fate is Fate.LOSE_ANSWER else reply
 
     def restart_worker(self, worker_id: str) -> None:
         """Restarts a worker's process, which loses its memory."""
--- a/packages/standins/src/trefoilroad_standins/virtual_callers.py
+++ b/packages/standins/src/trefoilroad_standins/virtual_callers.py
@@ -7,6 +7,7 @@
 
 from trefoilroad_core import request
 from trefoilroad_node import edge as edges
+from trefoilroad_node import node as nodes_module
 from trefoilroad_standins import virtual
 
 RETRY_S = 0.5
@@ -19,9 +20,17 @@
 class Caller:
     """One request of one caller, from submission to its final outcome."""
 
-    def __init__(self, *, world: virtual.World, team: str, key: str,
-                 body: dict[str, Any], shape: request.Shape, idempotent: bool,
-                 rng: random.Random):
+    def __init__(self,
+                 *,
+                 world: virtual.World,
+                 team: str,
+                 key: str,
+                 body: dict[str, Any],
+                 shape: request.Shape,
+                 idempotent: bool,
+                 rng: random.Random,
+                 nodes: tuple[str, ...] = (),
+                 patient: bool = True):
         """Prepares the request; `begin` submits it.
 
         Args:
@@ -32,6 +41,10 @@
             shape: Shape of the gang, for the checker.
             idempotent: Whether the template is idempotent, for the checker.
             rng: Chooses nodes.
+            nodes: Nodes to ask; all if empty.
+            patient: Whether it submits again after a refusal and asks again
+                after silence. If not, it takes a refusal as the outcome and
+                cancels after silence.
         """
         self.request_id = request.derive_request_id(team, key)
         self.outcome = ""
@@ -44,6 +57,8 @@
         self._shape = shape
         self._idempotent = idempotent
         self._rng = rng
+        self.nodes = nodes
+        self._patient = patient
         self._serial = 0
         self.completed_s = float("nan")
 
@@ -61,7 +76,7 @@
         self.wants_cancel = True
 
     def _pick_node(self) -> virtual.VirtualNode:
-        names = sorted(self._world.nodes)
+        names = self.nodes or sorted(self._world.nodes)
         return self._world.nodes[self._rng.choice(names)]
 
     def _ask(self, act: Any, take: Any) -> None:
@@ -76,23 +91,41 @@
         def finish(response: edges.Response | None) -> None:
             if serial == self._serial:
                 self._serial += 1
+                node.open_exchanges -= 1
                 take(response)
 
+        node.open_exchanges += 1
         if node.host.alive:
-            node.host.deliver(lambda: act(node.node.edge, respond))
+            node.host.deliver(lambda: act(node.node, respond))
         self._world.clock.schedule(RESPONSE_TIMEOUT_S, lambda: finish(None))
 
-    def _submit(self, edge: edges.Edge, respond: edges.Respond) -> None:
-        if self._team not in edge.configuration.teams:
+    def _submit(self, node: nodes_module.Node, respond: edges.Respond) -> None:
+        # What the HTTP interface checks before it calls the edge.
+        if self._team not in node.edge.configuration.teams:
             respond(edges.Response(401, {}))
-            return
-        edge.submit(self._team, self._key, self._body, respond)
+        elif node.operations.stopping:
+            respond(edges.Response(503, edges.describe_refusal("stopping")))
+        else:
+            node.edge.submit(self._team, self._key, self._body, respond)
 
     def _take_submitted(self, response: edges.Response | None) -> None:
         if response is not None and response.status in (200, 202):
             self._note("accepted", response.body)
             self._take_status(response)
+        elif self._patient:
+            self._retry_submission()
+        elif response is not None and "outcome" in response.body:
+            self._take_refusal(response.body)
+        else:
+            self.wants_cancel = True
+            self._retry_submission()
+
+    def _take_refusal(self, body: dict[str, Any]) -> None:
+        self._note(body["outcome"], body)
+        if body["final"]:
+            self.outcome = body["outcome"]
         else:
+            self.wants_cancel = True
             self._retry_submission()
 
     def _retry_submission(self) -> None:
@@ -106,13 +139,13 @@
             self._send_cancel()
             return
         self._ask(
-            lambda edge, respond: edge.show(self._team, self.request_id, respond
-                                           ), self._take_status)
+            lambda node, respond: node.edge.show(self._team, self.request_id,
+                                                 respond), self._take_status)
 
     def _send_cancel(self) -> None:
         self._ask(
-            lambda edge, respond: edge.cancel(self._team, self.request_id,
-                                              respond), self._take_status)
+            lambda node, respond: node.edge.cancel(self._team, self.request_id,
+                                                   respond), self._take_status)
 
     def _take_status(self, response: edges.Response | None) -> None:
         known = response is not None and response.status in (200, 202)
@@ -139,8 +172,8 @@
             self.completed_s = self._world.clock.now_s
 
         self._ask(
-            lambda edge, respond: edge.fetch_answer(self._team, self.request_id,
-                                                    respond), take)
+            lambda node, respond: node.edge.fetch_answer(
+                self._team, self.request_id, respond), take)
 
     def _note(self,
               outcome: str,
--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -6,10 +6,19 @@
 
 import httpx
 import pytest
+import structlog
 
 STOP_TIMEOUT_S = 10
 
 
+@pytest.fixture(autouse=True)
+def _mute_logs():
+    """The nodes of virtual worlds log thousands of lines."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    yield
+    structlog.reset_defaults()
+
+
 @pytest.fixture
 def launch():
     """Starts a stand-in and reads its ready line."""
