--- /dev/null
+++ b/packages/standins/tests/features/p3_whole_answer.feature
@@ -0,0 +1,68 @@
+Feature: P3 Each caller receives the whole answer to its own request
+
+  Background:
+    Given a fleet of 8 workers in racks of 4
+    And team "a" with a guarantee of 2 gangs of 2 x 4 accelerators
+    And the configuration is in force
+
+  Scenario: Answers that are late and cross each other
+    When messages take up to 0.4 s for 60 s
+    And "a" submits 10 "draft" requests that run 1 s
+    Then every request ends as "completed"
+    And the history shows no violation
+
+  Scenario: Answers that are later than the time to start
+    When messages take up to 2 s for 60 s
+    And "a" submits 10 "match" requests that run 1 s
+    And "a" submits 10 "draft" requests that run 1 s
+    And 60 s pass
+    Then the history shows no violation
+
+  Scenario: An answer that is damaged in the object store is not shown
+    When at the next "completed commit" the stored answer of "first" is damaged
+    And "a" submits a "match" request "first" that runs 1 s
+    And 20 s pass
+    Then "first" has no outcome yet
+
+  Scenario Outline: A worker restarts before its answer is stored
+    When at the next "<step>" the worker of "first" restarts
+    And "a" submits a "draft" request "first" that runs 1 s
+    Then "first" completes with its own answer
+    And the history shows no violation
+
+    Examples:
+      | step           |
+      | running commit |
+      | answer command |
+      | stored answer  |
+
+  Scenario: A non-idempotent request whose answer was lost is reported as failed
+    When the answer to the next answer command is lost
+    And at the next "answer command" the worker of "first" restarts
+    And "a" submits a "match" request "first" that runs 1 s
+    Then "first" ends as "failed" with ran "yes"
+    And "first" was started as 1 attempt
+    And the history shows no violation
+
+  Scenario: The result is read through another node than the submission
+    When "a" submits a "match" request "first" that runs 2 s through node n1
+    And 1 s pass
+    And node n1 is killed
+    And the caller of "first" asks node n3 from now on
+    Then "first" completes with its own answer
+    And the history shows no violation
+
+  Scenario: The owner dies between the stored answer and the completion
+    When at the next "stored answer" the owner is killed
+    And "a" submits a "match" request "first" that runs 1 s
+    Then "first" completes with its own answer
+    And "first" was started as 1 attempt
+    And the history shows no violation
+
+  Scenario: An attempt that was given up leaves no answer to mix with the next
+    When at the next "start command" that worker is not heard for 30 s
+    And "a" submits a "draft" request "first" that runs 2 s
+    And "a" submits a "draft" request "second" that runs 2 s
+    Then "first" completes with its own answer
+    And "second" completes with its own answer
+    And the history shows no violation
--- /dev/null
+++ b/packages/standins/tests/features/p6_leaving_endpoint.feature
@@ -0,0 +1,49 @@
+Feature: P6 A leaving endpoint receives no new work
+
+  Background:
+    Given a fleet of 3 workers in racks of 3
+    And the VM list lags 3 s
+    And team "a" without a guarantee
+    And the configuration is in force
+
+  Scenario Outline: A worker is marked while there is more work than room
+    When "a" submits 5 "index" requests a second that run 0.8 s for 20 s
+    And 5 s pass
+    Then worker w001 had started something before
+    When <mark>
+    And 30 s pass
+    Then the history shows no violation
+
+    Examples:
+      | mark                                              |
+      | worker w001 is marked as leaving in the VM list   |
+      | worker w001 says that it is leaving               |
+      | an operator drains worker w001 through node n2    |
+
+  Scenario: A drain while the owner fails
+    When "a" submits 5 "index" requests a second that run 0.8 s for 20 s
+    And 5 s pass
+    And an operator drains worker w001 through node n2
+    And 0.5 s pass
+    And the owner is killed for 5 s
+    And 30 s pass
+    Then worker w001 had started something before
+    And the history shows no violation
+
+  Scenario: A mark of the worker itself reaches the successor of a dead owner
+    When "a" submits 5 "index" requests a second that run 0.8 s for 20 s
+    And 5 s pass
+    And worker w001 says that it is leaving
+    And the owner is killed for 5 s
+    And 30 s pass
+    Then worker w001 had started something before
+    And the history shows no violation
+
+  Scenario: A mark of the worker itself while the store is slow
+    When "a" submits 5 "index" requests a second that run 0.8 s for 20 s
+    And 5 s pass
+    And the store is slow for 20 s
+    And worker w001 says that it is leaving
+    And 40 s pass
+    Then worker w001 had started something before
+    And the history shows no violation
--- /dev/null
+++ b/packages/standins/tests/features/p8_configuration.feature
@@ -0,0 +1,87 @@
+Feature: P8 An accepted configuration is in force everywhere and never reverts
+
+  Background:
+    Given a fleet of 8 workers in racks of 4
+    And team "a" with a guarantee of 2 gangs of 2 x 4 accelerators
+    And the configuration is in force
+
+  Scenario: A change is in force on all nodes within 4 s with one node frozen
+    When node n3 is frozen for 12 s
+    And an operator withdraws "draft" through node n1
+    And 4 s pass
+    And "a" submits a "draft" request "first" that runs 1 s through node n1 once
+    And "a" submits a "draft" request "second" that runs 1 s through node n2 once
+    And 10 s pass
+    And "a" submits a "draft" request "third" that runs 1 s through node n3 once
+    Then every request ends as "not_run"
+    And "third" was started as 0 attempts
+    And the history shows no violation
+
+  Scenario: A thawed node admits nothing under the old version
+    When node n3 is frozen for 12 s
+    And "a" submits a "draft" request "held" that runs 1 s through node n3 once
+    And an operator withdraws "draft" through node n1
+    And 16 s pass
+    Then "held" was started as 0 attempts
+    And the history shows no violation
+
+  Scenario: An owner that is frozen during the change starts nothing under the old version
+    When "a" submits 8 "index" requests that run 4 s
+    And 3 s pass
+    And the owner is frozen for 9 s
+    And an operator drains worker w001 through node n2
+    And an operator drains worker w001 through node n1
+    And "a" submits 8 "index" requests that run 4 s
+    And 40 s pass
+    Then the history shows no violation
+
+  Scenario: Two operators publish at once
+    When an operator publishes a change through node n1
+    And an operator publishes a change through node n2
+    And 4 s pass
+    Then one publish is accepted and the other refused as a clash
+
+  Scenario Outline: Answers of the store are lost during a publish
+    When the store loses its next <count> answers
+    And an operator withdraws "draft" through node n1
+    And 20 s pass
+    And "a" submits a "draft" request "first" that runs 1 s through node n2 once
+    Then "first" ends as "not_run"
+    And the last publish is accepted
+    And the history shows no violation
+
+    Examples:
+      | count |
+      | 1     |
+      | 3     |
+      | 6     |
+
+  Scenario: A node that starts during an outage never reverts and admits nothing blindly
+    When an operator withdraws "draft" through node n1
+    And 3 s pass
+    And the store is down for 20 s
+    And node n3 is killed for 1 s
+    And 6 s pass
+    And "a" submits a "draft" request "first" that runs 1 s through node n3 once
+    And 30 s pass
+    Then "first" was started as 0 attempts
+    And the history shows no violation
+
+  Scenario: A late announcement of an older version
+    When the next config message is delayed by 8 s
+    And an operator withdraws "draft" through node n1
+    And 2 s pass
+    And an operator restores "draft" through node n2
+    And 10 s pass
+    And "a" submits a "draft" request "first" that runs 1 s through node n3 once
+    Then "first" completes with its own answer
+    And the history shows no violation
+
+  Scenario: Changes while all nodes are replaced
+    When an operator withdraws "draft" through node n1
+    And 2 s pass
+    And all nodes are replaced at once after 3 s
+    And 15 s pass
+    And "a" submits a "draft" request "first" that runs 1 s through node n2-new once
+    Then "first" ends as "not_run"
+    And the history shows no violation
