Look at a worker soon after a start

Idle workers are asked every 2 s, so a task of no run time was noticed up to 2 s after its end, and the test of leaving workers started nothing in its last second. The first sync after a start now comes within 0.25 s.

--- a/packages/core/src/trefoilroad_core/limits.py
+++ b/packages/core/src/trefoilroad_core/limits.py
@@ -22,6 +22,7 @@
         lease_guard_s: Time after which a task has certainly been stopped.
         sync_interval_s: Time between two syncs of a worker that runs tasks.
         idle_sync_interval_s: The same for a worker without tasks.
+        first_sync_s: Time from a start to the first sync.
         sync_rate: Most syncs a second over all workers.
         suspect_s: Silence after which a worker gets no new work.
         list_age_s: Age of the VM list from which nothing is started, since
@@ -46,6 +47,7 @@
     lease_guard_s: float = 12.0
     sync_interval_s: float = 1.0
     idle_sync_interval_s: float = 2.0
+    first_sync_s: float = 0.25
     sync_rate: float = 150.0
     suspect_s: float = 4.0
     list_age_s: float = 3.0
--- a/packages/core/src/trefoilroad_core/workerlinks.py
+++ b/packages/core/src/trefoilroad_core/workerlinks.py
@@ -206,6 +206,13 @@
         interval_s = max(interval_s, len(self.links) / self._bounds.sync_rate)
         return min(interval_s, self._bounds.lease_s / 3)
 
+    def hasten_sync(self, worker_id: str, now_s: float) -> None:
+        """Plans a sync soon after a start, in case the task is a short one."""
+        link = self.links.get(worker_id)
+        if link is not None:
+            soon_s = now_s + self._bounds.first_sync_s
+            link.next_sync_s = min(link.next_sync_s, soon_s)
+
     def get_due(self, now_s: float) -> list[WorkerLink]:
         """Returns the workers whose next sync is due."""
         return [
