--- a/packages/replay/src/trefoilroad_replay/callers.py
+++ b/packages/replay/src/trefoilroad_replay/callers.py
@@ -5,8 +5,10 @@
 
 import numpy
 
+from trefoilroad_core import fleet as fleet_module
 from trefoilroad_replay import figures
 from trefoilroad_replay import results
+from trefoilroad_replay import trace as trace_module
 
 
 def measure_callers(replay: results.Replay,
@@ -16,11 +18,13 @@
     Large callers are the fewest that together ask for half of all work, and
     the fewest that together send half of all requests.
     """
+    sizes = _Sizes(fleet=replay.trace.fleet)
     work: dict[tuple[str, str], float] = {}
     slowdowns: dict[tuple[str, str], list[float]] = {}
     for result in completed:
         caller = result.release.team, result.release.caller
-        work[caller] = work.get(caller, 0.0) + _compute_work(replay, result)
+        work[caller] = work.get(caller, 0.0) + sizes.compute_work(
+            result.release)
         slowdowns.setdefault(caller,
                              []).append(figures.compute_slowdown(result))
     sent = {caller: float(len(each)) for caller, each in slowdowns.items()}
@@ -49,14 +53,19 @@
     return found
 
 
-def _compute_work(replay: results.Replay, result: results.Result) -> float:
-    """Returns dominant share of the fleet times run time, in seconds."""
-    fleet = replay.trace.fleet
-    shape = result.release.shape
-    shares = [
-        shape.accelerators / max(1, fleet.accelerators),
-        shape.cores / sum(worker.cores for worker in fleet.workers.values()),
-        shape.memory_gb /
-        sum(worker.memory_gb for worker in fleet.workers.values())
-    ]
-    return max(shares) * shape.tasks * result.release.run_s
+class _Sizes:
+    """Work of requests, as the dominant share of the fleet for a time."""
+
+    def __init__(self, *, fleet: fleet_module.Fleet):
+        workers = fleet.workers.values()
+        self._accelerators = max(1, fleet.accelerators)
+        self._cores = max(1, sum(worker.cores for worker in workers))
+        self._memory_gb = max(1, sum(worker.memory_gb for worker in workers))
+
+    def compute_work(self, release: trace_module.Release) -> float:
+        """Returns dominant share times run time, in seconds."""
+        shape = release.shape
+        share = max(shape.accelerators / self._accelerators,
+                    shape.cores / self._cores,
+                    shape.memory_gb / self._memory_gb)
+        return share * shape.tasks * release.run_s
--- a/packages/replay/src/trefoilroad_replay/measures.py
+++ b/packages/replay/src/trefoilroad_replay/measures.py
@@ -11,7 +11,6 @@
 from trefoilroad_replay import figures
 from trefoilroad_replay import floods as floods_module
 from trefoilroad_replay import fragmentation
-from trefoilroad_replay import reference
 from trefoilroad_replay import results
 from trefoilroad_replay import statements
 
@@ -78,12 +77,15 @@
     unmet: tuple[str, ...]
 
 
-def measure(replay: results.Replay, base: results.Replay | None) -> Measures:
+def measure(replay: results.Replay, base: results.Replay | None,
+            known_use: float) -> Measures:
     """Computes all figures of a replay.
 
     Args:
         replay: The replay.
         base: Replay of the base trace with the same policy, if it has one.
+        known_use: Accelerator seconds of a schedule that knows the run times,
+            or NaN.
 
     Returns:
         The figures.
@@ -94,7 +96,7 @@
     adjacent, whole = fragmentation.measure_fragmentation(replay)
     large = fragmentation.find_large(replay)
     small_ratio, jain = callers.measure_callers(replay, completed)
-    use, use_ratio = _measure_use(replay)
+    use, use_ratio = _measure_use(replay, known_use)
     urgent = [
         figures.compute_wait(result) for result in found if
         result.is_covered and result.had_room and result.release.priority == 0
@@ -145,7 +147,8 @@
     return dict(sorted(counts.items()))
 
 
-def _measure_use(replay: results.Replay) -> tuple[float, float]:
+def _measure_use(replay: results.Replay,
+                 known_use: float) -> tuple[float, float]:
     horizon_s = figures.find_horizon(replay)
     trace = replay.trace
     delivered = sum(each.accelerators *
@@ -153,8 +156,4 @@
                         min(each.end_s, horizon_s) - each.begin_s)
                     for each in replay.deliveries)
     use = figures.divide(delivered, trace.fleet.accelerators * horizon_s)
-    has_faults = trace.changes or trace.outages or trace.bad or trace.cancels
-    if has_faults:
-        return use, math.nan
-    return use, figures.divide(delivered,
-                               reference.measure_known_use(trace, horizon_s))
+    return use, figures.divide(delivered, known_use)
--- a/packages/replay/src/trefoilroad_replay/reference.py
+++ b/packages/replay/src/trefoilroad_replay/reference.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import heapq
+import math
 
 from trefoilroad_replay import trace as trace_module
 
@@ -16,7 +17,7 @@
 """Arrival, longest first, and largest first."""
 
 
-def measure_known_use(trace: trace_module.Trace, until_s: float) -> float:
+def measure_known_use(trace: trace_module.Trace) -> float:
     """Measures the use of a schedule that knows the run times.
 
     It sees the fleet as one pool of accelerators, so it loses nothing to
@@ -25,11 +26,14 @@
 
     Args:
         trace: A trace.
-        until_s: End of the time in which use is counted.
 
     Returns:
-        Accelerator seconds delivered until then.
+        Accelerator seconds delivered until the last release. NaN if the trace
+        has faults or cancellations, which the schedule does not know.
     """
+    if trace.changes or trace.outages or trace.bad or trace.cancels:
+        return math.nan
+    until_s = max(release.at_s for release in trace.releases)
     total = trace.fleet.accelerators
     releases = [
         release for release in trace.releases
--- a/packages/replay/src/trefoilroad_replay/report.py
+++ b/packages/replay/src/trefoilroad_replay/report.py
@@ -15,6 +15,7 @@
 from trefoilroad_replay import measures
 from trefoilroad_replay import plots
 from trefoilroad_replay import policies
+from trefoilroad_replay import reference
 from trefoilroad_replay import replayer
 from trefoilroad_replay import results
 from trefoilroad_replay import targets
@@ -53,6 +54,11 @@
                              policy=policy).run()
 
 
+def measure_known_use(path: pathlib.Path) -> float:
+    """Measures the use of a schedule that knows the run times of a trace."""
+    return reference.measure_known_use(_read_trace(path))
+
+
 def run(paths: dict[str,
                     pathlib.Path], names: Iterable[str], chosen: Iterable[str],
         jobs: int, failures: list[str]) -> Iterator[measures.Measures]:
@@ -72,6 +78,9 @@
     bases = {name: _read_trace(paths[name]).base for name in names}
     needed = sorted({*names, *filter(None, bases.values())})
     with futures.ProcessPoolExecutor(max_workers=jobs) as pool:
+        known = {
+            name: pool.submit(measure_known_use, paths[name]) for name in names
+        }
         tasks: dict[str, dict[str, futures.Future[results.Replay]]] = {}
         for policy in chosen:
             tasks[policy] = {}
@@ -88,7 +97,8 @@
             for name in names:
                 if name in records:
                     base = records.get(bases[name])
-                    yield measures.measure(records[name], base)
+                    yield measures.measure(records[name], base,
+                                           known[name].result())
 
 
 def _format(value: float, digits: int = 2) -> str:
--- a/packages/replay/tests/test_measures.py
+++ b/packages/replay/tests/test_measures.py
@@ -44,7 +44,7 @@
         release("r1", "urgent", run_s=100.0),
         release("r2", "urgent", at_s=100.0, run_s=100.0))
     record = build_replay(trace, {"r1": (1, 101), "r2": (200, 300)})
-    figures = measures.measure(record, None)
+    figures = measures.measure(record, None, math.nan)
     assert figures.completion.worst == 200.0
     assert figures.slowdown.worst == 2.0
     assert figures.urgent_start.p99 == 100.0
@@ -72,7 +72,7 @@
                                  name="flood",
                                  base="small",
                                  disturbing=["knit"])
-    figures = measures.measure(build_replay(trace, late), base)
+    figures = measures.measure(build_replay(trace, late), base, math.nan)
     assert figures.floods.completion == pytest.approx(3.0)
     # By the last release, 9 requests had ended in the base and 7 in the flood.
     assert figures.floods.throughput == pytest.approx(7 / 9)
@@ -92,10 +92,10 @@
     ]
     times = {each["id"]: (0, each["run_s"]) for each in work}
     trace = builders.build_trace(*work)
-    figures = measures.measure(build_replay(trace, times), None)
+    figures = measures.measure(build_replay(trace, times), None, math.nan)
     assert (figures.small_ratio, figures.jain) == (1.0, pytest.approx(1.0))
     times |= {"s1": (990, 1000), "s2": (990, 1000)}
-    figures = measures.measure(build_replay(trace, times), None)
+    figures = measures.measure(build_replay(trace, times), None, math.nan)
     assert figures.small_ratio == 100.0
     assert figures.jain < 0.6
 
@@ -114,7 +114,7 @@
     record = build_replay(builders.build_trace(*work), times)
     # Ahead are 299 s of the whole fleet, the longest run, and of the other
     # team no more than the gang's own 50 s of the whole fleet.
-    figures = measures.measure(record, None)
+    figures = measures.measure(record, None, math.nan)
     bound_s = 2 * 299 + 50
     assert figures.large_over_s == max(0.0, start_s - 1 - bound_s)
     assert (figures.large_over_s <= 0) is is_met
@@ -130,7 +130,8 @@
             "start_p99_s": 1.4,
             "end_within_s": 5
         })
-    figures = measures.measure(build_replay(trace, {"r1": (2, 102)}), None)
+    figures = measures.measure(build_replay(trace, {"r1": (2, 102)}), None,
+                               math.nan)
     assert len(figures.unmet) == 3
 
 
@@ -140,5 +141,5 @@
     trace = builders.build_trace(release("r1", "once", run_s=10.0),
                                  release("r2", "route", run_s=100.0),
                                  release("r3", "once", at_s=100.0, run_s=1.0))
-    assert reference.measure_known_use(trace, 100.0) == 1600.0
+    assert reference.measure_known_use(trace) == 1600.0
     assert math.isnan(figures_module.spread([]).p95)
