Make the process tests sharper

Trials with faults put into scratch copies: a node without the condition on the configuration passed (it had learned of the change first) and an edge that called a lost commit not run passed (the client tried again). Both are found now.

--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -149,6 +149,22 @@
     assert_all_right(cluster, people, [ask])
 
 
+def post_request(address, key):
+    """Submits to one node without any retry."""
+    headers = {"Authorization": f"Bearer {TEAM_TOKEN}", "Idempotency-Key": key}
+    return httpx.post(f"http://{address}/v1/requests",
+                      headers=headers,
+                      json={
+                          "template": "photo-check",
+                          "payload": {
+                              "run_s": 0.1,
+                              "answer": ""
+                          }
+                      },
+                      timeout=10.0,
+                      trust_env=False)
+
+
 def test_lost_answers_of_the_store(cluster, people):
     """Guards against requests that are lost or doubled by a lost answer."""
     cluster.platform.set_faults({
@@ -165,6 +181,25 @@
     assert [counts[ask.request_id] for ask in once] == [1] * len(once)
 
 
+def test_unknown_result_is_not_called_not_run(cluster):
+    """Guards against "not run" for a request that is on record."""
+    _, (node, *_) = split_nodes(cluster)
+    cluster.platform.set_faults({
+        "mode": "lose_answers",
+        "kinds": ["table_writes", "table_reads"],
+        "nodes": [node]
+    })
+    reply = post_request(cluster.nodes[node].address, "key")
+    assert cluster.platform.read_rows("request/")
+    assert (reply.status_code, reply.json()["outcome"]) == (503, "unknown")
+    cluster.platform.set_faults()
+    processes.wait_until(
+        lambda: post_request(cluster.nodes[node].address, "key").is_success,
+        timeout_s=10.0,
+        what="a repeat finds the request")
+    assert len(cluster.platform.read_rows("request/")) == 1
+
+
 def test_store_outage_stops_no_gang(cluster, people):
     """Guards against leases that lapse because the store is down.
 
@@ -187,21 +222,6 @@
     assert_all_right(cluster, people, asks)
 
 
-def post_request(address, headers):
-    """Submits to one node without any retry."""
-    return httpx.post(f"http://{address}/v1/requests",
-                      headers=headers,
-                      json={
-                          "template": "photo-check",
-                          "payload": {
-                              "run_s": 0.1,
-                              "answer": ""
-                          }
-                      },
-                      timeout=10.0,
-                      trust_env=False)
-
-
 def test_planned_stops_cut_nothing_short(cluster, people):
     """Guards against a stop that drops running gangs or open exchanges."""
     asks = []
@@ -215,11 +235,8 @@
                 "delay_s": 0.5
             })
             before = cluster.platform.count_writes(node.name)
-            headers = {
-                "Authorization": f"Bearer {TEAM_TOKEN}",
-                "Idempotency-Key": uuid.uuid4().hex
-            }
-            future = pool.submit(post_request, node.address, headers)
+            key = uuid.uuid4().hex
+            future = pool.submit(post_request, node.address, key)
             processes.wait_until(lambda node=node, before=before: cluster.
                                  platform.count_writes(node.name) > before,
                                  timeout_s=5.0,
@@ -263,6 +280,13 @@
     took_s = time.monotonic() - begun_s
     record_property("change_s", took_s)
     assert took_s < CHANGE_LIMIT_S
+    # The node must not learn of the change before the request arrives.
+    cluster.platform.set_faults({
+        "mode": "slow",
+        "kinds": ["table_reads"],
+        "nodes": [frozen],
+        "delay_s": 1.0
+    })
     cluster.nodes[frozen].thaw()
     with pytest.raises(errors.CallRefused):
         people.submit("intake", "donor-notice", frozen)
@@ -297,35 +321,37 @@
     assert [entry.version for entry in entries] == [1, 2, 3, 4]
 
 
-def mark_listed(cluster, worker_id):
-    cluster.platform.change_vm(worker_id, "leaving")
-
+def test_leaving_workers_get_no_work(cluster, people):
+    """Guards against starts on a worker that is about to go away.
 
-def mark_itself(cluster, worker_id):
-    cluster.workers.change_state([worker_id], leaving=True)
-
-
-@pytest.mark.parametrize("mark", [mark_listed, mark_itself])
-def test_leaving_worker_gets_no_work(cluster, people, mark):
-    """Guards against starts on a worker that is about to go away."""
+    One worker is marked by the VM list, another says so itself.
+    """
 
     def run_one():
         ask = people.submit("intake", "photo-check", run_s=0.0)
         return people.finish(ask).status.placement[0]
 
-    worker_id = run_one()
-    mark(cluster, worker_id)
-    marked_s = time.time()
-    while time.time() < marked_s + LEAVING_LIMIT_S + 1.0:
+    listed = run_one()
+    cluster.platform.change_vm(listed, "leaving")
+    listed_s = time.time()
+    processes.wait_until(lambda: run_one() != listed,
+                         timeout_s=LEAVING_LIMIT_S,
+                         what="another worker is chosen")
+    itself = run_one()
+    cluster.workers.change_state([itself], leaving=True)
+    itself_s = time.time()
+    while time.time() < itself_s + LEAVING_LIMIT_S + 1.0:
         run_one()
-    late = [
-        entry["worker"]
-        for entry in cluster.workers.read_history()
-        if entry["event"] == "start" and entry["wall_s"] > marked_s +
-        LEAVING_LIMIT_S
-    ]
-    assert late
-    assert worker_id not in late
+    starts = [(entry["worker"], entry["wall_s"])
+              for entry in cluster.workers.read_history()
+              if entry["event"] == "start"]
+    assert [start for start in starts if start[1] > itself_s + LEAVING_LIMIT_S]
+    for worker_id, marked_s in ((listed, listed_s), (itself, itself_s)):
+        late = [
+            start for start in starts
+            if start[0] == worker_id and start[1] > marked_s + LEAVING_LIMIT_S
+        ]
+        assert late == []
 
 
 def build_call(body, *headers, target="POST /v1/requests HTTP/1.1"):
