--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -15,6 +15,7 @@
 from trefoilroad_core import contract
 from trefoilroad_core import events
 from trefoilroad_core import fleet
+from trefoilroad_core import health
 from trefoilroad_core import job as jobs
 from trefoilroad_core import limits
 from trefoilroad_core import request
@@ -68,6 +69,7 @@
         self._owner_key = f"owner/{region}"
         self._owner_version = owner_version
         self._policy = policy
+        self._health = health.Health()
         self._rng = rng
         self._bounds = bounds or limits.Limits()
         self._taken_over_s = now_s
@@ -79,6 +81,7 @@
         self._storing: dict[str, str] = {}
         self._dirty = True
         self._last_round_s = float("-inf")
+        self._list_read_s = float("-inf")
         self._fleet = fleet.Fleet(workers=())
         self._handlers: dict[type, Callable[[Any], None]] = {
             events.RequestSeen: self._see_request,
@@ -195,6 +198,7 @@
             self._cancel(job)
 
     def _see_workers(self, event: events.WorkersSeen) -> None:
+        self._list_read_s = self._now_s
         self.links.update(event.workers, self._now_s)
         needed = {
             worker_id for job in self.jobs.values() if job.attempt is not None
@@ -337,7 +341,7 @@
         elif cancel:
             self._cancel(job)
         elif job.attempt is not None and job.attempt.phase is Phase.CLAIMING:
-            self._start(job, job.attempt)
+            self._start_claimed(job, job.attempt)
 
     def _begin_next_commit(self, job: jobs.Job) -> None:
         assert job.next_commit is not None
@@ -349,6 +353,9 @@
         """Forgets a request whose outcome is on record."""
         if job.commit is not None:
             self._commits.pop(job.commit.commit_id, None)
+            # Whoever still holds the job must not send the commit again: it
+            # would overwrite the outcome.
+            job.commit = None
         if job.attempt is not None:
             self._storing.pop(job.attempt.attempt_id, None)
             self._forget(job.attempt)
@@ -523,6 +530,20 @@
                 "reason": ""
             })
 
+    def _start_claimed(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Starts a claimed gang, unless a worker is leaving by now."""
+        leaving = any(
+            self.links.is_leaving(worker_id) for worker_id in attempt.members)
+        if leaving or self._is_list_stale():
+            self._stop(job, attempt, StopReason.LEAVING)
+        else:
+            self._start(job, attempt)
+
+    def _is_list_stale(self) -> bool:
+        """Whether the VM list is too old to tell which workers are leaving."""
+        age_s = self._now_s - self._list_read_s
+        return age_s > self._bounds.list_age_s
+
     def _start(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
         attempt.phase = Phase.STARTING
         attempt.deadline_s = self._now_s + self._bounds.start_timeout_s
@@ -637,14 +658,17 @@
     def _retry(self, job: jobs.Job, reason: StopReason, ran: request.Ran,
                text: str) -> None:
         tries = job.record["tries"] + (reason in COUNTED_REASONS)
-        if tries >= self._bounds.max_tries:
+        verdict = None
+        if reason is StopReason.TASK_FAILED:
+            verdict = self._health.judge(job.request_id)
+        if verdict is not None or tries >= self._bounds.max_tries:
+            text = f"{text}; {verdict or f'tried {tries} times'}"
             self._finish(job, request.State.FAILED, ran, text, tries=tries)
-        else:
-            self._requeue(job, reason, {
-                "tries": tries,
-                "ran": ran,
-                "reason": text
-            })
+            return
+        self._requeue(job, reason, {"tries": tries, "ran": ran, "reason": text})
+        if reason is StopReason.TASK_FAILED:
+            # Time for a bad worker to be found out by other requests.
+            job.not_before_s += self._bounds.failed_retry_s * tries
 
     def _requeue(self, job: jobs.Job, reason: StopReason,
                  changes: dict[str, Any]) -> None:
@@ -682,7 +706,8 @@
                 renew.append(attempt.attempt_id)
                 attempt.members[worker_id].basis_s = self.links.get_basis(
                     worker_id, self._now_s)
-        link.next_sync_s = self._now_s + self.links.get_sync_interval()
+        busy = bool(renew)
+        link.next_sync_s = self._now_s + self.links.get_sync_interval(busy)
         link.sync_id = self._send(worker_id, "/v1/sync", {
             "lease_s": self._bounds.lease_s,
             "renew": renew
@@ -768,6 +793,7 @@
         elif task["state"] == "finished":
             member.state = MemberState.FINISHED
             member.answer = task["answer"]
+            self._note_health(job, member, failed=False)
             if attempt.all_in(MemberState.FINISHED):
                 self._store_answer(job, attempt)
         elif task["state"] == "failed" and task["error"] == "lease_lapsed":
@@ -775,8 +801,19 @@
         elif task["state"] == "failed":
             member.state = MemberState.FAILED
             member.error = str(task.get("error", ""))
+            self._note_health(job, member, failed=True)
             self._stop(job, attempt, StopReason.TASK_FAILED)
 
+    def _note_health(self, job: jobs.Job, member: attempts.Member, *,
+                     failed: bool) -> None:
+        self._health.record(
+            health.Event(worker_id=member.worker_id,
+                         request_id=job.request_id,
+                         team=job.record["team"],
+                         template=job.record["template"],
+                         failed=failed,
+                         at_s=self._now_s))
+
     # Answers.
 
     def _store_answer(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
@@ -929,7 +966,7 @@
                                 "waited longer than its limit")
         for eviction in decisions.evictions:
             self._evict(eviction.attempt_id)
-        if self.store_suspect:
+        if self.store_suspect or self._is_list_stale():
             return
         for start in decisions.starts:
             job = self.jobs[start.request_id]
@@ -951,6 +988,7 @@
     def _build_snapshot(self) -> scheduler.Snapshot:
         excluded = self.links.get_excluded(self._now_s)
         excluded |= self.configuration.drained
+        excluded |= self._find_unhealthy()
         pending = tuple(
             self._describe_pending(job)
             for job in self.jobs.values()
@@ -967,6 +1005,16 @@
                                   configuration=self.configuration,
                                   excluded=frozenset(excluded))
 
+    def _find_unhealthy(self) -> frozenset[str]:
+        """Returns quarantined workers, and busy ones on probation."""
+        self._health.update(self._now_s, len(self._fleet.workers))
+        busy = {
+            worker_id for job in self.jobs.values() if job.attempt is not None
+            for worker_id in job.attempt.members
+        }
+        probation = self._health.find(health.Status.PROBATION)
+        return self._health.find(health.Status.QUARANTINED) | (probation & busy)
+
     def _describe_pending(self, job: jobs.Job) -> scheduler.Pending:
         record = job.record
         expires_s = job.received_s + record["wait_s"]
--- a/packages/replay/tests/test_checker.py
+++ b/packages/replay/tests/test_checker.py
@@ -177,6 +177,15 @@
     assert check(events, told_rows) == {rule}
 
 
+@pytest.mark.parametrize(("state", "count"), [("never_started", 0),
+                                              ("stopped", 1)])
+def test_only_an_unheard_of_attempt_is_stopped_without_ranks(state, count):
+    findings = []
+    line = event("stop", "a", 1.0, detail={"state": state, "checkpoint": False})
+    history.parse_events("w", [json.dumps(line)], findings)
+    assert len(findings) == count
+
+
 def test_findings_of_both_files_are_reported_together(tmp_path):
     """Guards against a misread recording being judged as clean."""
     workers, callers = tmp_path / "w.jsonl", tmp_path / "c.jsonl"
@@ -202,3 +211,23 @@
         ["--workers", str(workers), "--callers",
          str(callers)])
     assert result.exit_code == code, result.output
+
+
+def test_what_was_judged_is_counted():
+    """Guards against a rule that had nothing to judge and seems to hold."""
+    events = [*gang(), event("leaving", "a", 0.0, "")]
+    judge = checker.Checker(events=history.parse_events("w",
+                                                        map(json.dumps, events),
+                                                        []),
+                            told=history.parse_told("c", map(json.dumps, DONE),
+                                                    []),
+                            bounds=checker.Bounds())
+    assert judge.count_judged() == {
+        "requests": 1,
+        "starts": 2,
+        "gangs": 1,
+        "once": 2,
+        "not_run": 0,
+        "answers": 1,
+        "marks": 1
+    }
