--- a/packages/standins/src/trefoilroad_standins/virtual.py
+++ b/packages/standins/src/trefoilroad_standins/virtual.py
@@ -51,6 +51,7 @@
     REFUSE = "refuse"
     LOSE_COMMAND = "lose command"
     LOSE_ANSWER = "lose answer"
+    CUT_SHORT = "cut short"
 
 
 # Called with a step of the gang protocol and the worker or key it concerns.
@@ -290,7 +291,10 @@
             self._network.send(command.worker_id, self._name,
                                lambda: call.end(answered))
 
-        self._network.send(self._name, command.worker_id, arrive)
+        delay_s = self._world.command_delays.pop(verb, 0.0)
+        self._network.clock.schedule(
+            delay_s,
+            lambda: self._network.send(self._name, command.worker_id, arrive))
 
     def fetch_answer(self, worker_id: str, attempt_id: str, epoch: int,
                      on_done: node_workers.OnFetched) -> None:
@@ -420,6 +424,8 @@
         self.fates: dict[str, Fate] = {}
         # Delay of the next message between nodes by type, in seconds.
         self.message_delays: dict[str, float] = {}
+        # The same for the next command of a verb.
+        self.command_delays: dict[str, float] = {}
         self.observe: Observe = ignore_step
         checkpoints = checkpoints_module.MemoryCheckpoints()
         self.machines = {
@@ -502,6 +508,8 @@
         reply = machine.handle(verb, body, self.clock.now_s)
         self._settle(machine)
         self.observe(f"{verb} command", worker_id)
+        if fate is Fate.CUT_SHORT and isinstance(reply.document, bytes):
+            return reply._replace(document=reply.document[:-1])
         return None if fate is Fate.LOSE_ANSWER else reply
 
     def restart_worker(self, worker_id: str) -> None:
--- a/packages/standins/tests/features/p3_whole_answer.feature
+++ b/packages/standins/tests/features/p3_whole_answer.feature
@@ -24,6 +24,12 @@
     And 20 s pass
     Then "first" has no outcome yet
 
+  Scenario: An answer that is cut short between worker and owner is fetched again
+    When the next answer is cut short on its way
+    And "a" submits a "match" request "first" that runs 1 s
+    Then "first" completes with its own answer
+    And the history shows no violation
+
   Scenario Outline: A worker restarts before its answer is stored
     When at the next "<step>" the worker of "first" restarts
     And "a" submits a "draft" request "first" that runs 1 s
--- a/packages/standins/tests/features/p8_configuration.feature
+++ b/packages/standins/tests/features/p8_configuration.feature
@@ -35,6 +35,16 @@
     And 40 s pass
     Then the history shows no violation
 
+  Scenario: An owner that has not heard of a drain claims nothing against it
+    When "a" submits 20 "index" requests a second that run 0.5 s for 10 s
+    And 3 s pass
+    Then worker w001 had started something before
+    When the owner is cut off from the other nodes for 20 s
+    And an operator drains worker w001 through another node
+    And 20 s pass
+    Then worker w001 starts nothing after the drain
+    And the history shows no violation
+
   Scenario: Two operators publish at once
     When an operator publishes a change through node n1
     And an operator publishes a change through node n2
--- a/packages/standins/tests/test_features.py
+++ b/packages/standins/tests/test_features.py
@@ -119,6 +119,17 @@
                for line in scene.world.history)
 
 
+@pytest_bdd.then(
+    parsers.re(r"worker (?P<worker>\w+) starts nothing after the drain"))
+def check_drained(scene, worker):
+    # What was claimed just before is started a few messages later.
+    end_s = scene.drained_s[200] + 0.05
+    assert not [
+        line for line in scene.world.history if line["event"] == "start" and
+        line["worker"] == worker and line["at_s"] > end_s
+    ]
+
+
 @pytest_bdd.then(
     parsers.re(r"no task runs on (?P<worker>worker \w+|the (?:last )?worker of "
                r'"[^"]+")'))
--- /dev/null
+++ b/packages/standins/tests/test_mechanisms.py
@@ -0,0 +1,222 @@
+"""Each mechanism is needed: without it, the judgement reports a violation.
+
+A scene is played with the mechanism on and off. This guards against scenarios
+and checks that cannot fail.
+"""
+
+import pytest
+
+from trefoilroad_core import events
+from trefoilroad_core import owner
+from trefoilroad_core import workerlinks
+from trefoilroad_node import edge
+from trefoilroad_node import region
+from trefoilroad_replay import checker
+from trefoilroad_standins import machine
+from trefoilroad_standins import scenes
+from trefoilroad_standins import tasks
+
+SEEDS = range(1, 7)
+
+
+def play(sentences, seed=1, workers=8, guarantee="match"):
+    scene = scenes.Scene(seed=seed)
+    scene.workers = workers
+    # Requests that are not idempotent run only inside a guarantee.
+    shape = scenes.TEMPLATES[guarantee].shape
+    scene.teams["a"] = scenes.Team(workers // shape.tasks, shape)
+    scene.begin()
+    for sentence in sentences:
+        scene.act(sentence)
+    return scene
+
+
+def find_rules(sentences, seeds=(1,), **fleet):
+    """Returns the rules that are violated in some of the plays."""
+    lines = []
+    for seed in seeds:
+        lines += play(sentences, seed, **fleet).judge()
+    return {line.partition(":")[0] for line in lines}
+
+
+@pytest.fixture
+def without_epoch(monkeypatch):
+    handle = machine.Machine.handle
+
+    def forget_epoch(self, verb, body, now_s):
+        self._epoch = 0
+        return handle(self, verb, body, now_s)
+
+    monkeypatch.setattr(machine.Machine, "handle", forget_epoch)
+
+
+CUT_OWNER = ('"a" submits 16 "match" requests that run 4 s', "2 s pass",
+             "the owner is cut off from the other nodes for 20 s",
+             "the owner is cut off from the store for 20 s", "30 s pass")
+
+
+def test_epochs_are_needed_against_a_deposed_owner(request):
+    assert find_rules(CUT_OWNER, SEEDS) == set()
+    request.getfixturevalue("without_epoch")
+    assert checker.FENCING in find_rules(CUT_OWNER, SEEDS)
+
+
+@pytest.fixture
+def without_claim_conditions(monkeypatch):
+    send = owner.Owner._send_commit
+
+    def send_unconditionally(self, job, commit):
+        send(self, job, commit)
+        if commit.kind is owner.CommitKind.CLAIM:
+            effect = self._effects[-1]
+            assert isinstance(effect, events.Commit)
+            self._effects[-1] = effect._replace(conditions={})
+
+    monkeypatch.setattr(owner.Owner, "_send_commit", send_unconditionally)
+
+
+LATE_NOTICE = tuple(
+    sentence for node in ("n1", "n2", "n3")
+    for sentence in ("the next submitted message is delayed by 9 s",
+                     f'"a" submits a "match" request "r-{node}" that runs 1 s '
+                     f"through node {node}")) + ("20 s pass",)
+
+
+def test_conditions_of_a_claim_are_needed_against_late_notices(request):
+    assert find_rules(LATE_NOTICE) == set()
+    request.getfixturevalue("without_claim_conditions")
+    assert checker.AT_MOST_ONCE in find_rules(LATE_NOTICE)
+
+
+@pytest.fixture
+def without_boot(monkeypatch):
+    restart = machine.Machine.restart
+    monkeypatch.setattr(
+        machine.Machine, "restart",
+        lambda self, boot, now_s: restart(self, self.boot, now_s))
+
+
+RESTART = ('at the next "start command" that worker restarts',
+           '"a" submits a "once" request "first" that runs 3 s')
+
+
+def test_boot_ids_are_needed_against_restarts(request):
+    assert find_rules(RESTART, guarantee="once") == set()
+    request.getfixturevalue("without_boot")
+    assert checker.AT_MOST_ONCE in find_rules(RESTART, guarantee="once")
+
+
+@pytest.fixture
+def without_reservation(monkeypatch):
+    """Lets a worker start what was stopped or has lapsed before."""
+    start, reserve = machine.Machine._start, machine.Machine._reserve
+    reserved = {}
+
+    def keep(self, body, now_s, epoch):
+        reserved[self.worker_id, body["attempt"]] = body
+        return reserve(self, body, now_s, epoch)
+
+    def start_anyway(self, body, now_s, epoch):
+        known = reserved.get((self.worker_id, body["attempt"]))
+        if known and body["attempt"] not in self._tasks:
+            self._tombstones.pop(body["attempt"], None)
+            reserve(self, {**known, "ttl_s": 1e6}, now_s, epoch)
+        return start(self, body, now_s, epoch)
+
+    monkeypatch.setattr(tasks.Capacity, "covers", lambda self, other: True)
+    monkeypatch.setattr(machine.Machine, "_reserve", keep)
+    monkeypatch.setattr(machine.Machine, "_start", start_anyway)
+
+
+DELAYED = ("the next start command is delayed by 3 s",
+           '"a" submits a "once" request "first" that runs 2 s')
+
+
+def test_reservations_are_needed_against_late_starts(request):
+    assert find_rules(DELAYED, guarantee="once") == set()
+    request.getfixturevalue("without_reservation")
+    rules = find_rules(DELAYED, guarantee="once")
+    assert rules & {checker.AT_MOST_ONCE, checker.NOT_RUN}
+
+
+@pytest.fixture
+def without_lease(monkeypatch):
+    monkeypatch.setattr(
+        machine.Machine, "_predict_end", lambda self, task: task.until_s
+        if task.state == "reserved" else task.predict_end())
+
+
+CUT = ('"a" submits a "draft" request "long" that runs 60 s', "3 s pass",
+       'the last worker of "long" is cut off', "30 s pass")
+
+
+def test_leases_are_needed_against_cut_off_workers(request):
+    assert find_rules(CUT) == set()
+    request.getfixturevalue("without_lease")
+    assert checker.PARTIAL_GANG in find_rules(CUT)
+
+
+DAMAGE = (
+    'at the next "completed commit" the stored answer of "first" is damaged',
+    '"a" submits a "match" request "first" that runs 1 s', "10 s pass")
+
+
+def test_digests_are_needed_against_damaged_answers(monkeypatch):
+    assert not play(DAMAGE).callers["first"].is_done
+    monkeypatch.setattr(region, "is_whole", lambda data, answer: True)
+    assert checker.ANSWER in find_rules(DAMAGE)
+
+
+@pytest.fixture
+def without_configuration_condition(monkeypatch):
+
+    def send(self, item):
+        item.tries += 1
+        key = edge.PREFIX + item.record["request_id"]
+        self.store.commit({key: 0}, {key: item.record},
+                          lambda result: self._take_commit(item, result))
+
+    monkeypatch.setattr(edge.Edge, "_send", send)
+
+
+THAWED = ("node n3 is frozen for 12 s",
+          '"a" submits a "draft" request "held" that runs 1 s through node n3 '
+          "once", 'an operator withdraws "draft" through node n1', "30 s pass")
+
+
+def test_configuration_conditions_are_needed_against_thawed_nodes(request):
+    assert play(THAWED).count_attempts("held") == 0
+    request.getfixturevalue("without_configuration_condition")
+    assert play(THAWED).count_attempts("held") == 1
+
+
+@pytest.fixture
+def without_marks(monkeypatch):
+    monkeypatch.setattr(workerlinks.WorkerLink, "is_usable",
+                        lambda self, now_s, suspect_s: self.synced)
+
+
+LEAVING = ('"a" submits 5 "index" requests a second that run 0.8 s for 20 s',
+           "5 s pass", "worker w001 is marked as leaving in the VM list",
+           "15 s pass")
+
+
+def test_marks_are_needed_against_work_on_leaving_workers(request):
+    assert find_rules(LEAVING, workers=3) == set()
+    request.getfixturevalue("without_marks")
+    assert checker.LEAVING in find_rules(LEAVING, workers=3)
+
+
+def test_cancelling_an_unrecorded_request_is_needed(monkeypatch):
+    """A submission that arrives late must find the cancellation on record."""
+    sentences = ("node n1 is frozen for 12 s",
+                 '"a" submits a "match" request "first" that runs 2 s through '
+                 "node n1 once", "5 s pass",
+                 'the caller of "first" asks node n2 from now on', "30 s pass")
+    assert find_rules(sentences) == set()
+
+    def tell(self, record, _):
+        self._respond(edge.Response(202, edge.describe_record(record)))
+
+    monkeypatch.setattr(edge.Cancellation, "_write", tell)
+    assert checker.NOT_RUN in find_rules(sentences)
