--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/bounds.py
@@ -0,0 +1,186 @@
+"""Measures times and store load in the virtual world, over fixed seeds."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import click
+import structlog
+
+from trefoilroad_standins import scenes
+
+WARM_UP_S = 6.0
+STREAM = '"a" submits 5 "index" requests a second that run 0.8 s for 60 s'
+LOAD = '"a" submits 5 "index" requests a second that run 1 s for 150 s'
+STEP_S = 0.01
+
+
+def build_scene(seed: int,
+                *,
+                nodes: int = 3,
+                workers: int = 8,
+                gangs: int = 2) -> scenes.Scene:
+    """Builds a scene with a guaranteed and a plain team."""
+    scene = scenes.Scene(seed=seed)
+    scene.node_count, scene.workers = nodes, workers
+    scene.teams["a"] = scenes.Team(gangs, scenes.TEMPLATES["match"].shape)
+    scene.teams["b"] = scenes.Team()
+    scene.begin()
+    return scene
+
+
+def measure_takeover(seed: int, fault: str) -> float:
+    """Returns the seconds from an owner's end to its successor's first start.
+
+    Args:
+        seed: Seed of the scene.
+        fault: What the owner does.
+    """
+    scene = build_scene(seed)
+    scene.act(STREAM)
+    scene.world.run(WARM_UP_S + seed * 0.037)
+    epoch = max(line["epoch"] for line in scene.world.history)
+    begin_s = scene.world.clock.now_s
+    scene.act(f"the owner {fault}")
+    scene.world.run(20.0)
+    return min(line["at_s"]
+               for line in scene.world.history
+               if line["event"] == "start" and line["epoch"] > epoch) - begin_s
+
+
+def measure_reclaim(seed: int) -> float:
+    """Returns the seconds until two guaranteed gangs run in a full fleet."""
+    scene = build_scene(seed)
+    scene.act('"b" submits 8 "index" requests that run 60 s')
+    scene.world.run(3.0 + seed * 0.037)
+    for name in ("first", "second"):
+        scene.act(f'"a" submits a "match" request "{name}" that runs 5 s')
+    scene.world.run(20.0)
+    return max(scene.measure_start("first"), scene.measure_start("second"))
+
+
+def measure_leaving(seed: int, mark: str) -> float:
+    """Returns the seconds from a mark to the worker's last start, or 0."""
+    scene = build_scene(seed, workers=4, gangs=1)
+    scene.act(STREAM)
+    scene.world.run(WARM_UP_S + seed * 0.037)
+    begin_s = scene.world.clock.now_s
+    scene.act(mark)
+    scene.world.run(30.0)
+    starts = [
+        line["at_s"] - begin_s
+        for line in scene.world.history
+        if line["event"] == "start" and line["worker"] == "w001"
+    ]
+    return max(0.0, *starts)
+
+
+def measure_change(seed: int) -> float:
+    """Returns the seconds until all nodes but a frozen one know a change.
+
+    The node state is read here: a caller cannot see the delay, since an
+    admission under the old version is refused from the commit on.
+    """
+    scene = build_scene(seed)
+    scene.act("node n3 is frozen for 60 s")
+    scene.world.run(seed * 0.037)
+    begin_s = scene.world.clock.now_s
+    scene.act("an operator publishes a change through node n1")
+    edges = [scene.world.nodes[name].node.edge for name in ("n1", "n2")]
+    while min(edge.configuration.version for edge in edges) < 2:
+        scene.world.run(STEP_S)
+    return scene.world.clock.now_s - begin_s
+
+
+def measure_load(nodes: int, sentences: list[str],
+                 duration_s: int) -> dict[str, float]:
+    """Returns the operations a second on the store, on average and at most.
+
+    Args:
+        nodes: Number of nodes.
+        sentences: What happens before.
+        duration_s: Whole seconds to count.
+    """
+    scene = build_scene(1, nodes=nodes)
+    for sentence in sentences:
+        scene.act(sentence)
+    platform = scene.world.platform
+    counts = []
+    for _ in range(duration_s):
+        before = platform.reads, platform.writes
+        scene.world.run(1.0)
+        counts.append((platform.reads - before[0], platform.writes - before[1]))
+    reads, writes = zip(*counts, strict=True)
+    return {
+        "reads": round(sum(reads) / duration_s, 1),
+        "writes": round(sum(writes) / duration_s, 1),
+        "most_reads": max(reads),
+        "most_writes": max(writes)
+    }
+
+
+def describe(measure: Callable[..., float], seeds: int, *arguments:
+             Any) -> dict[str, float]:
+    """Returns median and maximum over seeds, in seconds."""
+    values = sorted(measure(seed, *arguments) for seed in range(1, seeds + 1))
+    return {
+        "median_s": round(values[len(values) // 2], 3),
+        "max_s": round(values[-1], 3)
+    }
+
+
+def measure_all(seeds: int) -> dict[str, Any]:
+    """Measures everything.
+
+    Args:
+        seeds: Number of seeds for each time.
+
+    Returns:
+        Results by name.
+    """
+    outage = [LOAD, "10 s pass", "the store is down for 60 s", "60 s pass"]
+    return {
+        "takeover after kill":
+            describe(measure_takeover, seeds, "is killed"),
+        "takeover after freeze":
+            describe(measure_takeover, seeds, "is frozen for 15 s"),
+        "takeover after planned stop":
+            describe(measure_takeover, seeds, "stops as planned"),
+        "reclaim":
+            describe(measure_reclaim, seeds),
+        "leaving by list with 1 s lag":
+            describe(measure_leaving, seeds,
+                     "worker w001 is marked as leaving in the VM list"),
+        "leaving by own mark":
+            describe(measure_leaving, seeds,
+                     "worker w001 says that it is leaving"),
+        "leaving by drain":
+            describe(measure_leaving, seeds,
+                     "an operator drains worker w001 through node n2"),
+        "change with one node frozen":
+            describe(measure_change, seeds),
+        "store at rest, 3 nodes":
+            measure_load(3, [], 60),
+        "store at rest, 8 nodes":
+            measure_load(8, [], 60),
+        "store at 5 submissions a second, 3 nodes":
+            measure_load(3, [LOAD, "10 s pass"], 60),
+        "store at 5 submissions a second, 8 nodes":
+            measure_load(8, [LOAD, "10 s pass"], 60),
+        "store after an outage of 60 s, 3 nodes":
+            measure_load(3, outage, 10),
+        "store after an outage of 60 s, 8 nodes":
+            measure_load(8, outage, 10)
+    }
+
+
+@click.command()
+@click.option("--seeds", default=20, show_default=True)
+def main(seeds: int) -> None:
+    """Prints the measured bounds as JSON."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    click.echo(json.dumps(measure_all(seeds), indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/tests/test_mechanisms.py
+++ b/packages/standins/tests/test_mechanisms.py
@@ -79,13 +79,13 @@
     sentence for node in ("n1", "n2", "n3")
     for sentence in ("the next submitted message is delayed by 9 s",
                      f'"a" submits a "match" request "r-{node}" that runs 1 s '
-                     f"through node {node}")) + ("20 s pass",)
+                     f"through node {node}"))
 
 
 def test_conditions_of_a_claim_are_needed_against_late_notices(request):
-    assert find_rules(LATE_NOTICE) == set()
+    assert find_rules([*LATE_NOTICE, "20 s pass"]) == set()
     request.getfixturevalue("without_claim_conditions")
-    assert checker.AT_MOST_ONCE in find_rules(LATE_NOTICE)
+    assert checker.AT_MOST_ONCE in find_rules([*LATE_NOTICE, "20 s pass"])
 
 
 @pytest.fixture
