Measure what control costs a node

A command starts real nodes beside 24 and 96 workers with eight tasks each and reads processor time, memory and bytes from counters. Templates may now ask for no accelerators.

--- a/packages/core/src/trefoilroad_core/document.py
+++ b/packages/core/src/trefoilroad_core/document.py
@@ -195,7 +195,7 @@
 
 def _read_shape(values: table.Table) -> request.Shape:
     shape = request.Shape(tasks=values.read_int("tasks", 1, MAX_TASKS),
-                          accelerators=values.read_int("accelerators", 1,
+                          accelerators=values.read_int("accelerators", 0,
                                                        MAX_ACCELERATORS),
                           cores=values.read_int("cores", 1, MAX_CORES, 1),
                           memory_gb=values.read_int("memory_gb", 1,
--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -22,6 +22,7 @@
 from trefoilroad_node import settings as node_settings
 from trefoilroad_node import store as stores
 from trefoilroad_node import timer
+from trefoilroad_node import traffic
 from trefoilroad_node import workers
 
 # Longest wait for open exchanges at a planned stop.
@@ -41,17 +42,21 @@
         self._settings = settings
         rng = random.Random()
         self._timers = timer.TimerService(rng=rng).register(self)
+        volume = traffic.Traffic()
         client = httpclient.HttpClient(timers=self._timers,
-                                       headers={"X-Node": settings.node_id})
+                                       headers={"X-Node": settings.node_id},
+                                       volume=volume)
         client.register(self)
         acceptor = node_links.Acceptor(listen=settings.link,
                                        secret=settings.link_secret,
                                        on_message=self._take_message,
-                                       timers=self._timers)
+                                       timers=self._timers,
+                                       volume=volume)
         acceptor.register(self)
         self._link_address = _with_port(settings.link, acceptor.port)
         links = node_links.WebsocketLinks(secret=settings.link_secret,
-                                          timers=self._timers)
+                                          timers=self._timers,
+                                          volume=volume)
         links.register(self)
         store = stores.HttpStore(address=settings.store,
                                  client=client,
@@ -66,6 +71,7 @@
                                 metrics=sinks.build_metrics(
                                     settings.statsd, settings.region),
                                 rng=rng)
+        self._node.operations.volume = volume
         self._api = apis.Api(listen=settings.listen,
                              edge=self._node.edge,
                              actions=self._node.operations,
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -13,6 +13,7 @@
 from circuits.web import parsers
 
 from trefoilroad_node import timer
+from trefoilroad_node import traffic
 
 MAX_CONNECTIONS = 4
 CONNECT_TIMEOUT_S = 1.0
@@ -70,12 +71,14 @@
 
     _serial = itertools.count()
 
-    def __init__(self, *, host: str, port: int, on_idle: Callable[[], Any]):
+    def __init__(self, *, host: str, port: int, on_idle: Callable[[], Any],
+                 volume: traffic.Traffic):
         channel = f"httpclient-{next(self._serial)}"
         super().__init__(channel=channel)
         self._host = host
         self._port = port
         self._on_idle = on_idle
+        self._volume = volume
         self._exchange: Exchange | None = None
         self._socket = sockets.TCPClient(channel=channel)
         self._socket.connect_timeout = CONNECT_TIMEOUT_S
@@ -113,6 +116,7 @@
 
     @circuits.handler("read")
     def _on_read(self, data: bytes) -> None:
+        self._volume.received += len(data)
         if self._exchange is None:
             return
         self._parser.execute(data, len(data))
@@ -171,19 +175,20 @@
 
     channel = "httpclient"
 
-    def __init__(self, *, timers: timer.Timers, headers: Mapping[str, str]):
+    def __init__(self, *, timers: timer.Timers, headers: Mapping[str, str],
+                 volume: traffic.Traffic):
         """Prepares the client.
 
         Args:
             timers: Ends requests that take too long.
             headers: Headers of every request.
+            volume: Counts the bytes.
         """
         super().__init__()
         self._timers = timers
         self._headers = dict(headers)
+        self._volume = volume
         self._peers: dict[str, Peer] = {}
-        self.bytes_sent = 0
-        self.bytes_received = 0
 
     def send(self, *, address: str, method: str, path: str, body: bytes,
              timeout_s: float, on_done: OnDone) -> None:
@@ -198,7 +203,7 @@
             on_done: Gets the answer, or Lost.
         """
         data = self._encode(address, method, path, body)
-        self.bytes_sent += len(data)
+        self._volume.sent += len(data)
         exchange = Exchange(data=data, on_done=on_done)
         peer = self._peers.setdefault(address, Peer())
         exchange.timeout = self._timers.call_later(
@@ -240,6 +245,7 @@
         host, _, port = address.rpartition(":")
         connection = Connection(host=host,
                                 port=int(port),
+                                volume=self._volume,
                                 on_idle=lambda: self._timers.call_later(
                                     0, lambda: self._pump(address, peer)))
         connection.register(self)
--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -25,6 +25,7 @@
 
 from trefoilroad_core import errors
 from trefoilroad_node import timer
+from trefoilroad_node import traffic
 
 MAX_MESSAGE_BYTES = 4 << 20
 CONNECT_TIMEOUT_S = 1.0
@@ -66,11 +67,12 @@
 
     _serial = itertools.count()
 
-    def __init__(self, *, address: str, secret: str):
+    def __init__(self, *, address: str, secret: str, volume: traffic.Traffic):
         channel = f"dialler-{next(self._serial)}"
         super().__init__(channel=channel)
         self.address = address
         self._secret = secret
+        self._volume = volume
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
@@ -79,7 +81,6 @@
         self._socket.connect_timeout = CONNECT_TIMEOUT_S
         self._socket.register(self)
         self._dialling = False
-        self.bytes_sent = 0
 
     @property
     def is_open(self) -> bool:
@@ -113,7 +114,7 @@
             return
         for data in self._protocol.data_to_send():
             if data:
-                self.bytes_sent += len(data)
+                self._volume.sent += len(data)
                 self.fire(net_events.write(data), self.channel)
 
     @circuits.handler("connected")
@@ -145,7 +146,7 @@
     channel = "links"
 
     def __init__(self, *, listen: str, secret: str, on_message: OnMessage,
-                 timers: timer.Timers):
+                 timers: timer.Timers, volume: traffic.Traffic):
         """Binds the address.
 
         Args:
@@ -153,18 +154,19 @@
             secret: Secret that other nodes must show.
             on_message: Gets each message.
             timers: Closes silent links.
+            volume: Counts the bytes.
         """
         super().__init__()
         host, _, port = listen.rpartition(":")
         self._secret = secret
         self._on_message = on_message
+        self._volume = volume
         self._timers = timers
         self._protocols: dict[Any, ws_server.ServerProtocol] = {}
         self._last_read_s: dict[Any, float] = {}
         self._server = sockets.TCPServer((host, int(port)),
                                          channel=self.channel)
         self._server.register(self)
-        self.bytes_received = 0
         timers.call_every(SILENCE_LIMIT_S / 2, self._close_silent)
 
     @property
@@ -188,7 +190,7 @@
         link = self._protocols.get(sock)
         if link is None:
             return
-        self.bytes_received += len(data)
+        self._volume.received += len(data)
         self._last_read_s[sock] = self._timers.read_clock()
         link.receive_data(data)
         for event in link.events_received():
@@ -256,21 +258,20 @@
 
     channel = "links-out"
 
-    def __init__(self, *, secret: str, timers: timer.Timers):
+    def __init__(self, *, secret: str, timers: timer.Timers,
+                 volume: traffic.Traffic):
         super().__init__()
         self._secret = secret
+        self._volume = volume
         self._diallers: dict[str, Dialler] = {}
         timers.call_every(REDIAL_INTERVAL_S, self._redial)
 
-    @property
-    def bytes_sent(self) -> int:
-        """Bytes sent on all links so far."""
-        return sum(dialler.bytes_sent for dialler in self._diallers.values())
-
     def set_addresses(self, addresses: set[str]) -> None:
         """See Links.set_addresses."""
         for address in addresses - self._diallers.keys():
-            dialler = Dialler(address=address, secret=self._secret)
+            dialler = Dialler(address=address,
+                              secret=self._secret,
+                              volume=self._volume)
             self._diallers[address] = dialler
             dialler.register(self)
             dialler.dial()
--- a/packages/node/src/trefoilroad_node/operations.py
+++ b/packages/node/src/trefoilroad_node/operations.py
@@ -13,6 +13,7 @@
 from trefoilroad_node import region as regions
 from trefoilroad_node import settings as node_settings
 from trefoilroad_node import store as stores
+from trefoilroad_node import traffic
 
 Response = edges.Response
 Respond = edges.Respond
@@ -52,6 +53,7 @@
         self._ask_owner = ask_owner
         self._begun_s = time.monotonic()
         self.stopping = False
+        self.volume = traffic.Traffic()
 
     def check_ready(self) -> tuple[bool, str]:
         """Tells whether the balancer should send requests here."""
@@ -76,7 +78,9 @@
             "config_version": current.configuration.version,
             "ready": self.check_ready()[0],
             "workers": len(self._region.fleet.workers),
-            "uptime_s": time.monotonic() - self._begun_s
+            "uptime_s": time.monotonic() - self._begun_s,
+            "bytes_sent": self.volume.sent,
+            "bytes_received": self.volume.received
         }
         if core is not None:
             described["jobs"] = len(core.jobs)
--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/control_cost.py
@@ -0,0 +1,207 @@
+"""Measures what control costs a node, with small stand-ins as processes.
+
+For each fleet size it starts the platform, the workers and the nodes, fills
+the fleet with long tasks, and reads processor time, resident memory and bytes
+on the wire of each node over a period, and the platform's counters.
+"""
+
+import hashlib
+import pathlib
+import tempfile
+import time
+from typing import Any
+from typing import NamedTuple
+
+import click
+import httpx
+
+from trefoilroad_standins import deployments
+from trefoilroad_standins import processes
+from trefoilroad_standins import tasks
+
+TOKEN = "control-cost-team-token"
+OPERATOR_TOKEN = "control-cost-operator-token"
+TASKS_PER_GANG = 8
+RUN_S = 3600.0
+FILL_TIMEOUT_S = 120.0
+# After the start, caches, links and leases settle for this time.
+SETTLE_S = 5.0
+
+
+class Cost(NamedTuple):
+    """What one node spent.
+
+    Attributes:
+        node: Name of the node.
+        role: "owner" or "edge".
+        cpu_share: Share of one core.
+        resident_mb: Resident memory in MB.
+        sent: Bytes sent a second.
+        received: Bytes received a second.
+    """
+
+    node: str
+    role: str
+    cpu_share: float
+    resident_mb: float
+    sent: float
+    received: float
+
+
+def build_documents(gangs: int) -> dict[str, str]:
+    """Builds documents with one team and one long-running template."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    operator = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return {
+        "operators.toml":
+            f'[[operator]]\nname = "op"\ntoken_sha256 = "{operator}"\n',
+        "templates/long.toml":
+            '[template]\nname = "long"\nidempotent = true\ncheckpoint = true\n'
+            f"priority = 5\nwait_s = 3600\ndeclared_s = {RUN_S}\n"
+            f"[template.shape]\ntasks = {TASKS_PER_GANG}\naccelerators = 0\n"
+            'cores = 1\nmemory_gb = 1\nadjacent = "none"\n',
+        "teams/load.toml":
+            f'[team]\nname = "load"\nmax_queued = {gangs + 10}\n'
+            f"max_queued_per_caller = {gangs + 10}\n"
+            f'templates = ["long"]\ntoken_sha256 = "{digest}"\n'
+    }
+
+
+def build_deployment(workers: int, nodes: int) -> deployments.Deployment:
+    """Builds a fleet of equal workers in racks of eight."""
+    capacity = tasks.Capacity(accelerators=8,
+                              cores=64,
+                              memory_gb=256,
+                              slots=TASKS_PER_GANG,
+                              connections=64)
+    return deployments.Deployment(name="cost",
+                                  region="cost",
+                                  failure_domains=3,
+                                  workers=workers,
+                                  per_rack=8,
+                                  capacity=capacity,
+                                  nodes=nodes)
+
+
+class Meter:
+    """Reads what a cluster has spent so far."""
+
+    def __init__(self, *, cluster: processes.Cluster):
+        self._cluster = cluster
+
+    def read(self) -> dict[str, dict[str, Any]]:
+        """Returns status and usage of each node."""
+        return {
+            name: self._read_status(node) | node.read_usage()._asdict()
+            for name, node in self._cluster.nodes.items()
+        }
+
+    def _read_status(self, node: processes.Node) -> dict[str, Any]:
+        reply = httpx.get(f"http://{node.address}/v1/status",
+                          headers={"Authorization": f"Bearer {TOKEN}"},
+                          trust_env=False,
+                          timeout=5.0)
+        return dict(reply.raise_for_status().json())
+
+    def count_calls(self) -> dict[str, int]:
+        """Returns reads and writes that the platform has served."""
+        reply = httpx.get(
+            f"http://127.0.0.1:{self._cluster.platform.port}/control/counters",
+            trust_env=False,
+            timeout=5.0)
+        kinds = reply.raise_for_status().json()["kinds"].values()
+        return {
+            what: sum(kind[what] for kind in kinds)
+            for what in ("reads", "writes")
+        }
+
+
+def measure(*, workers: int, nodes: int, period_s: float, fill: bool,
+            folder: pathlib.Path) -> tuple[list[Cost], dict[str, float]]:
+    """Runs one fleet and measures it.
+
+    Args:
+        workers: Number of workers.
+        nodes: Number of nodes.
+        period_s: Time over which rates are taken, in seconds.
+        fill: Whether each worker runs eight tasks.
+        folder: Where settings and logs go.
+
+    Returns:
+        The cost of each node, and calls to the platform a second.
+    """
+    with processes.Cluster(folder=folder,
+                           deployment=build_deployment(workers, nodes),
+                           operator_token=OPERATOR_TOKEN) as cluster:
+        cluster.find_owner(timeout_s=30.0)
+        operator = cluster.connect()
+        version = operator.publish(build_documents(workers), base_version=0)
+        cluster.wait_configured(int(version), timeout_s=30.0)
+        if fill:
+            fill_fleet(cluster, workers)
+        time.sleep(SETTLE_S)
+        meter = Meter(cluster=cluster)
+        before, calls = meter.read(), meter.count_calls()
+        time.sleep(period_s)
+        after, later = meter.read(), meter.count_calls()
+    costs = [
+        Cost(node=name,
+             role="owner" if row["is_owner"] else "edge",
+             cpu_share=(row["cpu_s"] - before[name]["cpu_s"]) / period_s,
+             resident_mb=row["resident_bytes"] / 1e6,
+             sent=(row["bytes_sent"] - before[name]["bytes_sent"]) / period_s,
+             received=(row["bytes_received"] - before[name]["bytes_received"]) /
+             period_s) for name, row in after.items()
+    ]
+    rates = {what: (later[what] - calls[what]) / period_s for what in calls}
+    return costs, rates
+
+
+def fill_fleet(cluster: processes.Cluster, gangs: int) -> None:
+    """Submits long gangs and waits until all run."""
+    client = cluster.connect(token=TOKEN, timeout_s=30.0)
+    for number in range(gangs):
+        client.submit(template="long",
+                      payload={"run_s": RUN_S},
+                      caller="load",
+                      key=f"gang-{number}")
+
+    def check() -> bool:
+        return all(status.state == "running" for status in client.list())
+
+    processes.wait_until(check,
+                         timeout_s=FILL_TIMEOUT_S,
+                         what="all gangs are running")
+
+
+@click.command()
+@click.option("--workers",
+              "sizes",
+              multiple=True,
+              type=int,
+              default=(24, 96),
+              show_default=True)
+@click.option("--nodes", default=3, show_default=True)
+@click.option("--period-s", default=15.0, show_default=True)
+@click.option("--idle", is_flag=True, help="Run no tasks.")
+def main(sizes: tuple[int, ...], nodes: int, period_s: float,
+         idle: bool) -> None:
+    """Prints processor share, memory and bytes a second of each node."""
+    click.echo("workers  node  role   core%   MB     sent B/s  recv B/s  "
+               "store reads/s  writes/s")
+    for workers in sizes:
+        with tempfile.TemporaryDirectory() as folder:
+            costs, rates = measure(workers=workers,
+                                   nodes=nodes,
+                                   period_s=period_s,
+                                   fill=not idle,
+                                   folder=pathlib.Path(folder))
+        for cost in costs:
+            click.echo(f"{workers:7}  {cost.node:4}  {cost.role:5}  "
+                       f"{cost.cpu_share:5.1%}  {cost.resident_mb:5.1f}  "
+                       f"{cost.sent:8.0f}  {cost.received:8.0f}  "
+                       f"{rates['reads']:13.1f}  {rates['writes']:8.1f}")
+
+
+if __name__ == "__main__":
+    main()
