node: do not call a token unknown before there is a configuration

A node that had just started answered 401 to every caller until it had read the configuration, which the client takes for final. It now answers 503 not_run.

--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -208,6 +208,13 @@
                          {"Retry-After": "1"}))
             return
         identity = self._authenticate(request)
+        if identity is None and self._edge.published.row_version == 0:
+            # Tokens are part of the configuration.
+            respond(
+                Response(
+                    503,
+                    edges.describe_refusal("no configuration is known yet")))
+            return
         if identity is None:
             respond(Response(401, {"error": "missing or unknown token"}))
             return
--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -258,6 +258,25 @@
     assert {counts[ask.request_id] for ask in asks} == {1}
 
 
+def test_started_node_without_configuration(cluster):
+    """Guards against a node that calls a valid token unknown."""
+    _, (name, *_) = split_nodes(cluster)
+    node = cluster.nodes[name]
+    node.kill()
+    cluster.platform.set_faults({
+        "mode": "down",
+        "kinds": ["table_reads"],
+        "nodes": [name]
+    })
+    node.restart()
+    reply = post_request(node.address, "key")
+    assert (reply.status_code, reply.json().get("outcome")) == (503, "not_run")
+    cluster.platform.set_faults()
+    processes.wait_until(lambda: post_request(node.address, "key").is_success,
+                         timeout_s=10.0,
+                         what="the node serves callers")
+
+
 def drop_template(documents, name):
     """Returns documents without a template, which teams must not name."""
     return {
