Teach the configuration to a node that starts in an outage

Such a node knew no team and answered 401 to valid callers until the store returned.

A node announces version 0 in its beat; whoever knows the documents now sends them. Nothing older is ever adopted, and no admission depends on it: each still needs a commit under the version in the store. Before: the caller got no outcome; after: "unknown", ask again. The virtual nodes know each other from their settings, as real ones do.

The scenario of lost answers during a publish now loses the answer of the publish itself.

--- a/packages/node/src/trefoilroad_node/node.py
+++ b/packages/node/src/trefoilroad_node/node.py
@@ -133,6 +133,12 @@
             self.region.see_request(record, int(message["version"]))
         elif kind == "beat":
             self._take_beat(message)
+        elif kind == "config" and "documents" in message:
+            self.publication.adopt(
+                {
+                    "documents": message["documents"],
+                    "version": int(message["number"])
+                }, int(message["version"]))
         elif kind == "config":
             self._check_configuration(int(message["version"]))
         elif kind == "explain":
@@ -181,6 +187,7 @@
         message: dict[str, Any] = {
             "type": "beat",
             "node": self._settings.node_id,
+            "link": self._link_address,
             "epoch": self.ownership.owner.epoch,
             "config": self.publication.current.row_version
         }
@@ -195,6 +202,8 @@
     def _take_beat(self, message: node_links.Message) -> None:
         if int(message["epoch"]) > self.ownership.owner.epoch:
             self.ownership.lose("another node knows a newer epoch")
+        if int(message["config"]) == 0:
+            self._teach_configuration(message["link"])
         self._check_configuration(int(message["config"]))
         if "waiting" in message and self.region.core is None:
             self._counts.announce({
@@ -202,6 +211,18 @@
                 for team, caller, count in message["waiting"]
             })
 
+    def _teach_configuration(self, link: str) -> None:
+        """Sends the documents to a node that started in an outage."""
+        current = self.publication.current
+        if current.row_version > 0:
+            self._links.send(
+                link, {
+                    "type": "config",
+                    "version": current.row_version,
+                    "number": current.configuration.version,
+                    "documents": dict(current.documents)
+                })
+
     def _check_configuration(self, row_version: int) -> None:
         if row_version > self.publication.current.row_version:
             self.publication.refresh()
--- a/packages/standins/src/trefoilroad_standins/virtual.py
+++ b/packages/standins/src/trefoilroad_standins/virtual.py
@@ -142,6 +142,8 @@
             return errors.CommitConflict({
                 conflict.key: conflict.version for conflict in commit.conflicts
             })
+        if "config/current" in writes:
+            self.observe("config commit", "config/current")
         for key, value in writes.items():
             if key.startswith("request/"):
                 self.observe(f"{value['state']} commit", key)
@@ -364,7 +366,7 @@
                                           failure_domain="a",
                                           listen="",
                                           link=name,
-                                          peers=(),
+                                          peers=world.node_names,
                                           link_secret="",
                                           store="",
                                           operator_token_sha256="",
@@ -414,6 +416,7 @@
             vm_lag_s: Delay of the VM list in seconds.
         """
         self.rng = random.Random(seed)
+        self.node_names = node_names
         self.clock = clocks.Clock()
         self.network = Network(clock=self.clock, rng=self.rng)
         vms = tables.VmList(lag_s=vm_lag_s, entries=entries)
--- a/packages/standins/tests/features/p8_configuration.feature
+++ b/packages/standins/tests/features/p8_configuration.feature
@@ -52,7 +52,7 @@
     Then one publish is accepted and the other refused as a clash
 
   Scenario Outline: Answers of the store are lost during a publish
-    When the store loses its next <count> answers
+    When at the next "config commit" the store loses its next <count> answers
     And an operator withdraws "draft" through node n1
     And 20 s pass
     And "a" submits a "draft" request "first" that runs 1 s through node n2 once
@@ -77,6 +77,15 @@
     Then "first" was started as 0 attempts
     And the history shows no violation
 
+  Scenario: A node that starts during an outage learns the configuration from its peers
+    When the store is down for 30 s
+    And node n3 is killed for 1 s
+    And 4 s pass
+    And "a" submits a "draft" request "first" that runs 1 s through node n3 once
+    And 6 s pass
+    Then "first" is told "unknown"
+    And the history shows no violation
+
   Scenario: A late announcement of an older version
     When the next config message is delayed by 8 s
     And an operator withdraws "draft" through node n1
--- a/packages/standins/tests/test_features.py
+++ b/packages/standins/tests/test_features.py
@@ -82,6 +82,11 @@
     assert last["digest"] == last["expected"]
 
 
+@pytest_bdd.then(parsers.re(r'"(?P<name>[\w-]+)" is told "(?P<outcome>\w+)"'))
+def check_told(scene, name, outcome):
+    assert outcome in [line["outcome"] for line in scene.callers[name].told]
+
+
 @pytest_bdd.then(parsers.re(r'"(?P<name>[\w-]+)" has no outcome yet'))
 def check_open(scene, name):
     assert not scene.callers[name].is_done
