--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -9,7 +9,6 @@
 from trefoilroad_core import placement
 from trefoilroad_core import request
 from trefoilroad_core import rounds
-from trefoilroad_core import shares as shares_module
 from trefoilroad_core import snapshot
 
 MAX_RESERVATIONS = 4
@@ -81,21 +80,18 @@
 
     def __init__(self, *, work: rounds.Round, reservations: dict[str,
                                                                  Reservation],
-                 clears: clearing.Clearing, shares: shares_module.Shares,
-                 backfill: bool, reclaim: bool):
+                 clears: clearing.Clearing, backfill: bool, reclaim: bool):
         """Prepares the pass.
 
         Args:
             work: The round; firm requests are decided already.
             reservations: Reservations by request; kept between rounds.
             clears: Stops lent gangs.
-            shares: Use and fair share of the teams.
             backfill: Whether later requests may start ahead of one that waits.
-            reclaim: Whether teams within their fair share may stop lent gangs
-                of teams beyond theirs.
+            reclaim: Whether requests may stop lent gangs of teams that use
+                more of the fleet for their weight.
         """
         self._clears = clears
-        self._shares = shares
         self._reclaim = reclaim
         self._work = work
         self._tools = work.tools
@@ -147,13 +143,11 @@
         return False
 
     def _try_reclaim(self, item: snapshot.Pending) -> bool:
-        """Stops gangs of teams beyond their share for one within its own."""
-        if not self._reclaim or not self._shares.is_within(
-                item.team, item.shape):
+        """Stops gangs of teams that use more of the fleet for their weight."""
+        if not self._reclaim:
             return False
         patience_s = PATIENCE * self._tools.accounting.estimate_s(item)
-        if (self._now_s - item.received_s < patience_s or
-                not self._clears.may_search()):
+        if self._now_s - item.received_s < patience_s:
             return False
         plan = self._clears.choose_over_share(item)
         if plan is None:
--- a/packages/core/src/trefoilroad_core/clearing.py
+++ b/packages/core/src/trefoilroad_core/clearing.py
@@ -5,12 +5,17 @@
 from trefoilroad_core import placement
 from trefoilroad_core import preemption
 from trefoilroad_core import rounds
-from trefoilroad_core import shares as shares_module
 from trefoilroad_core import snapshot
 
 MAX_SEARCHES = 16
 """Most searches for gangs to stop in one round, to bound its time."""
 
+MAX_RECLAIMS = 4
+"""Most searches for gangs of the team beyond its share in one round."""
+
+RETRY_S = 5.0
+"""Time until a search that found nothing is repeated for a request."""
+
 OVER_SHARE = 10
 """Added to the priority of gangs of teams that use more than their share.
 
@@ -26,10 +31,13 @@
         promises: Room that is being cleared, by request.
         stopping: Until when each gang that was told to stop is expected to do
             so, in seconds, by attempt.
+        retries: When to look again for room to reclaim, in seconds, by
+            request.
     """
 
     promises: dict[str, rounds.Promise]
     stopping: dict[str, float]
+    retries: dict[str, float]
 
     def update(self, state: snapshot.Snapshot, waiting: set[str]) -> None:
         """Forgets requests that have started or gone, and stopped gangs.
@@ -39,6 +47,8 @@
         """
         for request_id in [key for key in self.promises if key not in waiting]:
             del self.promises[request_id]
+        for request_id in [key for key in self.retries if key not in waiting]:
+            del self.retries[request_id]
         running = {item.attempt_id for item in state.running}
         for attempt_id, deadline_s in list(self.stopping.items()):
             if attempt_id not in running or state.now_s >= deadline_s:
@@ -48,26 +58,30 @@
 class Clearing:
     """Stops gangs for requests, and promises them the room."""
 
-    def __init__(self, *, work: rounds.Round, memory: Memory,
-                 shares: shares_module.Shares, timeout_s: float):
+    def __init__(self, *, work: rounds.Round, memory: Memory, timeout_s: float):
         """Prepares one round.
 
         Args:
             work: The round.
             memory: What is kept between rounds.
-            shares: Use and fair share of the teams.
             timeout_s: Longest time to wait for gangs to stop, in seconds.
         """
         self._work = work
         self._memory = memory
-        self._shares = shares
+        self._shares = work.shares
         self._timeout_s = timeout_s
         self._searches = 0
         self._candidates: list[preemption.Candidate] | None = None
         self._teams: dict[str, str] = {}
+        self._reclaims = 0
+        self._top = ""
+        self._spare: list[preemption.Candidate] = []
+        self._bound: placement.Capacity | None = None
         for promise in memory.promises.values():
             work.promise(promise)
-            shares.add(promise.item.team, promise.item.shape)
+        for item in work.state.running:
+            if item.attempt_id in memory.stopping:
+                work.shares.remove(item.team, item.shape)
 
     def get_promise(self, item: snapshot.Pending) -> rounds.Promise | None:
         """Returns the room that is being cleared for a request."""
@@ -113,27 +127,47 @@
 
     def choose_over_share(self,
                           item: snapshot.Pending) -> preemption.Plan | None:
-        """Chooses gangs of teams that keep their fair share without them."""
-        candidates = [
-            candidate for candidate in self._get_candidates()
-            if self._shares.can_spare(self._teams[candidate.attempt_id],
-                                      [candidate.shape])
-        ]
-        plan = self._work.tools.preemption.choose(item.shape,
-                                                  self._get_future(),
-                                                  candidates,
-                                                  self._work.tools.placer)
-        return plan if plan is not None and self._can_spare(plan) else None
-
-    def _can_spare(self, plan: preemption.Plan) -> bool:
-        teams = {self._teams[victim.attempt_id] for victim in plan.victims}
-        return all(
-            self._shares.can_spare(team, [
-                victim.shape
-                for victim in plan.victims
-                if self._teams[victim.attempt_id] == team
-            ])
-            for team in teams)
+        """Chooses gangs to stop for a request within its team's fair share.
+
+        They are gangs of the team that uses most for its weight, and leave it
+        its own fair share, so that it cannot reclaim the room in turn.
+        """
+        top = self._shares.find_top()
+        if (top is None or not self._shares.is_within(item.team, item.shape) or
+                not self._may_reclaim(item)):
+            return None
+        plan = None
+        if self._get_bound(top).can_place(item.shape):
+            self._reclaims += 1
+            plan = self._work.tools.preemption.choose(item.shape,
+                                                      self._get_future(),
+                                                      self._spare,
+                                                      self._work.tools.placer)
+        if plan is not None and self._shares.can_spare(
+                top, [victim.shape for victim in plan.victims]):
+            return plan
+        self._memory.retries[item.request_id] = (self._work.state.now_s +
+                                                 RETRY_S)
+        return None
+
+    def _may_reclaim(self, item: snapshot.Pending) -> bool:
+        retry_s = self._memory.retries.get(item.request_id, 0.0)
+        return (self._reclaims < MAX_RECLAIMS and
+                self._work.state.now_s >= retry_s)
+
+    def _get_bound(self, top: str) -> placement.Capacity:
+        """Returns the room if a team gave all gangs that it can spare."""
+        if self._bound is None or self._top != top:
+            self._top = top
+            self._spare = [
+                candidate for candidate in self._get_candidates()
+                if self._teams[candidate.attempt_id] == top and
+                self._shares.can_spare(top, [candidate.shape])
+            ]
+            self._bound = self._get_future().copy()
+            for candidate in self._spare:
+                self._bound.release(candidate.placement, candidate.shape)
+        return self._bound
 
     def clear(self, item: snapshot.Pending,
               workers: tuple[str, ...]) -> preemption.Plan | None:
@@ -152,7 +186,6 @@
             work.state.now_s + self._timeout_s, guaranteed)
         self._memory.promises[item.request_id] = promise
         work.promise(promise)
-        self._shares.add(item.team, item.shape)
         future = self._get_future()
         for victim in plan.victims:
             self._memory.stopping[victim.attempt_id] = promise.deadline_s
@@ -160,6 +193,7 @@
             self._shares.remove(self._teams[victim.attempt_id], victim.shape)
             work.evictions.append(
                 snapshot.Evict(victim.attempt_id, item.request_id))
+        self._bound = None
         self._candidates = [
             candidate for candidate in self._get_candidates()
             if candidate.attempt_id not in promise.victims
--- a/packages/core/src/trefoilroad_core/preemption.py
+++ b/packages/core/src/trefoilroad_core/preemption.py
@@ -11,6 +11,9 @@
 MAX_CANDIDATES = 400
 """Most gangs tried one by one in a search, to bound the time of a round."""
 
+MAX_RACKS = 8
+"""Most racks searched for adjacent room; those with most free come first."""
+
 
 class Candidate(NamedTuple):
     """A lent gang that may be stopped.
@@ -116,12 +119,17 @@
                candidates: Sequence[Candidate],
                placer: placement.Placer) -> Plan | None:
         """Searches the least urgent class that suffices; see Preemption."""
-        allowed = self._find_allowed(shape, capacity, candidates)
-        if allowed is None:
-            return None
+        allowed, racks = self._find_allowed(shape, capacity, candidates)
+        if shape.adjacent != "rack":
+            area = range(len(capacity.rows))
+            return self._search(shape, capacity, allowed, placer, area)
+        groups = _group_by_rack(capacity.layout, allowed)
+        now = capacity.get_view(shape).racks
+        racks.sort(key=lambda rack: (-now[rack], rack))
         plans = [
-            plan for area in self._list_areas(shape, capacity)
-            if (plan := self._search(shape, capacity, allowed, placer, area))
+            plan for rack in racks[:MAX_RACKS]
+            if (plan := self._search(shape, capacity, groups.get(rack, []),
+                                     placer, capacity.layout.racks[rack]))
         ]
         return min(plans, key=lambda plan: plan.cost, default=None)
 
@@ -150,44 +158,44 @@
 
     def _find_allowed(
             self, shape: request.Shape, capacity: placement.Capacity,
-            candidates: Sequence[Candidate]) -> list[Candidate] | None:
-        """Returns the candidates down to the priority that is needed."""
+            candidates: Sequence[Candidate]
+    ) -> tuple[list[Candidate], list[int]]:
+        """Finds the candidates down to the priority that is needed.
+
+        Returns:
+            The candidates, and the racks that could hold the gang without
+            them; no candidates if stopping all of them would not make room.
+        """
         allowed: list[Candidate] = []
-        found = False
-        for priority in sorted({item.priority for item in candidates},
-                               reverse=True):
-            layer = [item for item in candidates if item.priority == priority]
-            for item in layer:
-                capacity.release(item.placement, item.shape)
-            allowed.extend(layer)
-            found = capacity.can_place(shape)
+        racks: list[int] = []
+        found = capacity.can_place(shape)
+        layers: dict[int, list[Candidate]] = {}
+        for item in candidates:
+            layers.setdefault(item.priority, []).append(item)
+        for priority in sorted(layers, reverse=True):
             if found:
                 break
+            for item in layers[priority]:
+                capacity.release(item.placement, item.shape)
+            allowed.extend(layers[priority])
+            found = capacity.can_place(shape)
+        if found:
+            view = capacity.get_view(shape)
+            racks = [
+                rack for rack, fits in enumerate(view.racks)
+                if fits >= shape.tasks
+            ]
         for item in allowed:
             capacity.take(item.placement, item.shape)
-        return allowed if found else None
-
-    def _list_areas(self, shape: request.Shape,
-                    capacity: placement.Capacity) -> list[frozenset[str]]:
-        """Returns the sets of workers that can hold the gang."""
-        ids = capacity.layout.worker_ids
-        if shape.adjacent != "rack":
-            return [frozenset(ids)]
-        return [
-            frozenset([ids[i]
-                       for i in members])
-            for members in capacity.layout.racks
-        ]
+        return (allowed, racks) if found else ([], [])
 
     def _search(self, shape: request.Shape, capacity: placement.Capacity,
                 allowed: Sequence[Candidate], placer: placement.Placer,
-                area: frozenset[str]) -> Plan | None:
+                inside: Sequence[int]) -> Plan | None:
         """Adds gangs by how much room they give, then drops needless ones."""
-        local = [
-            item for item in allowed if not area.isdisjoint(item.placement)
-        ]
-        local.sort(key=lambda item: _rate(item, shape, area))
-        inside = [capacity.layout.index[name] for name in area]
+        ids = capacity.layout.worker_ids
+        area = frozenset([ids[i] for i in inside])
+        local = sorted(allowed, key=lambda item: _rate(item, shape, area))
         chosen: list[Candidate] = []
         for item in local[:MAX_CANDIDATES]:
             if _count(capacity, shape, inside) >= shape.tasks:
@@ -206,7 +214,7 @@
 
     def _place(self, shape: request.Shape, capacity: placement.Capacity,
                chosen: list[Candidate], placer: placement.Placer,
-               inside: list[int]) -> Plan | None:
+               inside: Sequence[int]) -> Plan | None:
         if len(inside) == len(capacity.rows):
             workers = placer.place(capacity, shape)
         else:
@@ -219,6 +227,21 @@
         return None if workers is None else Plan(workers, tuple(chosen))
 
 
+def _group_by_rack(
+        layout: placement.Layout,
+        candidates: Sequence[Candidate]) -> dict[int, list[Candidate]]:
+    groups: dict[int, list[Candidate]] = {}
+    for item in candidates:
+        racks = {
+            layout.rack_of[layout.index[name]]
+            for name in item.placement
+            if name in layout.index
+        }
+        for rack in racks:
+            groups.setdefault(rack, []).append(item)
+    return groups
+
+
 def _drop_needless(capacity: placement.Capacity, chosen: list[Candidate],
                    suffices: Callable[[], bool]) -> None:
     """Takes gangs out of a choice that suffices without them."""
@@ -231,7 +254,7 @@
 
 
 def _count(capacity: placement.Capacity, shape: request.Shape,
-           inside: list[int]) -> int:
+           inside: Sequence[int]) -> int:
     view = capacity.get_view(shape)
     if len(inside) == len(view.counts):
         return view.total
--- a/packages/core/src/trefoilroad_core/rounds.py
+++ b/packages/core/src/trefoilroad_core/rounds.py
@@ -10,6 +10,7 @@
 from trefoilroad_core import placement
 from trefoilroad_core import preemption
 from trefoilroad_core import request
+from trefoilroad_core import shares as shares_module
 from trefoilroad_core import snapshot
 
 
@@ -64,17 +65,19 @@
         future: The same once all gangs that are being stopped have gone, None
             until it is needed.
         usage: Accelerators in use by each team.
+        shares: Use and fair share of each team.
         starts: Decided starts.
         evictions: Decided evictions.
         reasons: Why each request that waits does so.
     """
 
     def __init__(self, *, state: snapshot.Snapshot, tools: Tools,
-                 free: placement.Capacity):
+                 free: placement.Capacity, shares: shares_module.Shares):
         self.state = state
         self.tools = tools
         self.free = free
         self.future: placement.Capacity | None = None
+        self.shares = shares
         self.usage = admission.Usage(state.running)
         self.starts: list[snapshot.Start] = []
         self.evictions: list[snapshot.Evict] = []
@@ -92,6 +95,7 @@
         """
         self._take(workers, item.shape)
         self.usage.add(item.team, item.shape)
+        self.shares.add(item.team, item.shape)
         self.starts.append(snapshot.Start(item.request_id, workers, guaranteed))
         self.tools.accounting.record_start(item, self.state.now_s, lent=lent)
         end_s = self.state.now_s + self.tools.accounting.estimate_s(item)
@@ -127,6 +131,7 @@
         """Takes room that is free, or will be, and counts it as in use."""
         self._take(promise.placement, promise.item.shape)
         self.usage.add(promise.item.team, promise.item.shape)
+        self.shares.add(promise.item.team, promise.item.shape)
 
     def give_back(self, promise: Promise) -> None:
         """Gives back what was taken for a promise."""
@@ -135,6 +140,7 @@
         if self.future is not None:
             self.future.release(promise.placement, shape)
         self.usage.remove(promise.item.team, shape)
+        self.shares.remove(promise.item.team, shape)
 
     def _take(self, workers: tuple[str, ...], shape: request.Shape) -> None:
         self.free.take(workers, shape)
--- a/packages/core/src/trefoilroad_core/scheduler.py
+++ b/packages/core/src/trefoilroad_core/scheduler.py
@@ -60,8 +60,8 @@
                 and may evict.
             reserve_guarantees: Whether a start must leave room for all
                 guaranteed gangs that are not in use.
-            reclaim_shares: Whether requests of teams within their fair share
-                may evict lent gangs of teams beyond theirs.
+            reclaim_shares: Whether requests may evict lent gangs of teams that
+                use more of the fleet for their weight.
             eviction_timeout_s: Longest time to wait for gangs to stop.
         """
         self._order = order
@@ -78,7 +78,7 @@
         self._fleet: object = None
         self._base = rounds.Base()
         self._misfits: dict[request.Shape, str | None] = {}
-        self._clearing = clearing.Memory({}, {})
+        self._clearing = clearing.Memory({}, {}, {})
         self._reservations: dict[str, backfill_module.Reservation] = {}
         self._reasons: dict[str, str] = {}
         self._degraded: set[str] = set()
@@ -102,40 +102,41 @@
         free = self._base.update(layout, state)
         saved = free.save()
         _limit_probation(free, state.probation)
-        work = rounds.Round(state=state, tools=self._tools, free=free)
-        self._run_passes(work, waiting)
+        weights = {
+            name: team.weight
+            for name, team in state.configuration.teams.items()
+        }
+        shares = shares_module.Shares(state=state,
+                                      accounts=self._tools.accounting,
+                                      weights=weights)
+        work = rounds.Round(state=state,
+                            tools=self._tools,
+                            free=free,
+                            shares=shares)
+        self._run_passes(work, waiting, weights)
         free.restore(saved)
         self._reasons = work.reasons
         self._degraded = {item.team for item in self._tools.ledger.degraded}
         return snapshot.Decisions(tuple(work.starts), tuple(work.evictions),
                                   tuple(refusals), tuple(expirations))
 
-    def _run_passes(self, work: rounds.Round,
-                    waiting: list[snapshot.Pending]) -> None:
+    def _run_passes(self, work: rounds.Round, waiting: list[snapshot.Pending],
+                    weights: dict[str, float]) -> None:
+        clears = clearing.Clearing(work=work,
+                                   memory=self._clearing,
+                                   timeout_s=self._eviction_timeout_s)
         items = [
             item for item in waiting
             if item.request_id in self._clearing.promises or
             work.is_within_limit(item)
         ]
-        weights = {
-            name: team.weight
-            for name, team in work.state.configuration.teams.items()
-        }
         cost = self._tools.accounting.compute_cost
         ordered = list(self._order.arrange(items, cost, weights))
-        shares = shares_module.Shares(state=work.state,
-                                      accounts=self._tools.accounting,
-                                      weights=weights)
-        clears = clearing.Clearing(work=work,
-                                   memory=self._clearing,
-                                   shares=shares,
-                                   timeout_s=self._eviction_timeout_s)
         if self._firm_first:
             ordered = firm.FirmPass(work=work, clears=clears).run(ordered)
         backfill_module.LentPass(work=work,
                                  reservations=self._reservations,
                                  clears=clears,
-                                 shares=shares,
                                  backfill=self._backfill,
                                  reclaim=self._reclaim).run(ordered)
 
--- a/packages/core/src/trefoilroad_core/shares.py
+++ b/packages/core/src/trefoilroad_core/shares.py
@@ -1,6 +1,8 @@
 """Which teams use more of the fleet than their fair share."""
 
 from collections.abc import Mapping
+from collections.abc import Sequence
+import math
 
 from trefoilroad_core import accounting
 from trefoilroad_core import request
@@ -40,13 +42,28 @@
         """Tells whether a team uses more than its fair share."""
         return self._used.get(team, 0.0) > self._fair.get(team, 0.0)
 
+    def find_top(self) -> str | None:
+        """Finds the team that uses most for its weight, if over its share."""
+        top = max(self._used, key=self._get_level, default=None)
+        return top if top is not None and self.is_over(top) else None
+
     def is_within(self, team: str, shape: request.Shape) -> bool:
         """Tells whether a team stays within its share with one more gang."""
-        rate = self._accounts.compute_rate(shape)
-        used = self._used.get(team, 0.0) + rate
-        return used <= self._fair.get(team, 0.0)
+        return (self._get_level(team) +
+                self._compute_change(team, [shape])) <= 1.0
+
+    def can_spare(self, team: str, shapes: Sequence[request.Shape]) -> bool:
+        """Tells whether a team keeps its fair share without some gangs."""
+        return (self._get_level(team) -
+                self._compute_change(team, shapes)) >= 1.0
+
+    def _get_level(self, team: str) -> float:
+        """Returns the use of a team as a part of its fair share."""
+        fair = self._fair.get(team, 0.0)
+        return self._used.get(team, 0.0) / fair if fair > 0 else math.inf
 
-    def can_spare(self, team: str, shapes: list[request.Shape]) -> bool:
-        """Tells whether a team has its fair share left without some gangs."""
-        lost = sum(map(self._accounts.compute_rate, shapes))
-        return self._used.get(team, 0.0) - lost >= self._fair.get(team, 0.0)
+    def _compute_change(self, team: str,
+                        shapes: Sequence[request.Shape]) -> float:
+        fair = self._fair.get(team, 0.0)
+        rate = sum(map(self._accounts.compute_rate, shapes))
+        return rate / fair if fair > 0 else 0.0
