--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -231,10 +231,10 @@
                 continue
             _add(rows, end.placement, end.shape, 1)
             if missing:
-                missing = {
-                    name for name in missing
-                    if placement.count_tasks(rows[name], need) < tasks[name]
-                }
+                missing.difference_update([
+                    name for name in missing.intersection(end.placement)
+                    if placement.count_tasks(rows[name], need) >= tasks[name]
+                ])
                 ready_s = math.inf if missing else end.end_s
         for other in self._reservations.values():
             if other.item.request_id not in self._drained:
--- a/packages/core/src/trefoilroad_core/clearing.py
+++ b/packages/core/src/trefoilroad_core/clearing.py
@@ -132,9 +132,11 @@
         They are gangs of the team that uses most for its weight, and leave it
         its own fair share, so that it cannot reclaim the room in turn.
         """
+        if (not self._may_reclaim(item) or
+                not self._shares.is_within(item.team, item.shape)):
+            return None
         top = self._shares.find_top()
-        if (top is None or not self._shares.is_within(item.team, item.shape) or
-                not self._may_reclaim(item)):
+        if top is None:
             return None
         plan = None
         if self._get_bound(top).can_place(item.shape):
--- a/packages/core/src/trefoilroad_core/shares.py
+++ b/packages/core/src/trefoilroad_core/shares.py
@@ -20,6 +20,8 @@
                  accounts: accounting.Accounting, weights: Mapping[str, float]):
         self._accounts = accounts
         self._used: dict[str, float] = {}
+        self._top: str | None = None
+        self._top_known = False
         for item in state.running:
             self.add(item.team, item.shape)
         active = self._used.keys() | {item.team for item in state.pending}
@@ -33,10 +35,12 @@
         """Counts a gang that starts or is promised room."""
         rate = self._accounts.compute_rate(shape)
         self._used[team] = self._used.get(team, 0.0) + rate
+        self._top_known = False
 
     def remove(self, team: str, shape: request.Shape) -> None:
         """Takes back a gang that was counted."""
         self._used[team] -= self._accounts.compute_rate(shape)
+        self._top_known = False
 
     def is_over(self, team: str) -> bool:
         """Tells whether a team uses more than its fair share."""
@@ -44,8 +48,12 @@
 
     def find_top(self) -> str | None:
         """Finds the team that uses most for its weight, if over its share."""
-        top = max(self._used, key=self._get_level, default=None)
-        return top if top is not None and self.is_over(top) else None
+        if not self._top_known:
+            self._top = max(self._used, key=self._get_level, default=None)
+            self._top_known = True
+        if self._top is None or not self.is_over(self._top):
+            return None
+        return self._top
 
     def is_within(self, team: str, shape: request.Shape) -> bool:
         """Tells whether a team stays within its share with one more gang."""
