End a request whose worker is gone before its answer was copied

Cause: while an answer is copied to the object store, only a report of the worker could show that the answer was lost. A worker that disappeared for good never reports, so the owner asked for the answer for ever and the caller never learnt an outcome.

After the lease guard of silence, work that can run again is queued again, and other work fails once its VM is gone from the list; a worker that is merely cut off may still hold the answer and is waited for. Ruled out: the lease check of running attempts, which does not cover this phase.

--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -819,9 +819,24 @@
         job.attempt.deadline_s = (self._now_s +
                                   self._compute_delay(job.backoffs))
 
+    def _check_storing(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Copies the answer again, or gives it up with its worker.
+
+        A silent worker may still hold the answer. Work that can run again
+        does not wait for it; other work waits until the VM is gone.
+        """
+        link = self.links.links.get(attempt.leader.worker_id)
+        is_gone = link is None or not link.listed
+        silent_s = self._now_s - (link.basis_s if link else float("-inf"))
+        if silent_s >= self._bounds.lease_guard_s and (
+                is_gone or job.record["idempotent"]):
+            self._lose_answer(job, attempt, attempt.leader)
+        if attempt.phase is Phase.STORING:
+            self._store_answer(job, attempt)
+
     def _lose_answer(self, job: jobs.Job, attempt: attempts.Attempt,
                      member: attempts.Member) -> None:
-        """Handles a worker that restarted before its answer was copied."""
+        """Handles a worker that lost its answer before it was copied."""
         if member is not attempt.leader or job.commit is not None:
             return
         self._storing.pop(attempt.attempt_id, None)
@@ -857,7 +872,7 @@
         elif attempt.phase is Phase.RUNNING:
             self._check_leases(job, attempt)
         elif attempt.phase is Phase.STORING and overdue:
-            self._store_answer(job, attempt)
+            self._check_storing(job, attempt)
         elif attempt.phase is Phase.STOPPING:
             self._check_stops(job, attempt)
 
--- a/packages/standins/tests/features/p3_whole_answer.feature
+++ b/packages/standins/tests/features/p3_whole_answer.feature
@@ -42,6 +42,26 @@
       | answer command |
       | stored answer  |
 
+  Scenario Outline: A worker is lost for good before its answer is stored
+    When at the next "start command" the owner hears nothing of the store for 12 s
+    And at the next "answer command" the worker of "first" is lost
+    And "a" submits a "<template>" request "first" that runs 2 s
+    Then "first" ends as "<state>"
+    And the history shows no violation
+
+    Examples:
+      | template | state     |
+      | match    | failed    |
+      | draft    | completed |
+
+  Scenario: A worker is cut off for long before its answer is stored
+    When at the next "start command" the owner hears nothing of the store for 12 s
+    And at the next "answer command" the worker of "first" is cut off for 60 s
+    And "a" submits a "match" request "first" that runs 2 s
+    Then "first" completes with its own answer
+    And "first" was started as 1 attempt
+    And the history shows no violation
+
   Scenario: A non-idempotent request whose answer was lost is reported as failed
     When the answer to the next answer command is lost
     And at the next "answer command" the worker of "first" restarts
