Ask less often about tasks that have run for long

A sync of every busy worker each second costs the owner most of its bytes, and most jobs run for hours. The interval is now a tenth of the youngest task's run time between 1 s and a third of the lease; a worker without tasks gets the longest one. The silence after which a worker gets nothing new grows from 4 to 5 s with it.

--- a/packages/core/src/trefoilroad_core/limits.py
+++ b/packages/core/src/trefoilroad_core/limits.py
@@ -20,8 +20,9 @@
         start_timeout_s: Time in which all members must acknowledge the start.
         lease_s: Life of a task on the worker without renewal.
         lease_guard_s: Time after which a task has certainly been stopped.
-        sync_interval_s: Time between two syncs of a worker that runs tasks.
-        idle_sync_interval_s: The same for a worker without tasks.
+        sync_interval_s: Shortest time between two syncs of a worker.
+        sync_age_share: Part of a task's run time after which it is looked at
+            again, if that is longer.
         first_sync_s: Time from a start to the first sync.
         sync_rate: Most syncs a second over all workers.
         suspect_s: Silence after which a worker gets no new work.
@@ -46,10 +47,10 @@
     lease_s: float = 10.0
     lease_guard_s: float = 12.0
     sync_interval_s: float = 1.0
-    idle_sync_interval_s: float = 2.0
+    sync_age_share: float = 0.1
     first_sync_s: float = 0.25
     sync_rate: float = 150.0
-    suspect_s: float = 4.0
+    suspect_s: float = 5.0
     list_age_s: float = 3.0
     unlisted_s: float = 3600.0
     round_interval_s: float = 1.0
--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -701,13 +701,16 @@
     def _sync(self, link: workerlinks.WorkerLink) -> None:
         worker_id = link.worker.worker_id
         renew = []
+        youngest_s: float | None = None
         for _, attempt in self._list_placed(worker_id):
             if attempt.phase in (Phase.STARTING, Phase.RUNNING):
                 renew.append(attempt.attempt_id)
+                age_s = self._now_s - attempt.started_s
+                youngest_s = min(age_s, youngest_s or age_s)
                 attempt.members[worker_id].basis_s = self.links.get_basis(
                     worker_id, self._now_s)
-        busy = bool(renew)
-        link.next_sync_s = self._now_s + self.links.get_sync_interval(busy)
+        link.next_sync_s = self._now_s + self.links.get_sync_interval(
+            youngest_s)
         link.sync_id = self._send(worker_id, "/v1/sync", {
             "lease_s": self._bounds.lease_s,
             "renew": renew,
--- a/packages/core/src/trefoilroad_core/workerlinks.py
+++ b/packages/core/src/trefoilroad_core/workerlinks.py
@@ -196,19 +196,22 @@
             if not link.is_usable(now_s, self._bounds.suspect_s)
         }
 
-    def get_sync_interval(self, busy: bool) -> float:
+    def get_sync_interval(self, youngest_s: float | None) -> float:
         """Returns the time to the next sync of one worker, in seconds.
 
-        It grows with the fleet so that the rate of all syncs stays bounded,
-        and stays below a third of the lease. A worker without tasks is asked
-        less often: nothing can end there.
+        What has run for long is asked about less often, so that the end of a
+        task is noticed within a fixed part of its run time. The interval also
+        grows with the fleet, which bounds the rate of all syncs, and stays
+        below a third of the lease.
 
         Args:
-            busy: Whether the worker runs anything.
+            youngest_s: Run time of the youngest task in seconds, None without
+                tasks.
         """
-        interval_s = self._bounds.sync_interval_s
-        if not busy:
-            interval_s = self._bounds.idle_sync_interval_s
+        interval_s = self._bounds.lease_s / 3
+        if youngest_s is not None:
+            interval_s = max(self._bounds.sync_interval_s,
+                             youngest_s * self._bounds.sync_age_share)
         interval_s = max(interval_s, len(self.links) / self._bounds.sync_rate)
         return min(interval_s, self._bounds.lease_s / 3)
 
