--- a/packages/core/tests/conftest.py
+++ b/packages/core/tests/conftest.py
@@ -111,6 +111,7 @@
         self.configuration = configuration
         self.now_s = 0.0
         self.excluded = frozenset()
+        self.probation = frozenset()
         self.pending = {}
         self.running = {}
 
@@ -138,7 +139,8 @@
                                pending=tuple(self.pending.values()),
                                running=tuple(self.running.values()),
                                configuration=self.configuration,
-                               excluded=self.excluded))
+                               excluded=self.excluded,
+                               probation=self.probation))
         for start in decisions.starts:
             self.run(self.pending.pop(start.request_id),
                      start.placement,
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -96,6 +96,42 @@
     assert world.started() == ["second"]
 
 
+def test_worker_on_probation_gets_one_task(build, make_world, subject):
+    """Guards against a bad worker failing many requests at once again."""
+    one = build.shape(accelerators=1)
+    world = make_world(subject, build.fleet(1, 1), build.team("a", (one, 1)))
+    world.submit(*[build.pending(shape=one, idempotent=False) for _ in "12"],
+                 *[build.pending(f"lent{i}", "b", shape=one) for i in range(3)])
+    world.probation = frozenset({"r0w0"})
+    assert len(world.started()) == 1
+    assert world.started() == []
+    world.end(*world.running)
+    assert len(world.started()) == 1
+
+
+def test_workers_on_which_a_request_failed_are_avoided(build, make_world,
+                                                       subject):
+    """Guards against a retry on the worker that may be the cause."""
+    world = make_world(subject, build.fleet(1, 3), build.team("a"))
+    avoid = frozenset({"r0w0", "r0w1"})
+    world.submit(build.pending("q", avoid=avoid))
+    assert world.decide().starts[0].placement == ("r0w2",)
+    world.submit(build.pending("p", avoid=avoid))
+    assert world.started() == ["p"]
+
+
+def test_new_owner_keeps_guarantees_and_shares(build, make_world, subject):
+    """Guards against a takeover that lends out room of running firm work."""
+    pair = build.shape(2, adjacent="rack")
+    world = make_world(subject, build.fleet(), build.team("a", (pair, 2)),
+                       build.team("b"))
+    firm = build.pending("firm", shape=pair, idempotent=False)
+    world.run(firm, ["r1w0", "r1w1"], guaranteed=True)
+    world.run(build.pending("lent", "b"), ["r0w0"])
+    world.submit(build.pending("more", shape=pair, idempotent=False))
+    assert [e.attempt_id for e in world.decide().evictions] == ["lent.1"]
+
+
 def test_baseline_starts_in_order_of_arrival(build, make_world):
     """Guards against the comparison using a mechanism under test."""
     world = make_world(scheduler.build_baseline(), build.fleet(1, 2),
