Keep reserved room out of what is reclaimed

Room that was reclaimed on a reserved rack put the reservation off.

Also refuse nothing while the list of workers is empty.

--- a/packages/core/src/trefoilroad_core/backfill.py
+++ b/packages/core/src/trefoilroad_core/backfill.py
@@ -147,10 +147,16 @@
         if not self._reclaim:
             return False
         patience_s = PATIENCE * self._tools.accounting.estimate_s(item)
-        if self._now_s - item.received_s < patience_s:
+        if (self._now_s - item.received_s < patience_s or
+                not self._clears.may_reclaim(item)):
             return False
+        own = self._reservations.get(item.request_id)
+        if own is not None:
+            self._clears.unreserve(own.placement, item.shape)
         plan = self._clears.choose_over_share(item)
         if plan is None:
+            if own is not None:
+                self._clears.reserve(own.placement, item.shape)
             return False
         self._clears.commit(item, plan, guaranteed=False)
         self._reservations.pop(item.request_id, None)
@@ -196,9 +202,13 @@
         self._unclaimed = free.copy()
         for site, shape in self._tools.ledger.list_sites():
             self._unclaimed.take(site, shape)
+        # Drained room has been taken already, the rest only for reclaiming.
+        self._clears.restart()
         for request_id, reservation in self._reservations.items():
             if request_id not in self._drained:
                 self._limit_late(reservation)
+                self._clears.reserve(reservation.placement,
+                                     reservation.item.shape)
 
     def _move(self, reservation: Reservation,
               ready_s: float) -> Reservation | None:
@@ -331,6 +341,7 @@
         if self._late is self._work.free:
             self._late = self._work.free.copy()
         self._limit_late(reservation)
+        self._clears.reserve(reservation.placement, item.shape)
         self._explain_reservation(reservation)
 
     def _plan(self,
--- a/packages/core/src/trefoilroad_core/clearing.py
+++ b/packages/core/src/trefoilroad_core/clearing.py
@@ -4,6 +4,7 @@
 
 from trefoilroad_core import placement
 from trefoilroad_core import preemption
+from trefoilroad_core import request
 from trefoilroad_core import rounds
 from trefoilroad_core import snapshot
 
@@ -132,9 +133,6 @@
         They are gangs of the team that uses most for its weight, and leave it
         its own fair share, so that it cannot reclaim the room in turn.
         """
-        if (not self._may_reclaim(item) or
-                not self._shares.is_within(item.team, item.shape)):
-            return None
         top = self._shares.find_top()
         if top is None:
             return None
@@ -152,10 +150,27 @@
                                                  RETRY_S)
         return None
 
-    def _may_reclaim(self, item: snapshot.Pending) -> bool:
+    def restart(self) -> None:
+        """Computes the room after all stops anew from what is free now."""
+        self._work.future = None
+        self._bound = None
+
+    def reserve(self, workers: tuple[str, ...], shape: request.Shape) -> None:
+        """Keeps room that is reserved for later out of further choices."""
+        self._get_future().take(workers, shape)
+        self._bound = None
+
+    def unreserve(self, workers: tuple[str, ...], shape: request.Shape) -> None:
+        """Undoes `reserve`."""
+        self._get_future().release(workers, shape)
+        self._bound = None
+
+    def may_reclaim(self, item: snapshot.Pending) -> bool:
+        """Tells whether to look for room to reclaim for a request."""
         retry_s = self._memory.retries.get(item.request_id, 0.0)
         return (self._reclaims < MAX_RECLAIMS and
-                self._work.state.now_s >= retry_s)
+                self._work.state.now_s >= retry_s and
+                self._shares.is_within(item.team, item.shape))
 
     def _get_bound(self, top: str) -> placement.Capacity:
         """Returns the room if a team gave all gangs that it can spare."""
--- a/packages/core/src/trefoilroad_core/scheduler.py
+++ b/packages/core/src/trefoilroad_core/scheduler.py
@@ -211,6 +211,9 @@
     def _find_refusal(self, item: snapshot.Pending,
                       state: snapshot.Snapshot) -> str | None:
         """Tells why a request can never start, None if it can."""
+        if not state.fleet.workers:
+            # The list of workers has not been read yet.
+            return None
         if item.shape not in self._misfits:
             misfit = placement.find_misfit(state.fleet, item.shape)
             self._misfits[item.shape] = misfit and placement.describe_misfit(
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -30,6 +30,15 @@
     assert world.decide().starts[0].placement == ("r1w0", "r1w1")
 
 
+def test_nothing_is_refused_without_a_fleet(build, make_world, subject):
+    """Guards against refusing all work before the VM list was read."""
+    world = make_world(subject, build.fleet(0), build.team("a"))
+    world.submit(build.pending("q"))
+    assert world.decide() == scheduler.Decisions()
+    world.fleet = build.fleet()
+    assert world.started() == ["q"]
+
+
 def test_expired_request_does_not_start(build, make_world, subject):
     """Guards against a start after the caller was told that it expired."""
     world = make_world(subject, build.fleet(), build.team("a"))
