Say what a refusal covers

A refused submission claimed to be final, although an earlier one with the same key, sent through another node and not answered, may still be recorded. Reading the row before each refusal was ruled out as a proof: a commit may still be under way.

--- a/packages/node/src/trefoilroad_node/edge.py
+++ b/packages/node/src/trefoilroad_node/edge.py
@@ -71,8 +71,17 @@
 
 
 def describe_refusal(reason: str) -> dict[str, Any]:
-    """Describes a request that certainly left no trace."""
-    return {"outcome": "not_run", "final": True, "ran": "no", "error": reason}
+    """Describes a submission that certainly left no record.
+
+    It says nothing of an earlier submission with the same key that got no
+    answer: only a cancellation gives certainty about that one.
+    """
+    return {
+        "outcome": "not_run",
+        "scope": "this submission",
+        "ran": "no",
+        "error": reason
+    }
 
 
 def describe_unknown(request_id: str) -> dict[str, Any]:
--- a/packages/standins/src/trefoilroad_standins/session.py
+++ b/packages/standins/src/trefoilroad_standins/session.py
@@ -133,6 +133,7 @@
         self._request_id = ""
         self._state = ""
         self._failures = 0
+        self._unanswered = False
         self._cancelled = False
 
     def step(self, now_s: float) -> float | None:
@@ -221,15 +222,18 @@
         answer = self._ask("POST", "/v1/requests", self.entry.body,
                            **{"Idempotency-Key": self.entry.key})
         if answer.status == NO_ANSWER:
+            self._unanswered = True
             self._turn()
             return
         self._tell_answer("told", answer)
         document = answer.decode()
         if answer.status in (200, 202) and "request_id" in document:
             self._accept(document)
-        elif document.get("outcome") == request.State.NOT_RUN:
+        elif (document.get("outcome") == request.State.NOT_RUN and
+              not self._unanswered):
+            # A refusal says nothing of an earlier submission without answer.
             self._end(request.State.NOT_RUN)
-        elif 400 <= answer.status < 500:
+        elif 400 <= answer.status < 500 and answer.status != 429:
             self._end(Outcome.REJECTED)
         else:
             self._turn()
