--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -149,6 +149,11 @@
                                    for job in self.jobs.values()
                                    if job.attempt is None)
 
+    def find_excluded(self) -> frozenset[str]:
+        """Returns the workers that get nothing new now."""
+        excluded = self.links.get_excluded(self._now_s)
+        return (self._find_unhealthy() | excluded | self.configuration.drained)
+
     # Rows and lists that were read.
 
     def _see_request(self, event: events.RequestSeen) -> None:
@@ -1024,9 +1029,6 @@
                        job.record["checkpoint"])
 
     def _build_snapshot(self) -> scheduler.Snapshot:
-        excluded = self.links.get_excluded(self._now_s)
-        excluded |= self.configuration.drained
-        excluded |= self._find_unhealthy()
         pending = tuple(
             self._describe_pending(job)
             for job in self.jobs.values()
@@ -1041,7 +1043,7 @@
                                   pending=pending,
                                   running=running,
                                   configuration=self.configuration,
-                                  excluded=frozenset(excluded))
+                                  excluded=self.find_excluded())
 
     def _find_unhealthy(self) -> frozenset[str]:
         """Returns quarantined workers, and busy ones on probation."""
--- a/packages/node/src/trefoilroad_node/node.py
+++ b/packages/node/src/trefoilroad_node/node.py
@@ -9,6 +9,7 @@
 
 from trefoilroad_core import errors
 from trefoilroad_core import fleet
+from trefoilroad_core import owner as owner_module
 from trefoilroad_core import request
 from trefoilroad_core import submission
 from trefoilroad_node import edge as edges
@@ -55,6 +56,7 @@
         self._timers = timers
         self._store = store
         self._links = links
+        self._metrics = metrics
         self._counts = submission.QueueCounts()
         self._question_ids = itertools.count(1)
         self._questions: dict[int, Callable[[str], None]] = {}
@@ -195,10 +197,19 @@
         if core is not None:
             counts = core.count_waiting()
             self._counts.announce(counts)
+            self._report(core, sum(counts.values()))
             message["waiting"] = [[team, caller, count]
                                   for (team, caller), count in counts.items()]
         self._links.broadcast(message)
 
+    def _report(self, core: owner_module.Owner, waiting: int) -> None:
+        self._metrics.set_level("owner.epoch", core.epoch)
+        self._metrics.set_level("owner.jobs", len(core.jobs))
+        self._metrics.set_level("owner.waiting", waiting)
+        self._metrics.set_level("owner.store_suspect", int(core.store_suspect))
+        self._metrics.set_level("owner.workers_excluded",
+                                len(core.find_excluded()))
+
     def _take_beat(self, message: node_links.Message) -> None:
         if int(message["epoch"]) > self.ownership.owner.epoch:
             self.ownership.lose("another node knows a newer epoch")
