--- a/packages/replay/src/trefoilroad_replay/report.py
+++ b/packages/replay/src/trefoilroad_replay/report.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from concurrent import futures
 import functools
+import gc
 import json
 import math
 import pathlib
@@ -48,7 +49,12 @@
         The record.
     """
     chosen = policies.POLICIES[policy]
-    return replayer.Replayer(trace=_read_trace(path),
+    trace = _read_trace(path)
+    # Collections that walk through all traces read so far would count as
+    # processor time of the rounds.
+    gc.collect()
+    gc.freeze()
+    return replayer.Replayer(trace=trace,
                              scheduler=chosen.build_scheduler(),
                              health=chosen.build_health(),
                              policy=policy).run()
