node: never open an HTTP connection again after it was closed

The client reused one component for successive connections to an address. Events of the old connection that were still queued reached the new one: an answer that came at the moment of its time limit was taken for that of the next request, and a request that was queued for writing could go out on the next connection. The store's answers are what the owner believes, so a commit or a put could count as done that never was: in a storm of faults two requests ended as completed without a stored answer, and a stop was answered with the body of another command.

A connection is now used once, and one that gets data without a request is closed.

--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -66,17 +66,29 @@
 
 
 class Connection(circuits.BaseComponent):
-    """One kept-alive connection with one request at a time."""
+    """One kept-alive TCP connection with one request at a time.
+
+    It is never opened again after it was closed: events of the old connection
+    that are still queued would be taken for those of the new one, and an
+    answer for that of another request.
+
+    Attributes:
+        closed: Whether it can take no further request.
+    """
 
     _serial = itertools.count()
 
     def __init__(self, *, host: str, port: int, on_idle: Callable[[], Any]):
         channel = f"httpclient-{next(self._serial)}"
         super().__init__(channel=channel)
+        self.closed = False
         self._host = host
         self._port = port
         self._on_idle = on_idle
         self._exchange: Exchange | None = None
+        self._dialled = False
+        self._connected = False
+        self._released = False
         self._socket = sockets.TCPClient(channel=channel)
         self._socket.connect_timeout = CONNECT_TIMEOUT_S
         self._socket.register(self)
@@ -85,15 +97,16 @@
     @property
     def idle(self) -> bool:
         """Whether it can take a request."""
-        return self._exchange is None
+        return self._exchange is None and not self.closed
 
     def send(self, exchange: Exchange) -> None:
-        """Sends a request, connecting first where needed."""
+        """Sends a request, once it is connected."""
         self._exchange = exchange
         self._parser = parsers.HttpParser(1, True)
-        if self._socket.connected:
+        if self._connected:
             self._write()
-        else:
+        elif not self._dialled:
+            self._dialled = True
             self.fire(net_events.connect(self._host, self._port), self.channel)
 
     def abort(self, exchange: Exchange, reason: str) -> None:
@@ -101,6 +114,19 @@
         if self._exchange is exchange:
             self._fail(reason)
 
+    def close(self) -> None:
+        """Closes the connection; no event of it has an effect any more."""
+        self.closed = True
+        # While it is being connected, the library cannot close it.
+        if self._connected or not self._dialled:
+            self._release()
+
+    def _release(self) -> None:
+        if not self._released:
+            self._released = True
+            self._socket._close()  # pylint: disable=protected-access
+            self.unregister()
+
     def _write(self) -> None:
         if self._exchange is None or self._exchange.ended:
             return
@@ -109,11 +135,23 @@
 
     @circuits.handler("connected")
     def _on_connected(self, *_: Any) -> None:
-        self._write()
+        self._connected = True
+        if self.closed:
+            self._release()
+        else:
+            self._write()
+
+    @circuits.handler("write", priority=10)
+    def _on_write(self, event: Any, _: bytes) -> None:
+        """Drops a queued request of a connection that is closed."""
+        if self.closed:
+            event.stop()
 
     @circuits.handler("read")
     def _on_read(self, data: bytes) -> None:
         if self._exchange is None:
+            # Nothing was asked, so the next answer could not be told apart.
+            self.close()
             return
         self._parser.execute(data, len(data))
         if self._parser.errno is not None:
@@ -122,33 +160,26 @@
             status = self._parser.get_status_code()
             body = self._parser.recv_body()
             if not self._parser.should_keep_alive():
-                self._close()
+                self.close()
             self._finish(Reply(status, body))
 
     @circuits.handler("unreachable")
     def _on_unreachable(self, *_: Any) -> None:
+        self._dialled = False
         self._fail("unreachable")
 
     @circuits.handler("disconnected")
     def _on_disconnected(self, *_: Any) -> None:
-        if self._exchange is not None:
-            self._fail("connection closed")
+        self._fail("connection closed")
 
     @circuits.handler("error")
     def _on_error(self, *_: Any) -> None:
-        if self._exchange is not None:
-            self._fail("connection error")
+        self._fail("connection error")
 
     def _fail(self, reason: str) -> None:
-        self._close()
-        exchange = self._exchange
-        if exchange is not None:
-            self._finish(Lost(exchange.sent, reason))
-
-    def _close(self) -> None:
-        # Directly and not by an event: a request that follows must not meet
-        # the old connection.
-        self._socket._close()  # pylint: disable=protected-access
+        self.close()
+        if self._exchange is not None:
+            self._finish(Lost(self._exchange.sent, reason))
 
     def _finish(self, result: Reply | Lost) -> None:
         exchange = self._exchange
@@ -210,7 +241,7 @@
         """Drops the connections to an address that is not used any more."""
         peer = self._peers.pop(address, None)
         for connection in peer.connections if peer else []:
-            connection.unregister()
+            connection.close()
 
     def _encode(self, address: str, method: str, path: str,
                 body: bytes) -> bytes:
@@ -232,6 +263,10 @@
                 connection.send(exchange)
 
     def _find_idle(self, address: str, peer: Peer) -> Connection | None:
+        peer.connections = [
+            connection for connection in peer.connections
+            if not connection.closed
+        ]
         for connection in peer.connections:
             if connection.idle:
                 return connection
--- /dev/null
+++ b/packages/node/tests/test_httpclient.py
@@ -0,0 +1,101 @@
+"""Tests of the HTTP client, on a loop of its own with a real socket."""
+
+import random
+
+import circuits
+from circuits.core import pollers
+from circuits.net import events as net_events
+from circuits.net import sockets
+import pytest
+
+from trefoilroad_node import httpclient
+from trefoilroad_node import timer
+
+REQUESTS = 400
+AT_ONCE = 8
+LIMIT_S = 20.0
+
+
+class Echo(circuits.BaseComponent):
+    """Answers each request with its path, some time later."""
+
+    channel = "echo"
+
+    def __init__(self, *, timers, draw_delay, header):
+        super().__init__()
+        self._timers = timers
+        self._draw_delay = draw_delay
+        self._header = header
+        self.server = sockets.TCPServer(("127.0.0.1", 0),
+                                        channel=self.channel).register(self)
+
+    @circuits.handler("read")
+    def _on_read(self, sock, data):
+        path = data.split()[1]
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n"
+        answer = f"{head}{self._header}\r\n".encode() + path
+        self._timers.call_later(
+            self._draw_delay(),
+            lambda: self.fire(net_events.write(sock, answer), self.channel))
+
+
+class Caller:
+    """Sends requests, several at once, and sorts the results."""
+
+    def __init__(self, *, client, address, timeout_s, on_done):
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+        self._on_done = on_done
+        self.sent = 0
+        self.results = []
+        for _ in range(AT_ONCE):
+            self.send()
+
+    def send(self):
+        self.sent += 1
+        path = f"/{self.sent}"
+        self._client.send(address=self._address,
+                          method="GET",
+                          path=path,
+                          body=b"",
+                          timeout_s=self._timeout_s,
+                          on_done=lambda result: self.take(path, result))
+
+    def take(self, path, result):
+        if isinstance(result, httpclient.Lost):
+            self.results.append("lost")
+        else:
+            own = result.body == path.encode()
+            self.results.append("own" if own else "crossed")
+        if self.sent < REQUESTS:
+            self.send()
+        elif len(self.results) == REQUESTS:
+            self._on_done()
+
+
+@pytest.mark.parametrize(
+    ("header", "timeout_s", "delays_s"),
+    [("Connection: close\r\n", 5.0, (0.0, 0.0)), ("", 5.0, (0.0, 0.01)),
+     ("", 0.03, (0.02, 0.03))],
+    ids=["closed after each answer", "kept alive", "answers at the limit"])
+def test_each_request_gets_its_own_answer(header, timeout_s, delays_s):
+    """Guards against an answer of an old connection on its successor."""
+    rng = random.Random(1)
+    root = circuits.BaseComponent()
+    pollers.EPoll().register(root)
+    timers = timer.TimerService(rng=rng).register(root)
+    client = httpclient.HttpClient(timers=timers, headers={}).register(root)
+    echo = Echo(timers=timers,
+                draw_delay=lambda: rng.uniform(*delays_s),
+                header=header).register(root)
+    caller = Caller(client=client,
+                    address=f"127.0.0.1:{echo.server.port}",
+                    timeout_s=timeout_s,
+                    on_done=root.stop)
+    timers.call_later(LIMIT_S, root.stop)
+    root.run()
+    assert len(caller.results) == REQUESTS
+    assert "crossed" not in caller.results
+    if timeout_s > 1.0:
+        assert set(caller.results) == {"own"}
