--- a/packages/core/src/trefoilroad_core/workerlinks.py
+++ b/packages/core/src/trefoilroad_core/workerlinks.py
@@ -38,6 +38,8 @@
         boot: Boot id of the latest answer, or None.
         clock_s: Worker's clock in the latest answer, or None.
         basis_s: Owner's time when that answer came.
+        digest: Worker's digest of the latest report, or empty.
+        tasks: Tasks of the latest report.
         synced: Whether a sync was answered under this owner's epoch.
         next_sync_s: Owner's time of the next sync.
         sync_id: Open sync command, or None.
@@ -51,6 +53,8 @@
         self.boot: str | None = None
         self.clock_s: float | None = None
         self.basis_s = float("-inf")
+        self.digest = ""
+        self.tasks: list[dict[str, Any]] = []
         self.synced = False
         self.next_sync_s = float("-inf")
         self.sync_id: int | None = None
@@ -154,6 +158,8 @@
         if body["boot"] != link.boot:
             link.boot = body["boot"]
             link.clock_s = None
+            link.digest = ""
+            link.tasks = []
             link.synced = False
         clock_s = body.get("clock_s")
         if clock_s is not None and (link.clock_s is None or
@@ -190,22 +196,32 @@
             if not link.is_usable(now_s, self._bounds.suspect_s)
         }
 
-    def get_sync_interval(self, busy: bool) -> float:
+    def get_sync_interval(self, youngest_s: float | None) -> float:
         """Returns the time to the next sync of one worker, in seconds.
 
-        It grows with the fleet so that the rate of all syncs stays bounded,
-        and stays below a third of the lease. A worker without tasks is asked
-        less often: nothing can end there.
+        What has run for long is asked about less often, so that the end of a
+        task is noticed within a fixed part of its run time. The interval also
+        grows with the fleet, which bounds the rate of all syncs, and stays
+        below a third of the lease.
 
         Args:
-            busy: Whether the worker runs anything.
+            youngest_s: Run time of the youngest task in seconds, None without
+                tasks.
         """
-        interval_s = self._bounds.sync_interval_s
-        if not busy:
-            interval_s = self._bounds.idle_sync_interval_s
+        interval_s = self._bounds.lease_s / 3
+        if youngest_s is not None:
+            interval_s = max(self._bounds.sync_interval_s,
+                             youngest_s * self._bounds.sync_age_share)
         interval_s = max(interval_s, len(self.links) / self._bounds.sync_rate)
         return min(interval_s, self._bounds.lease_s / 3)
 
+    def hasten_sync(self, worker_id: str, now_s: float) -> None:
+        """Plans a sync soon after a start, in case the task is a short one."""
+        link = self.links.get(worker_id)
+        if link is not None:
+            soon_s = now_s + self._bounds.first_sync_s
+            link.next_sync_s = min(link.next_sync_s, soon_s)
+
     def get_due(self, now_s: float) -> list[WorkerLink]:
         """Returns the workers whose next sync is due."""
         return [
--- a/packages/replay/src/trefoilroad_replay/reference.py
+++ b/packages/replay/src/trefoilroad_replay/reference.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import heapq
+import math
 
+from trefoilroad_core import placement
 from trefoilroad_replay import trace as trace_module
 
 Key = Callable[[trace_module.Release], float]
@@ -16,24 +18,29 @@
 """Arrival, longest first, and largest first."""
 
 
-def measure_known_use(trace: trace_module.Trace, until_s: float) -> float:
+def measure_known_use(trace: trace_module.Trace) -> float:
     """Measures the use of a schedule that knows the run times.
 
     It sees the fleet as one pool of accelerators, so it loses nothing to
     placement, and starts everything that fits in the best of ORDERS. Requests
-    that have waited for their limit are dropped, as in a replay.
+    that have waited for their limit are dropped, as in a replay, and so are
+    those that fit no empty fleet.
 
     Args:
         trace: A trace.
-        until_s: End of the time in which use is counted.
 
     Returns:
-        Accelerator seconds delivered until then.
+        Accelerator seconds delivered until the last release. NaN if the trace
+        has faults or cancellations, which the schedule does not know.
     """
+    if trace.changes or trace.outages or trace.bad or trace.cancels:
+        return math.nan
+    until_s = max(release.at_s for release in trace.releases)
     total = trace.fleet.accelerators
     releases = [
         release for release in trace.releases
-        if 0 < release.shape.total_accelerators <= total
+        if release.shape.total_accelerators and
+        placement.find_misfit(trace.fleet, release.shape) is None
     ]
     return max(_deliver(releases, total, until_s, key) for key in ORDERS)
 
