--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 STEPS ?= 1000
 
 
-.PHONY: setup demo test bench capacity soak lint format check clean
+.PHONY: setup demo playground test bench capacity soak lint format check clean
 
 setup: $(STAMP)
 
@@ -21,6 +21,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m trefoilroad_standins.demo
 
+playground: $(STAMP)
+	$(BIN)/python -m trefoilroad_standins.playground
+
 bench: $(STAMP)
 	$(BIN)/python -m trefoilroad_replay.report
 
--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/playground.py
@@ -0,0 +1,47 @@
+"""Runs an example deployment on loopback until it is interrupted."""
+
+import pathlib
+import signal
+import tempfile
+
+import click
+
+from trefoilroad_standins import deployments
+from trefoilroad_standins import processes
+
+OPERATOR_TOKENS = {
+    "nkabom": "demo-nkabom-operator-ama",
+    "kalahari": "demo-kalahari-operator-johan"
+}
+DEPLOYMENTS = {
+    deployment.name: deployment
+    for deployment in (deployments.NKABOM, deployments.KALAHARI)
+}
+
+
+@click.command()
+@click.option("--deployment",
+              type=click.Choice(sorted(DEPLOYMENTS)),
+              default="nkabom",
+              show_default=True)
+def main(deployment: str) -> None:
+    """Starts platform, workers and three nodes, and waits for Ctrl-C."""
+    token = OPERATOR_TOKENS[deployment]
+    with tempfile.TemporaryDirectory() as folder:
+        with processes.Cluster(folder=pathlib.Path(folder),
+                               deployment=DEPLOYMENTS[deployment],
+                               operator_token=token) as cluster:
+            cluster.find_owner()
+            addresses = ",".join(
+                node.address for node in cluster.nodes.values())
+            click.echo(f"export TREFOILROAD_NODES={addresses}")
+            click.echo(f"export TREFOILROAD_TOKEN={token}")
+            click.echo("ready; Ctrl-C ends everything")
+            try:
+                signal.pause()
+            except KeyboardInterrupt:
+                click.echo("stopping")
+
+
+if __name__ == "__main__":
+    main()
