--- a/packages/standins/tests/features/p6_leaving_endpoint.feature
+++ b/packages/standins/tests/features/p6_leaving_endpoint.feature
@@ -20,6 +20,18 @@
       | worker w001 says that it is leaving               |
       | an operator drains worker w001 through node n2    |
 
+  Scenario: A mark is set while the platform is down
+    When "a" submits 5 "index" requests a second that run 0.8 s for 30 s
+    And 4 s pass
+    Then worker w001 had started something before
+    When the store is down for 15 s
+    And 2 s pass
+    And worker w001 is marked as leaving in the VM list
+    And 13.01 s pass
+    And "a" submits 12 "index" requests that run 3 s
+    And 30 s pass
+    Then the history shows no violation
+
   Scenario: A drain while the owner fails
     When "a" submits 5 "index" requests a second that run 0.8 s for 20 s
     And 5 s pass
