--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -149,6 +149,11 @@
                                    for job in self.jobs.values()
                                    if job.attempt is None)
 
+    def find_excluded(self) -> frozenset[str]:
+        """Returns the workers that get nothing new now."""
+        excluded = self.links.get_excluded(self._now_s)
+        return (self._find_unhealthy() | excluded | self.configuration.drained)
+
     # Rows and lists that were read.
 
     def _see_request(self, event: events.RequestSeen) -> None:
@@ -701,13 +706,16 @@
     def _sync(self, link: workerlinks.WorkerLink) -> None:
         worker_id = link.worker.worker_id
         renew = []
+        youngest_s: float | None = None
         for _, attempt in self._list_placed(worker_id):
             if attempt.phase in (Phase.STARTING, Phase.RUNNING):
                 renew.append(attempt.attempt_id)
+                age_s = self._now_s - attempt.started_s
+                youngest_s = min(age_s, youngest_s or age_s)
                 attempt.members[worker_id].basis_s = self.links.get_basis(
                     worker_id, self._now_s)
-        busy = bool(renew)
-        link.next_sync_s = self._now_s + self.links.get_sync_interval(busy)
+        link.next_sync_s = self._now_s + self.links.get_sync_interval(
+            youngest_s)
         link.sync_id = self._send(worker_id, "/v1/sync", {
             "lease_s": self._bounds.lease_s,
             "renew": renew,
@@ -1021,9 +1029,6 @@
                        job.record["checkpoint"])
 
     def _build_snapshot(self) -> scheduler.Snapshot:
-        excluded = self.links.get_excluded(self._now_s)
-        excluded |= self.configuration.drained
-        excluded |= self._find_unhealthy()
         pending = tuple(
             self._describe_pending(job)
             for job in self.jobs.values()
@@ -1038,7 +1043,7 @@
                                   pending=pending,
                                   running=running,
                                   configuration=self.configuration,
-                                  excluded=frozenset(excluded))
+                                  excluded=self.find_excluded())
 
     def _find_unhealthy(self) -> frozenset[str]:
         """Returns quarantined workers, and busy ones on probation."""
