core: stop no gang before the request rows have been read

A new owner compared the first sync answers with the requests that it knew and stopped all other tasks. The region now tells the owner when all rows have been read; until then it stops nothing unknown and starts nothing.

--- a/packages/core/src/trefoilroad_core/events.py
+++ b/packages/core/src/trefoilroad_core/events.py
@@ -115,13 +115,17 @@
     attempt_id: str
 
 
+class RequestsRead(NamedTuple):
+    """All request rows have been read since the takeover."""
+
+
 class Tick(NamedTuple):
     """Time has passed."""
 
 
 Event = (RequestSeen | WorkersSeen | ConfigurationSeen | CommandAnswered |
          CommandLost | Committed | CommitRefused | CommitLost | RowRead |
-         AnswerStored | AnswerLost | Tick)
+         AnswerStored | AnswerLost | RequestsRead | Tick)
 
 
 class Command(NamedTuple):
--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -80,6 +80,7 @@
         self._commits: dict[int, str] = {}
         self._placed: dict[str, dict[str, jobs.Job]] = {}
         self._storing: dict[str, str] = {}
+        self._has_read = False
         self._dirty = True
         self._last_round_s = float("-inf")
         self._list_read_s = float("-inf")
@@ -96,6 +97,7 @@
             events.RowRead: self._compare_row,
             events.AnswerStored: self._finish_stored,
             events.AnswerLost: self._retry_storing,
+            events.RequestsRead: self._note_read,
             events.Tick: self._tick,
         }
 
@@ -163,6 +165,10 @@
             else:
                 self._merge(job, record, event.version)
 
+    def _note_read(self, _: events.RequestsRead) -> None:
+        self._dirty = self._dirty or not self._has_read
+        self._has_read = True
+
     def _add_job(self, record: request.Record, version: int) -> None:
         job = jobs.Job(record=record, version=version, now_s=self._now_s)
         self.jobs[job.request_id] = job
@@ -767,6 +773,9 @@
                                     command.sent_s)
             elif attempt.phase is Phase.STORING and task is None:
                 self._lose_answer(job, attempt, member)
+        if not self._has_read:
+            # What is not known yet may be a gang that has to be adopted.
+            return
         for attempt_id in reported:
             self._stop_unknown(command.worker_id, attempt_id,
                                reported[attempt_id]["state"])
@@ -993,7 +1002,7 @@
     def _run_round(self) -> None:
         self._dirty = False
         self._last_round_s = self._now_s
-        if not self._fleet.workers:
+        if not self._fleet.workers or not self._has_read:
             return
         decisions = self._policy.decide(self._build_snapshot())
         for refusal in decisions.refusals:
--- a/packages/node/src/trefoilroad_node/region.py
+++ b/packages/node/src/trefoilroad_node/region.py
@@ -129,6 +129,7 @@
                 _log.error("request row cannot be read", error=str(error))
                 continue
             self.see_request(record, row.version)
+        self._feed(events.RequestsRead())
 
     def _tick(self) -> None:
         if self.core is None:
--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -116,6 +116,22 @@
     assert takeover_s < TAKEOVER_LIMIT_S
 
 
+def test_takeover_with_a_slow_store(cluster, people):
+    """Guards against gangs that a new owner stops before it knows of them."""
+    asks = submit_mix(people, run_s=4.0)
+    wait_running(people, asks)
+    owner, _ = split_nodes(cluster)
+    cluster.platform.set_faults({
+        "mode": "slow",
+        "kinds": ["table_reads"],
+        "delay_s": 0.8
+    })
+    cluster.nodes[owner].kill()
+    cluster.find_owner()
+    cluster.platform.set_faults()
+    assert_all_right(cluster, people, asks)
+
+
 def test_frozen_owner_steps_down(cluster, people):
     """Guards against a start by an owner whose lease lapsed in a pause.
 
