--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -10,6 +10,7 @@
 
 from trefoilroad_node import httpclient
 from trefoilroad_node import timer
+from trefoilroad_node import traffic
 
 REQUESTS = 400
 AT_ONCE = 8
@@ -85,7 +86,9 @@
     root = circuits.BaseComponent()
     pollers.EPoll().register(root)
     timers = timer.TimerService(rng=rng).register(root)
-    client = httpclient.HttpClient(timers=timers, headers={}).register(root)
+    client = httpclient.HttpClient(timers=timers,
+                                   headers={},
+                                   volume=traffic.Traffic()).register(root)
     echo = Echo(timers=timers,
                 draw_delay=lambda: rng.uniform(*delays_s),
                 header=header).register(root)
