--- a/packages/core/tests/test_shares.py
+++ b/packages/core/tests/test_shares.py
@@ -72,3 +72,17 @@
     world.end(evictions[0].attempt_id[:-2], completed=False)
     assert world.started() == ["a1"]
     assert not world.running["a1"].guaranteed
+
+
+def test_urgent_flood_is_stopped_first_for_guaranteed_work(build, make_world):
+    """Guards against a flood that protects itself by declaring urgency."""
+    world = make_world(scheduler.build_default(), build.fleet(),
+                       build.team("a", (build.shape(), 1)), build.team("b"),
+                       build.team("flood"))
+    for name in ("r0w0", "r0w1", "r1w0"):
+        world.run(build.pending(name, "flood", priority=0), [name])
+    world.run(build.pending("b1", "b", priority=9), ["r1w1"])
+    world.submit(build.pending("firm"))
+    evictions = world.decide().evictions
+    assert len(evictions) == 1
+    assert evictions[0].attempt_id != "b1.1"
