--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -154,7 +154,8 @@
     def find_excluded(self) -> frozenset[str]:
         """Returns the workers that get nothing new now."""
         excluded = self.links.get_excluded(self._now_s)
-        return (self._find_unhealthy() | excluded | self.configuration.drained)
+        quarantined = self._health.find(health.Status.QUARANTINED)
+        return quarantined | excluded | self.configuration.drained
 
     # Rows and lists that were read.
 
@@ -1009,6 +1010,7 @@
         self._last_round_s = self._now_s
         if not self._fleet.workers or not self._has_read:
             return
+        self._health.update(self._now_s, len(self._fleet.workers))
         decisions = self._policy.decide(self._build_snapshot())
         for refusal in decisions.refusals:
             self._close_waiting(refusal.request_id, request.State.NOT_RUN,
@@ -1052,17 +1054,9 @@
                                   pending=pending,
                                   running=running,
                                   configuration=self.configuration,
-                                  excluded=self.find_excluded())
-
-    def _find_unhealthy(self) -> frozenset[str]:
-        """Returns quarantined workers, and busy ones on probation."""
-        self._health.update(self._now_s, len(self._fleet.workers))
-        busy = {
-            worker_id for job in self.jobs.values() if job.attempt is not None
-            for worker_id in job.attempt.members
-        }
-        probation = self._health.find(health.Status.PROBATION)
-        return self._health.find(health.Status.QUARANTINED) | (probation & busy)
+                                  excluded=self.find_excluded(),
+                                  probation=self._health.find(
+                                      health.Status.PROBATION))
 
     def _describe_pending(self, job: jobs.Job) -> scheduler.Pending:
         record = job.record
@@ -1080,7 +1074,9 @@
                                  idempotent=record["idempotent"],
                                  checkpoint=record["checkpoint"],
                                  declared_s=record["declared_s"],
-                                 attempt=record["attempt"])
+                                 attempt=record["attempt"],
+                                 avoid=self._health.find_failed_workers(
+                                     job.request_id))
 
     def _describe_running(self, job: jobs.Job,
                           attempt: attempts.Attempt) -> scheduler.Running:
--- a/packages/standins/src/trefoilroad_standins/playground.py
+++ b/packages/standins/src/trefoilroad_standins/playground.py
@@ -1,5 +1,6 @@
 """Runs an example deployment on loopback until it is interrupted."""
 
+import contextlib
 import pathlib
 import signal
 import tempfile
@@ -27,20 +28,21 @@
 def main(deployment: str) -> None:
     """Starts platform, workers and three nodes, and waits for Ctrl-C."""
     token = OPERATOR_TOKENS[deployment]
-    with tempfile.TemporaryDirectory() as folder:
-        with processes.Cluster(folder=pathlib.Path(folder),
-                               deployment=DEPLOYMENTS[deployment],
-                               operator_token=token) as cluster:
-            cluster.find_owner()
-            addresses = ",".join(
-                node.address for node in cluster.nodes.values())
-            click.echo(f"export TREFOILROAD_NODES={addresses}")
-            click.echo(f"export TREFOILROAD_TOKEN={token}")
-            click.echo("ready; Ctrl-C ends everything")
-            try:
-                signal.pause()
-            except KeyboardInterrupt:
-                click.echo("stopping")
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        cluster = stack.enter_context(
+            processes.Cluster(folder=pathlib.Path(folder),
+                              deployment=DEPLOYMENTS[deployment],
+                              operator_token=token))
+        cluster.find_owner()
+        addresses = ",".join(node.address for node in cluster.nodes.values())
+        click.echo(f"export TREFOILROAD_NODES={addresses}")
+        click.echo(f"export TREFOILROAD_TOKEN={token}")
+        click.echo("ready; Ctrl-C ends everything")
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            click.echo("stopping")
 
 
 if __name__ == "__main__":
