Keep all outgoing connections in one component

With 240 workers no node stayed owner: the library's client is a component for each connection, registering one costs time in the number of components, and a new owner connected to all workers at once. Its loop stood still for longer than the 2 s lease, another node took over and did the same; 14 s after the start the epoch was 4 and each node had used 12 s of processor time. Connections are now plain objects on the library's poller, and at most 12 syncs begin in one turn. A longer lease was ruled out, since it would only delay the same collapse.

--- a/packages/core/src/trefoilroad_core/limits.py
+++ b/packages/core/src/trefoilroad_core/limits.py
@@ -25,6 +25,7 @@
             again, if that is longer.
         first_sync_s: Time from a start to the first sync.
         sync_rate: Most syncs a second over all workers.
+        sync_burst: Most syncs begun at one moment.
         suspect_s: Silence after which a worker gets no new work.
         list_age_s: Age of the VM list from which nothing is started, since
             workers could be leaving unnoticed.
@@ -50,6 +51,7 @@
     sync_age_share: float = 0.1
     first_sync_s: float = 0.25
     sync_rate: float = 150.0
+    sync_burst: int = 12
     suspect_s: float = 5.0
     list_age_s: float = 3.0
     unlisted_s: float = 3600.0
--- a/packages/core/src/trefoilroad_core/workerlinks.py
+++ b/packages/core/src/trefoilroad_core/workerlinks.py
@@ -1,6 +1,7 @@
 """The owner's view of each worker: reachability, boot id, open commands."""
 
 from collections.abc import Iterable
+import heapq
 from typing import Any
 from typing import NamedTuple
 
@@ -223,8 +224,15 @@
             link.next_sync_s = min(link.next_sync_s, soon_s)
 
     def get_due(self, now_s: float) -> list[WorkerLink]:
-        """Returns the workers whose next sync is due."""
-        return [
+        """Returns workers whose next sync is due, the most overdue first.
+
+        Their number is bounded: a new owner must not open connections to a
+        whole fleet in one turn of its loop.
+        """
+        due = [
             link for link in self.links.values()
             if link.sync_id is None and link.next_sync_s <= now_s
         ]
+        return heapq.nsmallest(self._bounds.sync_burst,
+                               due,
+                               key=lambda link: link.next_sync_s)
--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -95,7 +95,7 @@
 class Server(servers.BaseServer):
     """The library's server without its banner, which is not a log line."""
 
-    @circuits.handler("ready")
+    @circuits.handler("ready", override=True)
     def _on_ready(self, *_: Any) -> None:
         pass
 
--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -21,6 +21,7 @@
 from trefoilroad_node import node as nodes
 from trefoilroad_node import settings as node_settings
 from trefoilroad_node import store as stores
+from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 from trefoilroad_node import workers
@@ -40,13 +41,15 @@
     def __init__(self, *, settings: node_settings.Settings):
         super().__init__()
         self._settings = settings
+        poller = pollers.EPoll().register(self)
         rng = random.Random()
         self._timers = timer.TimerService(rng=rng).register(self)
         volume = traffic.Traffic()
-        client = httpclient.HttpClient(timers=self._timers,
+        hub = streams.Streams(poller=poller).register(self)
+        client = httpclient.HttpClient(hub=hub,
+                                       timers=self._timers,
                                        headers={"X-Node": settings.node_id},
                                        volume=volume)
-        client.register(self)
         acceptor = node_links.Acceptor(listen=settings.link,
                                        secret=settings.link_secret,
                                        on_message=self._take_message,
@@ -149,7 +152,6 @@
                         level=settings.log_level,
                         node_id=settings.node_id)
     daemon = Daemon(settings=settings)
-    pollers.EPoll().register(daemon)
     _log.info("ready", **daemon.addresses)
     # For a supervisor that had the kernel choose the ports.
     click.echo(json.dumps(daemon.addresses))
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -3,20 +3,16 @@
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Mapping
-import itertools
 from typing import Any
 from typing import NamedTuple
 
-import circuits
-from circuits.net import events as net_events
-from circuits.net import sockets
 from circuits.web import parsers
 
+from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
 MAX_CONNECTIONS = 4
-CONNECT_TIMEOUT_S = 1.0
 
 
 class Reply(NamedTuple):
@@ -66,35 +62,22 @@
         self.on_done(result)
 
 
-class Connection(circuits.BaseComponent):
+class Connection(streams.Listener):
     """One kept-alive TCP connection with one request at a time.
 
-    It is never opened again after it was closed: events of the old connection
-    that are still queued would be taken for those of the new one, and an
-    answer for that of another request.
+    It is never opened again after it was closed, so that an answer that comes
+    late cannot be taken for that of another request.
 
     Attributes:
         closed: Whether it can take no further request.
     """
 
-    _serial = itertools.count()
-
-    def __init__(self, *, host: str, port: int, on_idle: Callable[[], Any],
-                 volume: traffic.Traffic):
-        channel = f"httpclient-{next(self._serial)}"
-        super().__init__(channel=channel)
+    def __init__(self, *, on_idle: Callable[[], Any], volume: traffic.Traffic):
         self.closed = False
-        self._host = host
-        self._port = port
         self._on_idle = on_idle
         self._volume = volume
+        self._stream: streams.Stream | None = None
         self._exchange: Exchange | None = None
-        self._dialled = False
-        self._connected = False
-        self._released = False
-        self._socket = sockets.TCPClient(channel=channel)
-        self._socket.connect_timeout = CONNECT_TIMEOUT_S
-        self._socket.register(self)
         self._parser = parsers.HttpParser(1, True)
 
     @property
@@ -102,15 +85,18 @@
         """Whether it can take a request."""
         return self._exchange is None and not self.closed
 
+    def open(self, hub: streams.Streams, host: str, port: int) -> None:
+        """Begins to connect."""
+        self._stream = hub.open(host, port, self)
+
     def send(self, exchange: Exchange) -> None:
         """Sends a request, once it is connected."""
         self._exchange = exchange
         self._parser = parsers.HttpParser(1, True)
-        if self._connected:
+        if self._stream is None or self.closed:
+            self._fail("unreachable")
+        elif self._stream.connected:
             self._write()
-        elif not self._dialled:
-            self._dialled = True
-            self.fire(net_events.connect(self._host, self._port), self.channel)
 
     def abort(self, exchange: Exchange, reason: str) -> None:
         """Gives up a request; its late answer is never read."""
@@ -118,40 +104,17 @@
             self._fail(reason)
 
     def close(self) -> None:
-        """Closes the connection; no event of it has an effect any more."""
+        """Closes the connection."""
         self.closed = True
-        # While it is being connected, the library cannot close it.
-        if self._connected or not self._dialled:
-            self._release()
-
-    def _release(self) -> None:
-        if not self._released:
-            self._released = True
-            self._socket._close()  # pylint: disable=protected-access
-            self.unregister()
+        if self._stream is not None:
+            self._stream.close()
 
-    def _write(self) -> None:
-        if self._exchange is None or self._exchange.ended:
-            return
-        self._exchange.sent = True
-        self.fire(net_events.write(self._exchange.data), self.channel)
-
-    @circuits.handler("connected")
-    def _on_connected(self, *_: Any) -> None:
-        self._connected = True
-        if self.closed:
-            self._release()
-        else:
-            self._write()
+    def take_connected(self) -> None:
+        """See streams.Listener."""
+        self._write()
 
-    @circuits.handler("write", priority=10)
-    def _on_write(self, event: Any, _: bytes) -> None:
-        """Drops a queued request of a connection that is closed."""
-        if self.closed:
-            event.stop()
-
-    @circuits.handler("read")
-    def _on_read(self, data: bytes) -> None:
+    def take_data(self, data: bytes) -> None:
+        """See streams.Listener."""
         self._volume.received += len(data)
         if self._exchange is None:
             # Nothing was asked, so the next answer could not be told apart.
@@ -167,18 +130,15 @@
                 self.close()
             self._finish(Reply(status, body))
 
-    @circuits.handler("unreachable")
-    def _on_unreachable(self, *_: Any) -> None:
-        self._dialled = False
-        self._fail("unreachable")
-
-    @circuits.handler("disconnected")
-    def _on_disconnected(self, *_: Any) -> None:
-        self._fail("connection closed")
+    def take_closed(self, reason: str) -> None:
+        """See streams.Listener."""
+        self._fail(reason)
 
-    @circuits.handler("error")
-    def _on_error(self, *_: Any) -> None:
-        self._fail("connection error")
+    def _write(self) -> None:
+        exchange = self._exchange
+        if exchange is not None and not exchange.ended and self._stream:
+            exchange.sent = True
+            self._stream.write(exchange.data)
 
     def _fail(self, reason: str) -> None:
         self.close()
@@ -201,21 +161,20 @@
         self.waiting: deque[Exchange] = deque()
 
 
-class HttpClient(circuits.BaseComponent):
+class HttpClient:
     """Sends requests over a few kept-alive connections to each address."""
 
-    channel = "httpclient"
-
-    def __init__(self, *, timers: timer.Timers, headers: Mapping[str, str],
-                 volume: traffic.Traffic):
+    def __init__(self, *, hub: streams.Streams, timers: timer.Timers,
+                 headers: Mapping[str, str], volume: traffic.Traffic):
         """Prepares the client.
 
         Args:
+            hub: Opens connections.
             timers: Ends requests that take too long.
             headers: Headers of every request.
             volume: Counts the bytes.
         """
-        super().__init__()
+        self._hub = hub
         self._timers = timers
         self._headers = dict(headers)
         self._volume = volume
@@ -278,12 +237,10 @@
         if len(peer.connections) >= MAX_CONNECTIONS:
             return None
         host, _, port = address.rpartition(":")
-        connection = Connection(host=host,
-                                port=int(port),
-                                volume=self._volume,
+        connection = Connection(volume=self._volume,
                                 on_idle=lambda: self._timers.call_later(
                                     0, lambda: self._pump(address, peer)))
-        connection.register(self)
+        connection.open(self._hub, host, int(port))
         peer.connections.append(connection)
         return connection
 
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -9,6 +9,7 @@
 import pytest
 
 from trefoilroad_node import httpclient
+from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
@@ -84,11 +85,13 @@
     """Guards against an answer of an old connection on its successor."""
     rng = random.Random(1)
     root = circuits.BaseComponent()
-    pollers.EPoll().register(root)
+    poller = pollers.EPoll().register(root)
+    hub = streams.Streams(poller=poller).register(root)
     timers = timer.TimerService(rng=rng).register(root)
-    client = httpclient.HttpClient(timers=timers,
+    client = httpclient.HttpClient(hub=hub,
+                                   timers=timers,
                                    headers={},
-                                   volume=traffic.Traffic()).register(root)
+                                   volume=traffic.Traffic())
     echo = Echo(timers=timers,
                 draw_delay=lambda: rng.uniform(*delays_s),
                 header=header).register(root)
