Keep the site of an adjacent guarantee in one rack

A gang without adjacency that used an adjacent guarantee kept its spread workers as the guarantee's site, and a later adjacent gang was started there. The default policy does the same where no rack has room for the first gang (ruled out: first-fit placement, which stays in one rack). Such a gang now gets no site. It may evict lent work instead of starting spread.

--- a/packages/core/src/trefoilroad_core/guarantee.py
+++ b/packages/core/src/trefoilroad_core/guarantee.py
@@ -312,15 +312,19 @@
         """Finds a site for a shape that contains the workers of a gang."""
         if not self.room.can_take(part, shape):
             return None
+        layout = self.room.layout
+        racks = {layout.rack_of[layout.index[name]] for name in part}
+        # A gang without adjacency may use an adjacent guarantee. Spread over
+        # racks it has no site, or an adjacent gang would be placed there later.
+        if shape.adjacent == "rack" and len(racks) > 1:
+            return None
         if len(part) == shape.tasks:
             return part
         room = self.room.copy()
         room.take(part, shape)
         if shape.adjacent == "rack":
-            layout = room.layout
-            rack = layout.rack_of[layout.index[part[0]]]
             room.close(
-                i for i, other in enumerate(layout.rack_of) if other != rack)
+                i for i, rack in enumerate(layout.rack_of) if rack not in racks)
         rest = self._placer.place(room,
                                   shape._replace(tasks=shape.tasks - len(part)))
         return None if rest is None else part + rest
--- a/packages/core/tests/test_guarantee.py
+++ b/packages/core/tests/test_guarantee.py
@@ -72,6 +72,28 @@
     assert len(racks) == 1
 
 
+def test_site_of_an_adjacent_guarantee_stays_in_one_rack(build, make_world):
+    """Guards against an adjacent gang on a site that spans two racks."""
+    pair = build.shape(2, adjacent="rack")
+    world = make_world(scheduler.build_default(), build.fleet(),
+                       build.team("a", (pair, 1)))
+    world.run(build.pending("x", "c"), ["r0w1"])
+    world.run(build.pending("y", "c"), ["r1w1"])
+    world.submit(build.pending("spread", shape=build.shape(2)))
+    for _ in range(2):
+        decisions = world.decide()
+        world.end(*[e.attempt_id[:-2] for e in decisions.evictions],
+                  completed=False)
+    world.end("spread")
+    world.submit(build.pending("adjacent", shape=pair))
+    for _ in range(3):
+        decisions = world.decide()
+        world.end(*[e.attempt_id[:-2] for e in decisions.evictions],
+                  completed=False)
+    workers = world.running["adjacent"].placement
+    assert len({name[:2] for name in workers}) == 1
+
+
 def test_unused_sites_move_out_of_the_way(build, make_world):
     """Guards against evicting work when another free place would do."""
     one = build.shape()
