Renew adopted leases soon after a takeover

Cause: the first sync of a new owner adopts what runs but renews nothing, and since workers with older tasks are asked less often, the next one came 3.3 s later. When a planned stop met a store outage of 4 s, the leases of the previous owner ended before that and a running gang was cut short (renewed at 10.3 s, adopted at 16.8 s, lapsed at 19.3 s, next sync at 20.1 s).

Renewing already with the first sync was ruled out: the owner knows no clock of the worker yet, so a delayed sync could extend a lease beyond what the owner can prove. The scenario "A planned stop while the store is down" failed before and passes after.

--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -794,6 +794,8 @@
             return
         member.state = MemberState.RUNNING
         member.acknowledged_s = self._now_s
+        # The lease dates from the previous owner and may end soon.
+        self.links.hasten_sync(member.worker_id, self._now_s)
         if attempt.all_in(MemberState.RUNNING):
             attempt.phase = Phase.RUNNING
             attempt.started_s = self._now_s
