Follow the refusals that cover one submission only

A refusal no longer says "final"; a caller that gives up takes "not_run" as its outcome. The start of a claimed gang checks leaving marks too, so the test without marks switches both checks off.

--- a/packages/standins/src/trefoilroad_standins/virtual_callers.py
+++ b/packages/standins/src/trefoilroad_standins/virtual_callers.py
@@ -122,7 +122,7 @@
 
     def _take_refusal(self, body: dict[str, Any]) -> None:
         self._note(body["outcome"], body)
-        if body["final"]:
+        if body["outcome"] == request.State.NOT_RUN:
             self.outcome = body["outcome"]
         else:
             self.wants_cancel = True
--- a/packages/standins/tests/test_mechanisms.py
+++ b/packages/standins/tests/test_mechanisms.py
@@ -194,6 +194,8 @@
 def without_marks(monkeypatch):
     monkeypatch.setattr(workerlinks.WorkerLink, "is_usable",
                         lambda self, now_s, suspect_s: self.synced)
+    monkeypatch.setattr(workerlinks.WorkerLinks, "is_leaving",
+                        lambda self, worker_id: False)
 
 
 LEAVING = ('"a" submits 5 "index" requests a second that run 0.8 s for 20 s',
