--- a/packages/core/src/trefoilroad_core/owner.py
+++ b/packages/core/src/trefoilroad_core/owner.py
@@ -80,6 +80,7 @@
         self._commits: dict[int, str] = {}
         self._placed: dict[str, dict[str, jobs.Job]] = {}
         self._storing: dict[str, str] = {}
+        self._has_read = False
         self._dirty = True
         self._last_round_s = float("-inf")
         self._list_read_s = float("-inf")
@@ -96,6 +97,7 @@
             events.RowRead: self._compare_row,
             events.AnswerStored: self._finish_stored,
             events.AnswerLost: self._retry_storing,
+            events.RequestsRead: self._note_read,
             events.Tick: self._tick,
         }
 
@@ -152,7 +154,8 @@
     def find_excluded(self) -> frozenset[str]:
         """Returns the workers that get nothing new now."""
         excluded = self.links.get_excluded(self._now_s)
-        return (self._find_unhealthy() | excluded | self.configuration.drained)
+        quarantined = self._health.find(health.Status.QUARANTINED)
+        return quarantined | excluded | self.configuration.drained
 
     # Rows and lists that were read.
 
@@ -168,6 +171,10 @@
             else:
                 self._merge(job, record, event.version)
 
+    def _note_read(self, _: events.RequestsRead) -> None:
+        self._dirty = self._dirty or not self._has_read
+        self._has_read = True
+
     def _add_job(self, record: request.Record, version: int) -> None:
         job = jobs.Job(record=record, version=version, now_s=self._now_s)
         self.jobs[job.request_id] = job
@@ -772,6 +779,9 @@
                                     command.sent_s)
             elif attempt.phase is Phase.STORING and task is None:
                 self._lose_answer(job, attempt, member)
+        if not self._has_read:
+            # What is not known yet may be a gang that has to be adopted.
+            return
         for attempt_id in reported:
             self._stop_unknown(command.worker_id, attempt_id,
                                reported[attempt_id]["state"])
@@ -1000,8 +1010,9 @@
     def _run_round(self) -> None:
         self._dirty = False
         self._last_round_s = self._now_s
-        if not self._fleet.workers:
+        if not self._fleet.workers or not self._has_read:
             return
+        self._health.update(self._now_s, len(self._fleet.workers))
         decisions = self._policy.decide(self._build_snapshot())
         for refusal in decisions.refusals:
             self._close_waiting(refusal.request_id, request.State.NOT_RUN,
@@ -1045,17 +1056,9 @@
                                   pending=pending,
                                   running=running,
                                   configuration=self.configuration,
-                                  excluded=self.find_excluded())
-
-    def _find_unhealthy(self) -> frozenset[str]:
-        """Returns quarantined workers, and busy ones on probation."""
-        self._health.update(self._now_s, len(self._fleet.workers))
-        busy = {
-            worker_id for job in self.jobs.values() if job.attempt is not None
-            for worker_id in job.attempt.members
-        }
-        probation = self._health.find(health.Status.PROBATION)
-        return self._health.find(health.Status.QUARANTINED) | (probation & busy)
+                                  excluded=self.find_excluded(),
+                                  probation=self._health.find(
+                                      health.Status.PROBATION))
 
     def _describe_pending(self, job: jobs.Job) -> scheduler.Pending:
         record = job.record
@@ -1073,7 +1076,9 @@
                                  idempotent=record["idempotent"],
                                  checkpoint=record["checkpoint"],
                                  declared_s=record["declared_s"],
-                                 attempt=record["attempt"])
+                                 attempt=record["attempt"],
+                                 avoid=self._health.find_failed_workers(
+                                     job.request_id))
 
     def _describe_running(self, job: jobs.Job,
                           attempt: attempts.Attempt) -> scheduler.Running:
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -9,7 +9,9 @@
 import pytest
 
 from trefoilroad_node import httpclient
+from trefoilroad_node import streams
 from trefoilroad_node import timer
+from trefoilroad_node import traffic
 
 REQUESTS = 400
 AT_ONCE = 8
@@ -83,9 +85,13 @@
     """Guards against an answer of an old connection on its successor."""
     rng = random.Random(1)
     root = circuits.BaseComponent()
-    pollers.EPoll().register(root)
+    poller = pollers.EPoll().register(root)
+    hub = streams.Streams(poller=poller).register(root)
     timers = timer.TimerService(rng=rng).register(root)
-    client = httpclient.HttpClient(timers=timers, headers={}).register(root)
+    client = httpclient.HttpClient(hub=hub,
+                                   timers=timers,
+                                   headers={},
+                                   volume=traffic.Traffic())
     echo = Echo(timers=timers,
                 draw_delay=lambda: rng.uniform(*delays_s),
                 header=header).register(root)
