Split the owner into parts with one job each

owner.py had grown to 1,091 lines. Commits, the gang protocol, syncs, answers and what follows an attempt are modules of their own now, over a shared context; the longest is gangs.py with about 440 lines.

--- /dev/null
+++ b/packages/core/src/trefoilroad_core/gangs.py
@@ -0,0 +1,438 @@
+"""The gang protocol: reserve on all workers, claim, start, stop.
+
+Each attempt goes through its phases on all members together. What a worker does
+not answer is resolved by time: reservations and leases end by themselves.
+"""
+
+from typing import Any
+
+from trefoilroad_core import answers as answers_module
+from trefoilroad_core import attempt as attempts
+from trefoilroad_core import commits as commits_module
+from trefoilroad_core import context
+from trefoilroad_core import endings as endings_module
+from trefoilroad_core import events
+from trefoilroad_core import health
+from trefoilroad_core import job as jobs
+from trefoilroad_core import request
+from trefoilroad_core import workerlinks
+
+MemberState = attempts.MemberState
+Phase = attempts.Phase
+StopReason = attempts.StopReason
+CommitKind = jobs.CommitKind
+
+STOPPABLE = frozenset(
+    {Phase.RESERVING, Phase.CLAIMING, Phase.STARTING, Phase.RUNNING})
+
+
+class Gangs:
+    """Carries attempts from reservation to their end."""
+
+    def __init__(self, *, shared: context.Context,
+                 commits: commits_module.Commits,
+                 endings: endings_module.Endings,
+                 answers: answers_module.Answers):
+        """Prepares the protocol.
+
+        Args:
+            shared: State of the epoch.
+            commits: Records claims and states.
+            endings: Decides what follows an attempt.
+            answers: Copies answers.
+        """
+        self._ctx = shared
+        self._commits = commits
+        self._endings = endings
+        self._answers = answers
+        self._next_attempt = shared.epoch * attempts.ATTEMPTS_PER_EPOCH
+
+    def take_answer(self, command: workerlinks.OpenCommand,
+                    event: events.CommandAnswered) -> None:
+        """Takes the answer to a command about a member."""
+        found = self._find_member(event.command_id, command)
+        if found is None:
+            return
+        job, attempt, member = found
+        member.command_id = None
+        accepted = event.status == 200
+        if command.path == "/v1/reserve":
+            self._take_reserved(job, attempt, member, event.body, accepted)
+        elif command.path == "/v1/start":
+            self._take_started(job, attempt, member, event.body, accepted)
+        elif command.path == "/v1/stop":
+            self._take_stopped(job, attempt, member, event.body, accepted)
+
+    def take_loss(self, command: workerlinks.OpenCommand,
+                  command_id: int) -> None:
+        """Takes the loss of a command about a member."""
+        found = self._find_member(command_id, command)
+        if found is None:
+            return
+        job, attempt, member = found
+        member.command_id = None
+        if attempt.phase is Phase.RESERVING:
+            self.stop(job, attempt, StopReason.NOT_RESERVED)
+        elif attempt.phase is Phase.STARTING:
+            self.stop(job, attempt, StopReason.NOT_STARTED)
+        elif attempt.phase is Phase.STOPPING:
+            member.retry_s = self._ctx.now_s + self._ctx.compute_delay(1)
+
+    def recover(self, job: jobs.Job) -> None:
+        """Expects an attempt of an earlier owner on its workers."""
+        attempt = attempts.Attempt(request_id=job.request_id,
+                                   number=job.record["attempt"],
+                                   placement=job.record["placement"],
+                                   guaranteed=job.record["guaranteed"],
+                                   phase=Phase.RECOVERING,
+                                   now_s=self._ctx.now_s)
+        for member in attempt.members.values():
+            member.boot = job.record["boots"].get(member.worker_id)
+            member.start_sent = True
+            member.basis_s = self._ctx.taken_over_s
+        guard_s = self._ctx.bounds.lease_guard_s
+        attempt.deadline_s = self._ctx.taken_over_s + guard_s
+        self._ctx.set_attempt(job, attempt)
+
+    def begin(self, job: jobs.Job, placement: tuple[str, ...],
+              guaranteed: bool) -> None:
+        """Reserves room for a gang on all its workers."""
+        self._next_attempt += 1
+        attempt = attempts.Attempt(request_id=job.request_id,
+                                   number=self._next_attempt,
+                                   placement=placement,
+                                   guaranteed=guaranteed,
+                                   phase=Phase.RESERVING,
+                                   now_s=self._ctx.now_s)
+        self._ctx.set_attempt(job, attempt)
+        for member in attempt.members.values():
+            self._reserve(job, attempt, member)
+
+    def _reserve(self, job: jobs.Job, attempt: attempts.Attempt,
+                 member: attempts.Member) -> None:
+        member.basis_s = self._ctx.links.get_basis(member.worker_id,
+                                                   self._ctx.now_s)
+        member.retry_s = self._ctx.now_s + self._ctx.bounds.reserve_ttl_s / 3
+        shape = request.get_shape(job.record)
+        self._send_member(
+            job, attempt, member, "/v1/reserve", {
+                "ranks": member.ranks,
+                "shape": shape._asdict(),
+                "ttl_s": self._ctx.bounds.reserve_ttl_s
+            })
+
+    def _take_reserved(self, job: jobs.Job, attempt: attempts.Attempt,
+                       member: attempts.Member, body: dict[str, Any],
+                       accepted: bool) -> None:
+        if attempt.phase is Phase.CLAIMING:
+            if not accepted or body["boot"] != member.boot:
+                self.stop(job, attempt, StopReason.NOT_RESERVED)
+            return
+        if attempt.phase is not Phase.RESERVING:
+            return
+        if not accepted:
+            self.stop(job, attempt, StopReason.NOT_RESERVED)
+            return
+        member.state = MemberState.RESERVED
+        member.boot = body["boot"]
+        if attempt.all_in(MemberState.RESERVED):
+            self._claim(job, attempt)
+
+    def _claim(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        attempt.phase = Phase.CLAIMING
+        attempt.deadline_s = self._ctx.now_s + self._ctx.bounds.claim_timeout_s
+        boots = {
+            member.worker_id: member.boot
+            for member in attempt.members.values()
+        }
+        self._commits.commit(
+            job, CommitKind.CLAIM, {
+                "state": request.State.CLAIMED,
+                "attempt": attempt.number,
+                "placement": list(attempt.placement),
+                "boots": boots,
+                "guaranteed": attempt.guaranteed,
+                "reason": ""
+            })
+
+    def start_claimed(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Starts a claimed gang, unless a worker is leaving by now."""
+        leaving = any(
+            self._ctx.links.is_leaving(worker_id)
+            for worker_id in attempt.members)
+        if leaving or self._ctx.is_list_stale():
+            self.stop(job, attempt, StopReason.LEAVING)
+        else:
+            self._start(job, attempt)
+
+    def _start(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        attempt.phase = Phase.STARTING
+        attempt.deadline_s = self._ctx.now_s + self._ctx.bounds.start_timeout_s
+        for member in attempt.members.values():
+            member.start_sent = True
+            member.basis_s = self._ctx.links.get_basis(member.worker_id,
+                                                       self._ctx.now_s)
+            self._send_member(
+                job, attempt, member, "/v1/start", {
+                    "lease_s": self._ctx.bounds.lease_s,
+                    "payload": job.record["payload"],
+                    "answer": member is attempt.leader,
+                    "resume": job.record["resume"]
+                }, self._ctx.bounds.start_timeout_s)
+
+    def _take_started(self, job: jobs.Job, attempt: attempts.Attempt,
+                      member: attempts.Member, body: dict[str, Any],
+                      accepted: bool) -> None:
+        if attempt.phase is not Phase.STARTING:
+            return
+        if not accepted or body["boot"] != member.boot:
+            self.stop(job, attempt, StopReason.NOT_STARTED)
+            return
+        member.state = MemberState.RUNNING
+        member.acknowledged_s = self._ctx.now_s
+        self._ctx.links.hasten_sync(member.worker_id, self._ctx.now_s)
+        if attempt.all_in(MemberState.RUNNING):
+            attempt.phase = Phase.RUNNING
+            attempt.started_s = self._ctx.now_s
+            self._commits.commit(job, CommitKind.RUNNING, {
+                "state": request.State.RUNNING,
+                "ran": request.Ran.YES
+            })
+
+    def stop(self,
+             job: jobs.Job,
+             attempt: attempts.Attempt,
+             reason: StopReason,
+             checkpoint: bool = False) -> None:
+        """Stops an attempt on all its workers."""
+        attempt.phase = Phase.STOPPING
+        attempt.stop_reason = reason
+        attempt.checkpoint = checkpoint
+        self._ctx.dirty = True
+        for member in attempt.members.values():
+            if member.state not in attempts.RESOLVED:
+                self._send_stop(job, attempt, member)
+        self._check_stopped(job, attempt)
+
+    def _send_stop(self, job: jobs.Job, attempt: attempts.Attempt,
+                   member: attempts.Member) -> None:
+        member.retry_s = float("inf")
+        self._send_member(job, attempt, member, "/v1/stop",
+                          {"checkpoint": attempt.checkpoint},
+                          self._ctx.bounds.stop_timeout_s)
+
+    def _take_stopped(self, job: jobs.Job, attempt: attempts.Attempt,
+                      member: attempts.Member, body: dict[str, Any],
+                      accepted: bool) -> None:
+        if not accepted:
+            member.retry_s = self._ctx.now_s + self._ctx.compute_delay(1)
+            return
+        restarted = member.boot is not None and body["boot"] != member.boot
+        if restarted and member.start_sent:
+            # The new process cannot know what the old one ran.
+            member.state = MemberState.LOST
+        else:
+            member.state = MemberState(body["state"])
+            member.checkpointed = bool(body.get("checkpoint"))
+        self._check_stopped(job, attempt)
+
+    def _check_stopped(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Ends an attempt once nothing of it can run any more."""
+        if not attempt.all_in(*attempts.RESOLVED):
+            return
+        self._ctx.set_attempt(job, None)
+        self._ctx.dirty = True
+        self._ctx.forget(attempt)
+        self._endings.conclude(job, attempt)
+
+    def cancel(self, job: jobs.Job) -> None:
+        """Stops or ends a request that its caller has cancelled."""
+        if job.attempt is not None:
+            if job.attempt.phase in STOPPABLE:
+                self.stop(job, job.attempt, StopReason.CANCELLED)
+        elif job.commit is None:
+            self._endings.finish(job, request.State.CANCELLED,
+                                 request.Ran(job.record["ran"]),
+                                 StopReason.CANCELLED.value)
+
+    def adopt_member(self, job: jobs.Job, attempt: attempts.Attempt,
+                     member: attempts.Member, task: dict[str, Any] | None,
+                     boot: str) -> None:
+        """Compares a member of an earlier owner with its worker."""
+        if boot != member.boot or task is None or task["state"] == "reserved":
+            self.stop(job, attempt, StopReason.RECOVERED)
+            return
+        member.state = MemberState.RUNNING
+        member.acknowledged_s = self._ctx.now_s
+        # The lease dates from the previous owner and may end soon.
+        self._ctx.links.hasten_sync(member.worker_id, self._ctx.now_s)
+        if attempt.all_in(MemberState.RUNNING):
+            attempt.phase = Phase.RUNNING
+            attempt.started_s = self._ctx.now_s
+            self._ctx.dirty = True
+            if job.record["cancel"]:
+                self.cancel(job)
+            elif job.record["state"] != request.State.RUNNING:
+                self._commits.commit(job, CommitKind.RUNNING, {
+                    "state": request.State.RUNNING,
+                    "ran": request.Ran.YES
+                })
+
+    def update_member(self, job: jobs.Job, attempt: attempts.Attempt,
+                      member: attempts.Member, task: dict[str, Any] | None,
+                      boot: str, sent_s: float) -> None:
+        """Takes over what a worker says of a running member."""
+        if member.state is not MemberState.RUNNING:
+            return
+        if boot != member.boot:
+            self.stop(job, attempt, StopReason.MEMBER_LOST)
+        elif task is None:
+            # A report that was asked for before the start was acknowledged
+            # may be older than the start.
+            if sent_s > member.acknowledged_s:
+                self.stop(job, attempt, StopReason.MEMBER_LOST)
+        elif task["state"] == "finished":
+            member.state = MemberState.FINISHED
+            member.answer = task["answer"]
+            self._note_health(job, member, failed=False)
+            if attempt.all_in(MemberState.FINISHED):
+                self._answers.store(job, attempt)
+        elif task["state"] == "failed" and task["error"] == "lease_lapsed":
+            self.stop(job, attempt, StopReason.MEMBER_LOST)
+        elif task["state"] == "failed":
+            member.state = MemberState.FAILED
+            member.error = str(task.get("error", ""))
+            self._note_health(job, member, failed=True)
+            self.stop(job, attempt, StopReason.TASK_FAILED)
+
+    def _note_health(self, job: jobs.Job, member: attempts.Member, *,
+                     failed: bool) -> None:
+        self._ctx.health.record(
+            health.Event(worker_id=member.worker_id,
+                         request_id=job.request_id,
+                         team=job.record["team"],
+                         template=job.record["template"],
+                         failed=failed,
+                         at_s=self._ctx.now_s))
+
+    def _check_storing(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Copies the answer again, or gives it up with its worker.
+
+        A silent worker may still hold the answer. Work that can run again
+        does not wait for it; other work waits until the VM is gone.
+        """
+        link = self._ctx.links.links.get(attempt.leader.worker_id)
+        is_gone = link is None or not link.listed
+        silent_s = self._ctx.now_s - (link.basis_s if link else float("-inf"))
+        if silent_s >= self._ctx.bounds.lease_guard_s and (
+                is_gone or job.record["idempotent"]):
+            self.lose_answer(job, attempt, attempt.leader)
+        if attempt.phase is Phase.STORING:
+            self._answers.store(job, attempt)
+
+    def lose_answer(self, job: jobs.Job, attempt: attempts.Attempt,
+                    member: attempts.Member) -> None:
+        """Handles a worker that lost its answer before it was copied."""
+        if member is not attempt.leader or job.commit is not None:
+            return
+        self._answers.forget(attempt)
+        attempt.stop_reason = StopReason.MEMBER_LOST
+        attempt.phase = Phase.STOPPING
+        member.state = MemberState.LOST
+        self._check_stopped(job, attempt)
+
+    def check(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        """Does what is due for an attempt by the passing of time."""
+        overdue = self._ctx.now_s >= attempt.deadline_s
+        if attempt.phase is Phase.CLAIMING:
+            self._keep_reservations(job, attempt)
+            if overdue:
+                self.stop(job, attempt, StopReason.CLAIM_LOST)
+        elif attempt.phase is Phase.STARTING and overdue:
+            self.stop(job, attempt, StopReason.NOT_STARTED)
+        elif attempt.phase is Phase.RECOVERING and overdue:
+            self.stop(job, attempt, StopReason.RECOVERED)
+        elif attempt.phase is Phase.RUNNING:
+            self._check_leases(job, attempt)
+        elif attempt.phase is Phase.STORING and overdue:
+            self._check_storing(job, attempt)
+        elif attempt.phase is Phase.STOPPING:
+            self._check_stops(job, attempt)
+
+    def _keep_reservations(self, job: jobs.Job,
+                           attempt: attempts.Attempt) -> None:
+        for member in attempt.members.values():
+            if member.retry_s <= self._ctx.now_s and member.command_id is None:
+                self._reserve(job, attempt, member)
+
+    def _check_leases(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        for member in attempt.members.values():
+            link = self._ctx.links.links.get(member.worker_id)
+            silent_s = self._ctx.now_s - (link.basis_s
+                                          if link else float("-inf"))
+            if (member.state is MemberState.RUNNING and
+                    silent_s >= self._ctx.bounds.lease_s):
+                self.stop(job, attempt, StopReason.MEMBER_LOST)
+                return
+
+    def _check_stops(self, job: jobs.Job, attempt: attempts.Attempt) -> None:
+        for member in attempt.members.values():
+            if member.state in attempts.RESOLVED:
+                continue
+            self._resolve_silent(job, member)
+            if (member.state not in attempts.RESOLVED and
+                    member.retry_s <= self._ctx.now_s):
+                self._send_stop(job, attempt, member)
+        self._check_stopped(job, attempt)
+
+    def _resolve_silent(self, job: jobs.Job, member: attempts.Member) -> None:
+        """Resolves a member that no stop reaches, once time alone proves it.
+
+        A reservation and a lease end by themselves on the worker. Without a
+        start nothing has run; with one, only the worker knows.
+        """
+        guard_s = self._ctx.bounds.reserve_guard_s
+        if member.start_sent:
+            guard_s += self._ctx.bounds.lease_guard_s
+        if self._ctx.now_s < member.basis_s + guard_s:
+            return
+        link = self._ctx.links.links.get(member.worker_id)
+        if not member.start_sent:
+            member.state = MemberState.NEVER_STARTED
+        elif job.record["idempotent"] or link is None or not link.listed:
+            member.state = MemberState.LOST
+        elif job.record["state"] != request.State.UNKNOWN and not job.commit:
+            self._commits.commit(
+                job, CommitKind.UNKNOWN, {
+                    "state": request.State.UNKNOWN,
+                    "ran": request.Ran.MAYBE,
+                    "reason": f"worker {member.worker_id} cannot be reached"
+                })
+
+    def _send_member(self,
+                     job: jobs.Job,
+                     attempt: attempts.Attempt,
+                     member: attempts.Member,
+                     path: str,
+                     body: dict[str, Any],
+                     timeout_s: float | None = None) -> None:
+        member.command_id = self._ctx.send(
+            member.worker_id,
+            path, {"attempt": attempt.attempt_id} | body,
+            timeout_s=timeout_s,
+            request_id=job.request_id,
+            number=attempt.number)
+
+    def _find_member(
+        self, command_id: int, command: workerlinks.OpenCommand
+    ) -> tuple[jobs.Job, attempts.Attempt, attempts.Member] | None:
+        """Finds what an answer is about, unless it has been superseded."""
+        job = self._ctx.jobs.get(command.request_id)
+        if job is None or job.attempt is None:
+            return None
+        if job.attempt.number != command.attempt:
+            return None
+        member = job.attempt.members[command.worker_id]
+        if member.command_id != command_id:
+            return None
+        return job, job.attempt, member
--- a/packages/standins/tests/test_mechanisms.py
+++ b/packages/standins/tests/test_mechanisms.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from trefoilroad_core import commits
 from trefoilroad_core import events
-from trefoilroad_core import owner
 from trefoilroad_core import workerlinks
 from trefoilroad_node import edge
 from trefoilroad_node import region
@@ -63,16 +63,18 @@
 
 @pytest.fixture
 def without_claim_conditions(monkeypatch):
-    send = owner.Owner._send_commit
+    send = commits.Commits.send
 
     def send_unconditionally(self, job, commit):
         send(self, job, commit)
-        if commit.kind is owner.CommitKind.CLAIM:
-            effect = self._effects[-1]
+        if commit.kind is commits.CommitKind.CLAIM:
+            *others, effect = self._ctx.take_effects()
             assert isinstance(effect, events.Commit)
-            self._effects[-1] = effect._replace(conditions={})
+            for other in others:
+                self._ctx.emit(other)
+            self._ctx.emit(effect._replace(conditions={}))
 
-    monkeypatch.setattr(owner.Owner, "_send_commit", send_unconditionally)
+    monkeypatch.setattr(commits.Commits, "send", send_unconditionally)
 
 
 LATE_NOTICE = tuple(
