--- a/packages/core/src/trefoilroad_core/gangs.py
+++ b/packages/core/src/trefoilroad_core/gangs.py
@@ -188,16 +188,31 @@
         if not accepted or body["boot"] != member.boot:
             self.stop(job, attempt, StopReason.NOT_STARTED)
             return
+        if self._note_running(attempt, member):
+            self._record_running(job)
+
+    def _note_running(self, attempt: attempts.Attempt,
+                      member: attempts.Member) -> bool:
+        """Takes note of a running member; tells whether all run now."""
         member.state = MemberState.RUNNING
         member.acknowledged_s = self._ctx.now_s
+        # The task may be a short one, and an adopted one has a lease that
+        # dates from the previous owner.
         self._ctx.links.hasten_sync(member.worker_id, self._ctx.now_s)
-        if attempt.all_in(MemberState.RUNNING):
-            attempt.phase = Phase.RUNNING
-            attempt.started_s = self._ctx.now_s
-            self._commits.commit(job, CommitKind.RUNNING, {
-                "state": request.State.RUNNING,
-                "ran": request.Ran.YES
-            })
+        if not attempt.all_in(MemberState.RUNNING):
+            return False
+        attempt.phase = Phase.RUNNING
+        attempt.started_s = self._ctx.now_s
+        self._ctx.dirty = True
+        return True
+
+    def _record_running(self, job: jobs.Job) -> None:
+        self._commits.commit(job, CommitKind.RUNNING, {
+            "state": request.State.RUNNING,
+            "ran": request.Ran.YES
+        })
+
+    # Stop.
 
     def stop(self,
              job: jobs.Job,
@@ -262,21 +277,12 @@
         if boot != member.boot or task is None or task["state"] == "reserved":
             self.stop(job, attempt, StopReason.RECOVERED)
             return
-        member.state = MemberState.RUNNING
-        member.acknowledged_s = self._ctx.now_s
-        # The lease dates from the previous owner and may end soon.
-        self._ctx.links.hasten_sync(member.worker_id, self._ctx.now_s)
-        if attempt.all_in(MemberState.RUNNING):
-            attempt.phase = Phase.RUNNING
-            attempt.started_s = self._ctx.now_s
-            self._ctx.dirty = True
-            if job.record["cancel"]:
-                self.cancel(job)
-            elif job.record["state"] != request.State.RUNNING:
-                self._commits.commit(job, CommitKind.RUNNING, {
-                    "state": request.State.RUNNING,
-                    "ran": request.Ran.YES
-                })
+        if not self._note_running(attempt, member):
+            return
+        if job.record["cancel"]:
+            self.cancel(job)
+        elif job.record["state"] != request.State.RUNNING:
+            self._record_running(job)
 
     def update_member(self, job: jobs.Job, attempt: attempts.Attempt,
                       member: attempts.Member, task: dict[str, Any] | None,
