Check guarantees at a publish that changes them

A drain or an undrain was refused as soon as the guarantees no longer fitted without the drained worker, and with a rack missing from the VM list every other change was refused too. Warning in place of refusing was ruled out for changes of guarantees: those must hold on the fleet as it stands. Before: test_worker_can_be_drained_although_guarantees_need_it fails with 422; after: it passes, and a larger guarantee is still refused.

--- a/packages/node/src/trefoilroad_node/publication.py
+++ b/packages/node/src/trefoilroad_node/publication.py
@@ -141,11 +141,8 @@
         try:
             configuration = document.parse_documents(documents,
                                                      base_version + 1)
-            findings = guarantee.find_shortfalls(workers,
-                                                 configuration,
-                                                 excluded=configuration.drained)
-            if findings:
-                raise errors.InvalidDocuments.from_findings(findings)
+            if _changes_guarantees(self.current.configuration, configuration):
+                _check_guarantees(workers, configuration)
         except errors.InvalidDocuments as error:
             on_done(error)
             return
@@ -223,6 +220,27 @@
         return Clash(version=version, keys=[change.key for change in changes])
 
 
+def _changes_guarantees(old: contract.Configuration,
+                        new: contract.Configuration) -> bool:
+    """Tells whether a publish gives teams other guarantees than before.
+
+    Anything else must be possible while machines are missing: a drain takes
+    capacity on purpose, and a lost rack must not block other changes.
+    """
+    before = {name: team.guarantees for name, team in old.teams.items()}
+    after = {name: team.guarantees for name, team in new.teams.items()}
+    return before != after
+
+
+def _check_guarantees(workers: fleet.Fleet,
+                      configuration: contract.Configuration) -> None:
+    findings = guarantee.find_shortfalls(workers,
+                                         configuration,
+                                         excluded=configuration.drained)
+    if findings:
+        raise errors.InvalidDocuments.from_findings(findings)
+
+
 class _Commit:
     """A publish under way."""
 
