--- a/packages/standins/src/trefoilroad_standins/soak.py
+++ b/packages/standins/src/trefoilroad_standins/soak.py
@@ -305,8 +305,9 @@
         return f"lose {worker}"
 
     def _bring_back(self, worker: str) -> None:
+        """Lists a worker as live, which also ends a leaving mark."""
         self.world.down.discard(worker)
-        self.world.mark_worker(worker, "live")
+        self._mark_staying(worker)
 
     def _mark_leaving(self, duration_s: float) -> str:
         worker = self._pick_worker()
@@ -362,8 +363,7 @@
             self._start_again(name)
         for worker, machine in world.machines.items():
             machine.fail_everything(False, world.clock.now_s)
-            world.down.discard(worker)
-            self._mark_staying(worker)
+            self._bring_back(worker)
 
     # Judgement.
 
