End the playground on SIGTERM and in the background

Its nodes stayed when it was started in the background, where shells ignore SIGINT, and was ended from a script.

--- a/packages/standins/src/trefoilroad_standins/playground.py
+++ b/packages/standins/src/trefoilroad_standins/playground.py
@@ -38,6 +38,9 @@
         addresses = ",".join(node.address for node in cluster.nodes.values())
         click.echo(f"export TREFOILROAD_NODES={addresses}")
         click.echo(f"export TREFOILROAD_TOKEN={token}")
+        # A shell starts background jobs with SIGINT ignored.
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         click.echo("ready; Ctrl-C ends everything")
         try:
             signal.pause()
