--- a/packages/core/src/trefoilroad_core/attempt.py
+++ b/packages/core/src/trefoilroad_core/attempt.py
@@ -112,7 +112,6 @@
         self.guaranteed = guaranteed
         self.phase = phase
         self.deadline_s = float("inf")
-        self.created_s = now_s
         self.started_s = now_s
         self.stop_reason: StopReason | None = None
         self.checkpoint = False
