--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := core node client standins replay
+PACKAGES := core node client standins replay jobs
 SEED ?= 1
 STEPS ?= 1000
 
@@ -12,10 +12,10 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt \
-		--requirement requirements-dev.txt $(PACKAGES:%=--editable packages/%)
+		--requirement requirements-dev.txt $(PACKAGES:%=--editable packages/%) --editable platform
 	touch $(STAMP)
 
 demo: $(STAMP)
@@ -35,16 +35,16 @@
 	$(BIN)/python -m trefoilroad_standins.soak --seed $(SEED) --count $(STEPS)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest packages
+	$(BIN)/python -m pytest packages platform
 
 lint: $(STAMP)
-	$(BIN)/yapf --diff --recursive packages
-	$(BIN)/ruff check packages
-	$(BIN)/mypy packages/*/src
+	$(BIN)/yapf --diff --recursive packages platform
+	$(BIN)/ruff check packages platform
+	$(BIN)/mypy packages/*/src platform/src
 
 format: $(STAMP)
-	$(BIN)/yapf --in-place --recursive packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/yapf --in-place --recursive packages platform
+	$(BIN)/ruff check --fix packages platform
 
 check: lint test
 
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of dependent steps: decisions, durable state and recovery."""
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -0,0 +1,472 @@
+"""The leader's state machine: from accepted jobs to their ends."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import structlog
+
+from trefoilroad_core import health
+from trefoilroad_jobs import directory as directories
+from trefoilroad_jobs import estimate
+from trefoilroad_jobs import fleet
+from trefoilroad_jobs import ledger as ledgers
+from trefoilroad_jobs import limits
+from trefoilroad_jobs import planner
+from trefoilroad_jobs import ports
+from trefoilroad_jobs import progress
+from trefoilroad_jobs import rounds
+from trefoilroad_jobs import runs
+from trefoilroad_jobs import tables
+from trefoilroad_jobs import workload
+from trefoilroad_node import metrics as sinks
+from trefoilroad_node import timer
+
+TICK_INTERVAL_S = 0.1
+# Rounds for one event after another are joined for this long.
+ROUND_DELAY_S = 0.004
+# Without any event a round still looks for work that time has made ready.
+ROUND_INTERVAL_S = 0.5
+COLLECT_INTERVAL_S = 10.0
+
+_log = structlog.get_logger()
+
+
+class Dispatcher:
+    """Decides for all jobs under one epoch.
+
+    Attributes:
+        jobs: Jobs by id, final ones included until they are forgotten.
+        ready: Whether the rows of earlier leaders have been read.
+    """
+
+    def __init__(self, *, epoch: int, workers: ports.Workers,
+                 timers: timer.Timers, wall: ports.Wall, ledger: ledgers.Ledger,
+                 bounds: limits.Limits, plan: planner.Planner,
+                 metrics: sinks.Metrics, led_until_s: float,
+                 on_deposed: Callable[[str], None]):
+        """Begins an epoch.
+
+        Args:
+            epoch: The epoch.
+            workers: Sends orders.
+            timers: Source of time.
+            wall: The time of day.
+            ledger: Writes decisions.
+            bounds: Time limits.
+            plan: Plans rounds.
+            metrics: Sink of metrics.
+            led_until_s: When the leader before may have led at the latest.
+            on_deposed: Called when something shows a newer leader.
+        """
+        self.epoch = epoch
+        self.jobs: dict[str, progress.Job] = {}
+        self.ready = False
+        self._active: dict[str, progress.Job] = {}
+        self._cancelled: set[str] = set()
+        self._timers = timers
+        self._wall = wall
+        self._ledger = ledger
+        self._bounds = bounds
+        self._metrics = metrics
+        self._closed = False
+        self._directory = directories.EMPTY
+        self._fleet = fleet.Fleet()
+        self._health = health.Health()
+        self._estimator = estimate.Estimator()
+        self._rounds = rounds.Rounds(estimator=self._estimator,
+                                     plan=plan,
+                                     bounds=bounds)
+        self._runs = runs.Runs(
+            epoch=epoch,
+            fleet=self._fleet,
+            workers=workers,
+            timers=timers,
+            ledger=ledger,
+            bounds=bounds,
+            fallback_s=(led_until_s + bounds.authority_s + bounds.max_lease_s /
+                        (1 - fleet.CLOCK_DRIFT)),
+            find_job=self.jobs.get,
+            on_end=self._take_end,
+            on_change=self._request_round,
+            on_deposed=on_deposed)
+        self._round_planned = False
+        self._round_s = float("-inf")
+        self._subscriptions = [
+            timers.call_every(TICK_INTERVAL_S, self._tick),
+            timers.call_every(COLLECT_INTERVAL_S, self._collect),
+        ]
+
+    def close(self) -> None:
+        """Stops to decide; what runs goes on under its leases."""
+        self._closed = True
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        self._runs.close()
+        self._ledger.close()
+
+    # What is read from the store.
+
+    def load(self, intake: ports.Rows, done: ports.Rows) -> None:
+        """Takes over what earlier leaders and the nodes have written.
+
+        Args:
+            intake: All rows of accepted jobs and cancellations.
+            done: All rows of progress.
+        """
+        self._ledger.note_store_clock(intake.store_ms)
+        states = {row.key: row.value for row in done.rows}
+        now_s = self._timers.read_clock()
+        for row in intake.rows:
+            self._see_intake_row(row, states)
+        recovered = 0
+        for job in self.jobs.values():
+            for claim in list(job.list_claims()):
+                recovered += 1
+                claim.since_s = now_s
+                self._runs.adopt(claim, stop=job.is_final or job.cancelled)
+        self.ready = True
+        _log.info("jobs recovered",
+                  epoch=self.epoch,
+                  jobs=len(self.jobs),
+                  active=len(self._active),
+                  runs=recovered,
+                  store_version=intake.version)
+        for job_id in self._cancelled:
+            self._cancel(job_id)
+        self._request_round()
+
+    def see_intake(self, rows: Iterable[ports.Row]) -> None:
+        """Takes new rows of accepted jobs and cancellations."""
+        for row in rows:
+            self._see_intake_row(row, {})
+
+    def _see_intake_row(self, row: ports.Row,
+                        states: Mapping[str, bytes | None]) -> None:
+        if row.value is None:
+            return
+        if row.key.startswith(tables.CANCEL_PREFIX):
+            job_id = row.key.removeprefix(tables.CANCEL_PREFIX)
+            self._cancelled.add(job_id)
+            if self.ready:
+                self._cancel(job_id)
+        elif row.key.startswith(tables.JOB_PREFIX):
+            self._see_job(row.key.removeprefix(tables.JOB_PREFIX), row.value,
+                          states)
+
+    def _see_job(self, job_id: str, value: bytes,
+                 states: Mapping[str, bytes | None]) -> None:
+        if job_id in self.jobs:
+            return
+        try:
+            accepted = workload.decode_workload(value)
+        except ValueError as error:
+            _log.error("job row cannot be read", job=job_id, error=str(error))
+            return
+        now_s = self._timers.read_clock()
+        age_s = max(0.0, (self._ledger.read_store_ms() - accepted.accepted_ms) /
+                    1000.0)
+        job = progress.Job(workload=accepted, now_s=now_s, age_s=age_s)
+        state = states.get(job_id)
+        if state is not None:
+            try:
+                progress.decode_progress(job, state, now_s)
+            except ValueError as error:
+                _log.error("progress row cannot be read",
+                           job=job_id,
+                           error=str(error))
+                return
+        self.jobs[job_id] = job
+        self._estimator.note_job(accepted)
+        if not job.is_final:
+            self._active[job_id] = job
+            if self.ready:
+                _log.info("job seen",
+                          request=job_id,
+                          queue=accepted.queue,
+                          team=accepted.team,
+                          priority=accepted.priority,
+                          age_s=round(age_s, 3))
+            if job_id in self._cancelled and self.ready:
+                self._cancel(job_id)
+            self._request_round()
+
+    def see_workers(self, workers: dict[str, ports.Worker]) -> None:
+        """Takes the complete list of registered workers."""
+        self._runs.see_workers(workers)
+        self._request_round()
+
+    def see_directory(self, directory: directories.Directory) -> None:
+        """Takes over a configuration."""
+        self._directory = directory
+        self._request_round()
+
+    # What callers ask.
+
+    def get_state(self, job_id: str) -> progress.JobState | None:
+        """Returns the recorded state of a job, or None if it is not known."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        if job.unrecorded and job.is_final:
+            return progress.JobState.RUNNING
+        return job.state
+
+    def count_pending(self) -> dict[str, int]:
+        """Returns the number of jobs that have not begun, by queue."""
+        counts: dict[str, int] = {}
+        for job in self._active.values():
+            if not job.has_begun():
+                queue = job.workload.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def explain(self, job_id: str) -> str:
+        """Tells why a job is where it is, in one sentence."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return "is not known"
+        claims = list(job.list_claims())
+        if claims:
+            phases = sorted({claim.phase.value for claim in claims})
+            return f"{len(claims)} tasks are {', '.join(phases)}"
+        if job.is_final:
+            return f"is {job.state}"
+        return self._rounds.explain(job_id)
+
+    # Changes of jobs.
+
+    def _cancel(self, job_id: str) -> None:
+        job = self.jobs.get(job_id)
+        if job is None or job.is_final:
+            return
+        job.cancelled = True
+        self._finish(job, progress.JobState.CANCELLED, "cancelled")
+
+    def _finish(self, job: progress.Job, state: progress.JobState,
+                why: str) -> None:
+        job.state = state
+        job.ended_ms = self._ledger.read_store_ms()
+        self._active.pop(job.job_id, None)
+        _log.info("job ended",
+                  request=job.job_id,
+                  state=str(state),
+                  why=why,
+                  age_s=round(self._timers.read_clock() - job.accepted_s, 3))
+        self._metrics.count(f"jobs.{state}")
+        self._metrics.time("jobs.age",
+                           self._timers.read_clock() - job.accepted_s)
+        if state is not progress.JobState.COMPLETED:
+            for claim in list(job.list_claims()):
+                self._runs.stop(claim, why)
+        self._mark(job)
+        self._request_round()
+
+    def _mark(self, job: progress.Job) -> None:
+        job.unrecorded += 1
+        self._ledger.mark(job)
+        self._ledger.call_after(lambda: self._note_recorded(job))
+
+    def _note_recorded(self, job: progress.Job) -> None:
+        job.unrecorded -= 1
+
+    def _take_end(self, claim: progress.Claim, how: ports.How | None,
+                  why: str) -> None:
+        """Takes the end of a run; `how` is None if it never ran."""
+        job = self.jobs[claim.key.job_id]
+        step = job.get_step(claim.key.occurrence, claim.key.step)
+        step.claims.pop(claim.key.task, None)
+        if claim.checkpoint:
+            step.checkpoints[claim.key.task] = claim.checkpoint
+        now_s = self._timers.read_clock()
+        _log.info("run ended",
+                  request=job.job_id,
+                  task=f"{claim.key.occurrence}.{claim.key.step}."
+                  f"{claim.key.task}",
+                  run=claim.run,
+                  worker=claim.worker_id,
+                  how=str(how) if how else "not run",
+                  why=why,
+                  ran_s=round(now_s - claim.started_s, 3))
+        if how is ports.How.DONE:
+            self._take_done(job, step, claim, now_s)
+        elif how is ports.How.FAILED:
+            self._take_failure(job, step, claim, now_s)
+        else:
+            self._take_break(job, step, claim, now_s)
+        self._mark(job)
+        self._request_round()
+
+    def _take_done(self, job: progress.Job, step: progress.StepProgress,
+                   claim: progress.Claim, now_s: float) -> None:
+        spec = job.workload.steps[claim.key.step]
+        self._estimator.note_run(job.workload.queue, now_s - claim.started_s)
+        self._note_health(job, claim, failed=False, now_s=now_s)
+        if spec.gang:
+            # One end stands for all members; the others list theirs too.
+            step.done = set(range(spec.tasks))
+        else:
+            step.done.add(claim.key.task)
+        if not job.is_final and not job.cancelled and job.is_done():
+            self._finish(job, progress.JobState.COMPLETED, "all tasks done")
+
+    def _take_failure(self, job: progress.Job, step: progress.StepProgress,
+                      claim: progress.Claim, now_s: float) -> None:
+        spec = job.workload.steps[claim.key.step]
+        self._note_health(job, claim, failed=True, now_s=now_s)
+        index = 0 if spec.gang else claim.key.task
+        failures = step.failures.get(index, 0) + 1
+        step.failures[index] = failures
+        delay_s = min(self._bounds.retry_max_s,
+                      self._bounds.retry_base_s * 2**(failures - 1))
+        step.not_before_s = now_s + delay_s
+        if spec.gang:
+            self._break_gang(job, step, "a member failed")
+        if job.is_final or spec.lasting:
+            return
+        if failures >= self._find_max_failures(job):
+            self._finish(job, progress.JobState.FAILED,
+                         f"a task failed {failures} times")
+
+    def _take_break(self, job: progress.Job, step: progress.StepProgress,
+                    claim: progress.Claim, now_s: float) -> None:
+        if job.workload.steps[claim.key.step].gang and not job.is_final:
+            self._break_gang(job, step, "a member ended")
+
+    def _break_gang(self, job: progress.Job, step: progress.StepProgress,
+                    why: str) -> None:
+        for claim in list(step.claims.values()):
+            self._runs.stop(claim, why)
+
+    def _find_max_failures(self, job: progress.Job) -> int:
+        queue = self._directory.find_named(job.workload.queue)
+        if queue is None:
+            return job.workload.max_failures
+        return queue.max_failures
+
+    def _note_health(self, job: progress.Job, claim: progress.Claim, *,
+                     failed: bool, now_s: float) -> None:
+        self._health.record(
+            health.Event(worker_id=claim.worker_id,
+                         request_id=job.job_id,
+                         team=job.workload.team,
+                         template=job.workload.queue,
+                         failed=failed,
+                         at_s=now_s))
+
+    # Rounds.
+
+    def _request_round(self) -> None:
+        if not self._round_planned and not self._closed:
+            self._round_planned = True
+            self._timers.call_later(ROUND_DELAY_S, self._run_round)
+
+    def _tick(self) -> None:
+        now_s = self._timers.read_clock()
+        self._runs.tick(self.ready)
+        if now_s - self._round_s >= ROUND_INTERVAL_S:
+            self._run_round()
+
+    def _run_round(self) -> None:
+        self._round_planned = False
+        if self._closed or not self.ready:
+            return
+        begun_s = self._timers.read_clock()
+        self._round_s = begun_s
+        if self._ledger.suspect:
+            return
+        self._health.update(begun_s, len(self._fleet.members))
+        decision = self._rounds.run(
+            rounds.View(now_s=begun_s,
+                        wall_ms=self._wall.read_wall_ms(),
+                        jobs=self._active,
+                        fleet=self._fleet,
+                        directory=self._directory,
+                        quarantined=self._health.find(
+                            health.Status.QUARANTINED)))
+        for start in decision.starts:
+            self._start(start, begun_s)
+        for victim in decision.stops:
+            self._reclaim(victim)
+        self._metrics.time("round", self._timers.read_clock() - begun_s)
+
+    def _start(self, start: planner.Start, now_s: float) -> None:
+        unit = start.unit
+        job = self._active[unit.job_id]
+        step = job.get_step(unit.occurrence, unit.step_number)
+        indexes = unit.indexes[:len(start.workers)]
+        run = max(step.last_runs) + 1 if unit.step.gang else 0
+        claims = []
+        checkpoint = ""
+        if unit.step.gang and unit.step.checkpoints:
+            checkpoint = _pick_checkpoint(step)
+        for index, worker_id in zip(indexes, start.workers, strict=True):
+            number = run or step.last_runs[index] + 1
+            step.last_runs[index] = number
+            member = self._fleet.members[worker_id]
+            claim = progress.Claim(
+                key=progress.TaskKey(unit.job_id, unit.occurrence,
+                                     unit.step_number, index),
+                run=number,
+                worker_id=worker_id,
+                life_ms=member.life_ms,
+                phase=progress.Phase.CLAIMING,
+                now_s=now_s,
+                demand=unit.step.occupied,
+                checkpoint=checkpoint or
+                (step.checkpoints.get(index, "") if not unit.step.gang else ""))
+            step.claims[index] = claim
+            member.claims[claim.key] = claim
+            claims.append(claim)
+        if job.state is progress.JobState.QUEUED:
+            job.state = progress.JobState.RUNNING
+        _log.info("tasks placed",
+                  request=unit.job_id,
+                  step=f"{unit.occurrence}.{unit.step_number}",
+                  tasks=len(claims),
+                  run=claims[0].run,
+                  workers=sorted(set(start.workers)),
+                  waited_s=round(now_s - unit.accepted_s, 3),
+                  guaranteed=unit.guaranteed,
+                  fleet_age_s=round(self._runs.get_list_age_s(), 3))
+        self._metrics.time("jobs.wait", now_s - unit.accepted_s)
+        self._ledger.mark(job)
+        self._ledger.call_after(lambda: self._runs.start(claims, job.workload))
+
+    def _reclaim(self, victim: planner.Victim) -> None:
+        claims = victim.token
+        assert isinstance(claims, list)
+        _log.info("run reclaimed",
+                  request=claims[0].key.job_id,
+                  tasks=len(claims),
+                  cost=round(victim.cost, 1))
+        self._metrics.count("runs.reclaimed", len(claims))
+        for claim in claims:
+            self._runs.stop(claim, "reclaimed for guaranteed work")
+
+    # Old jobs.
+
+    def _collect(self) -> None:
+        """Removes the rows of jobs that ended long ago."""
+        if not self.ready:
+            return
+        limit_ms = self._ledger.read_store_ms(
+        ) - self._bounds.retention_s * 1000.0
+        for job in list(self.jobs.values()):
+            if (job.is_final and job.ended_ms < limit_ms and
+                    not any(job.list_claims())):
+                del self.jobs[job.job_id]
+                self._cancelled.discard(job.job_id)
+                self._ledger.remove([
+                    tables.name_job(job.job_id),
+                    tables.name_cancellation(job.job_id),
+                    tables.name_progress(job.job_id)
+                ])
+
+
+def _pick_checkpoint(step: progress.StepProgress) -> str:
+    """Returns one checkpoint for a whole gang; any member's is valid."""
+    for index in sorted(step.checkpoints):
+        if step.checkpoints[index]:
+            return step.checkpoints[index]
+    return ""
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -0,0 +1,149 @@
+"""The leader's beliefs about workers: leases, lives, room and health."""
+
+from collections.abc import Iterator
+
+from trefoilroad_jobs import ports
+from trefoilroad_jobs import progress
+from trefoilroad_jobs import workload
+
+# Workers' steady clocks may be this much slow.
+CLOCK_DRIFT = 0.02
+# Added to a computed end of a lease, for the resolution of clocks.
+LEASE_SLACK_S = 0.1
+
+
+class Member:
+    """A worker and the runs that may be alive on it.
+
+    Attributes:
+        worker: The worker as it registered itself.
+        listed: Whether its registration exists.
+        claims: Runs that may be alive there, by task.
+        life_ms: Life that answered last; 0 before the first answer.
+        contacted: Whether it has answered this leader in this life.
+        clock_ms: Its steady clock when it answered last.
+        clock_s: Leader's time of that answer.
+        lease_ms: Latest end of a lease that this leader has sent, on the
+            worker's clock.
+        recorded: Highest number of an end that is recorded durably.
+        processed: Highest number of an end that has been processed.
+        answered_s: Leader's time of the last answer.
+        silent_s: Leader's time since which it has not answered, or infinity.
+        polling: Whether a report has been asked for and has not come.
+        poll_s: When the next report is due.
+        full_until_s: It rejected a start for want of room; nothing new before
+            this time.
+        stuck: Whether work that runs there makes no progress.
+    """
+
+    def __init__(self, *, worker: ports.Worker):
+        self.worker = worker
+        self.listed = True
+        self.claims: dict[progress.TaskKey, progress.Claim] = {}
+        self.life_ms = 0
+        self.contacted = False
+        self.clock_ms = 0.0
+        self.clock_s = 0.0
+        self.lease_ms = 0
+        self.recorded = 0
+        self.processed = 0
+        self.answered_s = float("-inf")
+        self.silent_s = float("inf")
+        self.polling = False
+        self.poll_s = float("-inf")
+        self.full_until_s = float("-inf")
+        self.stopping_s = float("-inf")
+
+    def note_clock(self, clock_ms: float, now_s: float) -> None:
+        """Takes a reading of the worker's clock."""
+        self.clock_ms = clock_ms
+        self.clock_s = now_s
+        self.answered_s = now_s
+        self.silent_s = float("inf")
+
+    def note_silence(self, now_s: float) -> None:
+        """Takes note that a call got no answer."""
+        if self.silent_s == float("inf"):
+            self.silent_s = now_s
+
+    def compute_lease_ms(self, lease_s: float, now_s: float) -> int:
+        """Returns the end of a new lease on the worker's clock."""
+        elapsed_s = now_s - self.clock_s
+        until = int(self.clock_ms + (elapsed_s + lease_s) * 1000.0)
+        self.lease_ms = max(self.lease_ms, until)
+        return self.lease_ms
+
+    def is_lease_over(self, now_s: float, fallback_s: float) -> bool:
+        """Tells whether everything on a silent worker has been killed.
+
+        Args:
+            now_s: Leader's time.
+            fallback_s: Leader's time after which leases of earlier leaders
+                have ended for certain.
+        """
+        if not self.contacted:
+            return now_s >= fallback_s
+        elapsed_s = max(0.0, now_s - self.clock_s - LEASE_SLACK_S)
+        return self.clock_ms + elapsed_s * (1 - CLOCK_DRIFT) * 1000.0 > (
+            self.lease_ms)
+
+    def begin_life(self, life_ms: int) -> None:
+        """Forgets what held only for an earlier life."""
+        self.life_ms = life_ms
+        self.contacted = True
+        self.lease_ms = 0
+        self.recorded = 0
+        self.processed = 0
+
+
+class Fleet:
+    """All workers that are listed or may still run something."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+
+    def update(self, workers: dict[str, ports.Worker]) -> list[Member]:
+        """Takes the complete list of registrations.
+
+        Returns:
+            Members that are new, or have begun a new life.
+        """
+        changed = []
+        for worker_id, worker in workers.items():
+            member = self.members.get(worker_id)
+            if member is None:
+                member = Member(worker=worker)
+                self.members[worker_id] = member
+                changed.append(member)
+            elif member.worker.life_ms != worker.life_ms or not member.listed:
+                changed.append(member)
+            member.worker = worker
+            member.listed = True
+        for worker_id, member in self.members.items():
+            if worker_id not in workers:
+                member.listed = False
+        return changed
+
+    def drop_gone(self) -> list[Member]:
+        """Forgets members that are not listed and run nothing."""
+        gone = [
+            member for member in self.members.values()
+            if not member.listed and not member.claims
+        ]
+        for member in gone:
+            del self.members[member.worker.worker_id]
+        return gone
+
+    def list_members(self, service: str) -> Iterator[Member]:
+        """Yields the members of a service."""
+        for member in self.members.values():
+            if member.worker.service == service:
+                yield member
+
+
+def subtract(room: workload.Demand, demand: workload.Demand,
+             count: int) -> workload.Demand:
+    """Returns the room that `count` tasks leave."""
+    return workload.Demand(room.milli_cores - demand.milli_cores * count,
+                           room.memory_mb - demand.memory_mb * count,
+                           room.accelerators - demand.accelerators * count)
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -0,0 +1,52 @@
+"""Time limits of the leader."""
+
+from typing import NamedTuple
+
+
+class Limits(NamedTuple):
+    """Time limits and intervals, in seconds unless the name says otherwise.
+
+    The defaults hold for workers with a longest lease of 10 s; `lease_s` and
+    `max_lease_s` come from the platform's settings where it has any.
+
+    Attributes:
+        lease_s: Lease that is given to a worker. Long enough for a takeover
+            (2 s of silence, then a second to reach all workers), short enough
+            that work of a lost worker starts again soon.
+        max_lease_s: Longest lease that a worker accepts.
+        authority_s: A leader that cannot reach the store renews leases for at
+            most this long.
+        report_wait_ms: Longest wait of a worker for an end before it reports,
+            in milliseconds.
+        start_timeout_s: Wait for the answer to a start; workers answer within
+            milliseconds.
+        start_tries: Sends of one start before it is stopped.
+        stop_retry_s: Time between two sends of a stop.
+        probe_interval_s: Time between two calls to a silent worker.
+        full_pause_s: Nothing new for a worker this long after it had no room.
+        stall_s: A run whose progress stands still for this long is stopped.
+        retry_base_s: First delay after a failed run.
+        retry_max_s: Longest delay after a failed run.
+        checkpoint_interval_s: Work between two checkpoints.
+        gang_timeout_s: A member waits this long for the others.
+        retention_s: A final job is kept this long.
+        shrink_grace_s: A registration must be missing this long before its
+            worker is given up.
+    """
+
+    lease_s: float = 6.0
+    max_lease_s: float = 10.0
+    authority_s: float = 10.0
+    report_wait_ms: int = 2000
+    start_timeout_s: float = 0.8
+    start_tries: int = 2
+    stop_retry_s: float = 0.5
+    probe_interval_s: float = 0.5
+    full_pause_s: float = 0.3
+    stall_s: float = 3.5
+    retry_base_s: float = 0.2
+    retry_max_s: float = 2.0
+    checkpoint_interval_s: float = 1.0
+    gang_timeout_s: float = 3.0
+    retention_s: float = 150.0
+    shrink_grace_s: float = 0.0
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -0,0 +1,439 @@
+"""One node without its sockets: intake for callers, dispatcher if it leads."""
+
+from collections.abc import Callable
+import itertools
+import random
+from typing import Any
+
+import structlog
+
+from trefoilroad_jobs import directory as directories
+from trefoilroad_jobs import dispatcher as dispatchers
+from trefoilroad_jobs import intake as intakes
+from trefoilroad_jobs import leadership as leaderships
+from trefoilroad_jobs import ledger as ledgers
+from trefoilroad_jobs import limits
+from trefoilroad_jobs import planner
+from trefoilroad_jobs import ports
+from trefoilroad_jobs import tables
+from trefoilroad_jobs import watch
+from trefoilroad_node import links as node_links
+from trefoilroad_node import metrics as sinks
+from trefoilroad_node import timer
+
+# Interval of the beats between the leader and the other nodes.
+BEAT_INTERVAL_S = 0.5
+# A node that has not said hello for this long gets no more beats.
+HELLO_LIMIT_S = 3.0
+# Wait for the leader's answer to a question; then the store is read.
+ASK_TIMEOUT_S = 0.4
+# Waits of the watches. That of the configuration bounds how old it can be
+# without a node knowing; the others only cost calls.
+CONFIG_WAIT_S = 1.0
+LEADER_WAIT_S = 5.0
+INTAKE_WAIT_S = 2.0
+WORKERS_WAIT_S = 2.0
+
+_log = structlog.get_logger()
+
+
+class Sources:
+    """Tables that the platform writes, and how to read them.
+
+    Attributes:
+        config_table: Table that holds the configuration.
+        workers_table: Table of the registered workers.
+        decode_directory: Reads the configuration from the rows of its table;
+            None if there is none yet.
+        decode_worker: Reads a registration; None if it names no worker.
+    """
+
+    def __init__(self, *, config_table: str, workers_table: str,
+                 decode_directory: Callable[[dict[str, bytes]],
+                                            directories.Directory | None],
+                 decode_worker: Callable[[str, bytes], ports.Worker | None]):
+        self.config_table = config_table
+        self.workers_table = workers_table
+        self.decode_directory = decode_directory
+        self.decode_worker = decode_worker
+
+
+class Node:
+    """All parts of one node.
+
+    Attributes:
+        directory: Configuration in force.
+        stopping: Whether a planned stop is under way.
+    """
+
+    def __init__(self, *, node_id: str, link: str, eligible: bool,
+                 sources: Sources, store: ports.Store, workers: ports.Workers,
+                 links: node_links.Links, timers: timer.Timers,
+                 wall: ports.Wall, bounds: limits.Limits,
+                 metrics: sinks.Metrics, rng: random.Random):
+        """Joins the parts and begins to read.
+
+        Args:
+            node_id: Name of the node.
+            link: Its address for links, "host:port".
+            eligible: Whether it may lead.
+            sources: Tables that the platform writes.
+            store: The store.
+            workers: Sends orders to workers.
+            links: Sends messages to other nodes.
+            timers: Source of time.
+            wall: The time of day.
+            bounds: Time limits of the leader.
+            metrics: Sink of metrics.
+            rng: Source of jitter.
+        """
+        self.directory = directories.EMPTY
+        self.stopping = False
+        self._node_id = node_id
+        self._link = link
+        self._sources = sources
+        self._store = store
+        self._workers = workers
+        self._links = links
+        self._timers = timers
+        self._wall = wall
+        self._bounds = bounds
+        self._metrics = metrics
+        self._rng = rng
+        self._config_rows: dict[str, bytes] = {}
+        self._store_ms = 0.0
+        self._store_read_s = timers.read_clock()
+        self._pending: dict[str, int] = {}
+        self._question_ids = itertools.count(1)
+        self._questions: dict[int, intakes.OnTold] = {}
+        self._followers: dict[str, float] = {}
+        self._dispatcher: dispatchers.Dispatcher | None = None
+        self._ledger: ledgers.Ledger | None = None
+        self._leader_watches: list[watch.Watch] = []
+        self.intake = intakes.Intake(store=store,
+                                     timers=timers,
+                                     metrics=metrics,
+                                     ask_leader=self._ask_leader,
+                                     read_store_ms=self._read_store_ms,
+                                     on_accepted=self._notify_leader)
+        self._leadership = leaderships.Leadership(node_id=node_id,
+                                                  link=link,
+                                                  store=store,
+                                                  timers=timers,
+                                                  rng=rng,
+                                                  eligible=eligible,
+                                                  on_gain=self._begin_lead,
+                                                  on_loss=self._end_lead)
+        self._config_watch = self._watch(sources.config_table, CONFIG_WAIT_S,
+                                         self._take_config_content,
+                                         self._take_config_change)
+        self._leader_watch = self._watch(tables.LEADER_ROW[0], LEADER_WAIT_S,
+                                         self._take_leader_content,
+                                         self._take_leader_change)
+        timers.call_every(BEAT_INTERVAL_S, self._send_beat)
+
+    @property
+    def config_fresh_s(self) -> float:
+        """Time up to which all changes of the configuration are known."""
+        return self._config_watch.fresh_s
+
+    @property
+    def leading(self) -> bool:
+        """Whether this node leads."""
+        return self._leadership.leading
+
+    def count_pending(self, queue: str) -> int:
+        """Returns the number of jobs of a queue that have not begun."""
+        if self._dispatcher is not None and self._dispatcher.ready:
+            return self._dispatcher.count_pending().get(queue, 0)
+        return self._pending.get(queue, 0)
+
+    def begin_stop(self, on_done: Callable[[], None]) -> None:
+        """Hands the lead over before a planned stop.
+
+        Args:
+            on_done: Called when that is done or has failed.
+        """
+        self.stopping = True
+        self._leadership.release(on_done)
+
+    def _watch(self, table: str, wait_s: float, on_content: watch.OnRows,
+               on_change: watch.OnRows) -> watch.Watch:
+        follower = watch.Watch(table=table,
+                               store=self._store,
+                               timers=self._timers,
+                               rng=self._rng,
+                               wait_s=wait_s,
+                               on_content=on_content,
+                               on_change=on_change)
+        follower.begin()
+        return follower
+
+    # Configuration and leader.
+
+    def _read_store_ms(self) -> float:
+        elapsed_s = self._timers.read_clock() - self._store_read_s
+        return self._store_ms + elapsed_s * 1000.0
+
+    def _note_store_clock(self, rows: ports.Rows) -> None:
+        self._store_ms = rows.store_ms
+        self._store_read_s = self._timers.read_clock()
+
+    def _take_config_content(self, rows: ports.Rows) -> None:
+        self._config_rows = {}
+        self._take_config_change(rows)
+
+    def _take_config_change(self, rows: ports.Rows) -> None:
+        self._note_store_clock(rows)
+        watch.merge_rows(self._config_rows, rows.rows)
+        found = self._sources.decode_directory(self._config_rows)
+        if found is None or found.version <= self.directory.version:
+            return
+        _log.info("configuration in force",
+                  version=found.version,
+                  before=self.directory.version,
+                  queues=len(found.queues),
+                  teams=len(found.teams),
+                  store_version=rows.version)
+        self.directory = found
+        if self._dispatcher is not None:
+            self._dispatcher.see_directory(found)
+
+    def _take_leader_content(self, rows: ports.Rows) -> None:
+        if not rows.rows:
+            self._leadership.see_row(None, 0)
+        self._take_leader_change(rows)
+
+    def _take_leader_change(self, rows: ports.Rows) -> None:
+        for row in rows.rows:
+            if row.key == tables.LEADER_ROW[1]:
+                self._leadership.see_row(row.value, row.version)
+        if not self._leadership.leading:
+            link = self._leadership.leader.link
+            self._links.set_addresses({link} if link else set())
+
+    # Leading.
+
+    def _begin_lead(self, epoch: int, head_version: int,
+                    led_until_s: float) -> None:
+        self._links.set_addresses(set())
+        self._followers = {}
+        ledger = ledgers.Ledger(store=self._store,
+                                timers=self._timers,
+                                epoch=epoch,
+                                head_version=head_version,
+                                on_deposed=self._leadership.lose)
+        dispatcher = dispatchers.Dispatcher(
+            epoch=epoch,
+            workers=self._workers,
+            timers=self._timers,
+            wall=self._wall,
+            ledger=ledger,
+            bounds=self._bounds,
+            plan=planner.Planner(order=planner.WorthDensity()),
+            metrics=self._metrics,
+            led_until_s=led_until_s,
+            on_deposed=self._leadership.lose)
+        self._ledger = ledger
+        self._dispatcher = dispatcher
+        dispatcher.see_directory(self.directory)
+        self._read_jobs(dispatcher)
+
+    def _read_jobs(self, dispatcher: dispatchers.Dispatcher) -> None:
+        """Reads what earlier leaders left, then follows what changes.
+
+        The rows of progress are read after those of the jobs: no other leader
+        writes them now, while jobs may still be added.
+        """
+        intake: list[ports.Rows] = []
+
+        def read() -> None:
+            if dispatcher is self._dispatcher:
+                self._store.read_all(table=tables.INTAKE, on_done=take_intake)
+
+        def take_intake(result: Any) -> None:
+            if not isinstance(result, ports.Rows):
+                _log.warning("jobs cannot be read", reason=str(result))
+                self._timers.call_later(watch.RETRY_BASE_S, read)
+                return
+            intake[:] = [result]
+            self._store.read_all(table=tables.PROGRESS, on_done=take_progress)
+
+        def take_progress(result: Any) -> None:
+            if dispatcher is not self._dispatcher:
+                return
+            if not isinstance(result, ports.Rows):
+                _log.warning("progress cannot be read", reason=str(result))
+                self._timers.call_later(watch.RETRY_BASE_S, read)
+                return
+            dispatcher.load(intake[0], result)
+            self._follow(dispatcher)
+
+        self._follow_workers(dispatcher)
+        read()
+
+    def _follow(self, dispatcher: dispatchers.Dispatcher) -> None:
+        """Follows the table of jobs; rows that are known change nothing."""
+
+        def take(rows: ports.Rows) -> None:
+            dispatcher.see_intake(rows.rows)
+
+        self._leader_watches.append(
+            self._watch(tables.INTAKE, INTAKE_WAIT_S, take, take))
+
+    def _follow_workers(self, dispatcher: dispatchers.Dispatcher) -> None:
+        content: dict[str, bytes] = {}
+
+        def take_content(rows: ports.Rows) -> None:
+            content.clear()
+            take_change(rows)
+
+        def take_change(rows: ports.Rows) -> None:
+            watch.merge_rows(content, rows.rows)
+            workers = {}
+            for key, value in content.items():
+                worker = self._sources.decode_worker(key, value)
+                if worker is not None:
+                    workers[key] = worker
+            dispatcher.see_workers(workers)
+
+        self._leader_watches.append(
+            self._watch(self._sources.workers_table, WORKERS_WAIT_S,
+                        take_content, take_change))
+
+    def _end_lead(self, reason: str) -> None:
+        _log.warning("no longer leading", reason=reason)
+        for follower in self._leader_watches:
+            follower.close()
+        self._leader_watches = []
+        if self._dispatcher is not None:
+            self._dispatcher.close()
+        self._dispatcher = None
+        self._ledger = None
+        link = self._leadership.leader.link
+        self._links.set_addresses({link} if link not in ("",
+                                                         self._link) else set())
+
+    # Messages between the leader and the other nodes.
+
+    def _send_beat(self) -> None:
+        if self._dispatcher is None or self._ledger is None:
+            link = self._leadership.leader.link
+            if link:
+                self._links.send(link, {"type": "hello", "link": self._link})
+            return
+        now_s = self._timers.read_clock()
+        silent = [
+            link for link, heard_s in self._followers.items()
+            if now_s - heard_s > HELLO_LIMIT_S
+        ]
+        for link in silent:
+            del self._followers[link]
+        if silent:
+            self._links.set_addresses(set(self._followers))
+        beat: node_links.Message = {
+            "type": "beat",
+            "epoch": self._dispatcher.epoch,
+            "head": self._ledger.head_version,
+            "age_s": now_s - self._ledger.confirmed_s,
+        }
+        if self._dispatcher.ready:
+            beat["pending"] = self._dispatcher.count_pending()
+        self._links.broadcast(beat)
+
+    def take_message(self, message: node_links.Message) -> None:
+        """Takes a message of another node.
+
+        Args:
+            message: The message.
+
+        Raises:
+            KeyError: If a field is missing.
+            ValueError: If a field has the wrong type.
+        """
+        kind = message["type"]
+        if kind == "hello":
+            self._take_hello(str(message["link"]))
+        elif kind == "beat":
+            self._leadership.hear(int(message["epoch"]), int(message["head"]),
+                                  float(message["age_s"]))
+            if "pending" in message:
+                self._pending = dict(message["pending"])
+        elif kind == "row":
+            if self._dispatcher is not None and self._dispatcher.ready:
+                self._dispatcher.see_intake([
+                    ports.Row(str(message["key"]), bytes(message["value"]), 0)
+                ])
+        elif kind == "ask":
+            self._answer(message)
+        elif kind == "told":
+            take = self._questions.pop(int(message["id"]), None)
+            if take is not None:
+                take(intakes.Ask(str(message["state"]), str(message["team"])))
+
+    def _take_hello(self, link: str) -> None:
+        if self._dispatcher is None:
+            return
+        known = link in self._followers
+        self._followers[link] = self._timers.read_clock()
+        if not known:
+            self._links.set_addresses(set(self._followers))
+
+    def _notify_leader(self, key: str, value: bytes) -> None:
+        """Hastens what the leader would read from the store a little later."""
+        if self._dispatcher is not None and self._dispatcher.ready:
+            self._dispatcher.see_intake([ports.Row(key, value, 0)])
+            return
+        self._links.send(self._leadership.leader.link, {
+            "type": "row",
+            "key": key,
+            "value": value
+        })
+
+    def _ask_leader(self, job_id: str, take: intakes.OnTold) -> None:
+        if self._dispatcher is not None:
+            take(self._tell(job_id))
+            return
+        number = next(self._question_ids)
+        sent = self._links.send(self._leadership.leader.link, {
+            "type": "ask",
+            "id": number,
+            "job": job_id,
+            "link": self._link
+        })
+        if not sent:
+            take(None)
+            return
+        self._questions[number] = take
+
+        def give_up() -> None:
+            late = self._questions.pop(number, None)
+            if late is not None:
+                late(None)
+
+        self._timers.call_later(ASK_TIMEOUT_S, give_up)
+
+    def _answer(self, message: node_links.Message) -> None:
+        told = self._tell(str(message["job"]))
+        if told is None:
+            told = intakes.Ask("", "")
+        self._links.send(
+            str(message["link"]), {
+                "type": "told",
+                "id": message["id"],
+                "state": told.state,
+                "team": told.team
+            })
+
+    def _tell(self, job_id: str) -> intakes.Ask | None:
+        """Tells what this leader vouches for, or None."""
+        if self._dispatcher is None or self._ledger is None:
+            return None
+        age_s = self._timers.read_clock() - self._ledger.confirmed_s
+        if not self._dispatcher.ready or age_s > leaderships.VOUCH_S:
+            return None
+        state = self._dispatcher.get_state(job_id)
+        if state is None:
+            return None
+        team = self._dispatcher.jobs[job_id].workload.team
+        return intakes.Ask(str(state), team)
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -0,0 +1,152 @@
+"""Chooses workers for the tasks of one step."""
+
+import collections
+from typing import NamedTuple
+
+from trefoilroad_jobs import workload
+
+Demand = workload.Demand
+
+
+class Slot:
+    """What one worker offers in a round.
+
+    Attributes:
+        worker_id: The worker.
+        rack: Its rack.
+        labels: Its labels.
+        room: What is free.
+        capacity: What it has in all.
+        idle: Whether it runs nothing.
+    """
+
+    __slots__ = ("capacity", "idle", "labels", "rack", "room", "worker_id")
+
+    def __init__(self, *, worker_id: str, rack: str, labels: frozenset[str],
+                 room: Demand, capacity: Demand, idle: bool):
+        self.worker_id = worker_id
+        self.rack = rack
+        self.labels = labels
+        self.room = room
+        self.capacity = capacity
+        self.idle = idle
+
+
+class Wish(NamedTuple):
+    """Tasks of one step that want workers.
+
+    Attributes:
+        step: The step.
+        tasks: Number of tasks to place.
+        whole: Whether all must be placed or none.
+        used: Tasks of the step on each worker already, where their number is
+            limited.
+    """
+
+    step: workload.Step
+    tasks: int
+    whole: bool
+    used: dict[str, int]
+
+
+def count_fitting(demand: Demand, room: Demand) -> int:
+    """Returns how many tasks of a demand fit into a room."""
+    counts = [
+        have // want for want, have in zip(demand, room, strict=True) if want
+    ]
+    return max(0, min(counts, default=1_000))
+
+
+def _count_slot(wish: Wish, slot: Slot, room: Demand) -> int:
+    if wish.step.label and wish.step.label not in slot.labels:
+        return 0
+    count = count_fitting(wish.step.occupied, room)
+    if wish.step.max_per_worker:
+        limit = wish.step.max_per_worker - wish.used.get(slot.worker_id, 0)
+        count = min(count, max(0, limit))
+    return count
+
+
+def fill(wish: Wish, slots: list[Slot]) -> list[str]:
+    """Fills slots in order, the fullest that still fit first.
+
+    Packing onto workers that are partly used keeps whole workers free for
+    tasks that need one.
+
+    Returns:
+        The worker of each task that could be placed.
+    """
+    offers = [(slot, count)
+              for slot in slots
+              if (count := _count_slot(wish, slot, slot.room)) > 0]
+    offers.sort(key=lambda offer: (offer[0].room.accelerators, offer[0].room.
+                                   milli_cores, offer[0].worker_id))
+    placed: list[str] = []
+    for slot, count in offers:
+        placed += [slot.worker_id] * min(count, wish.tasks - len(placed))
+        if len(placed) == wish.tasks:
+            break
+    return placed
+
+
+def could_fit(wish: Wish, slots: list[Slot]) -> bool:
+    """Tells whether the wish would fit if all slots were idle."""
+    total = sum(_count_slot(wish, slot, slot.capacity) for slot in slots)
+    return total >= wish.tasks
+
+
+def group_by_rack(slots: list[Slot]) -> dict[str, list[Slot]]:
+    """Groups slots by rack."""
+    racks: dict[str, list[Slot]] = collections.defaultdict(list)
+    for slot in slots:
+        racks[slot.rack].append(slot)
+    return racks
+
+
+def place(wish: Wish, slots: list[Slot], *, spread: bool) -> list[str]:
+    """Places the tasks of a wish.
+
+    A step whose tasks are slower on several racks gets one rack, the one that
+    it fills best. Tasks with data in a rack go there first.
+
+    Args:
+        wish: What is wanted.
+        slots: Workers that may be used.
+        spread: Whether a step that wants one rack may have several, although
+            some rack could hold it.
+
+    Returns:
+        A worker for each task that is placed; empty if a whole wish does not
+        fit.
+    """
+    step = wish.step
+    racks = group_by_rack(slots)
+    if step.one_rack and wish.tasks > 1:
+        homes = [rack for rack in racks.values() if could_fit(wish, rack)]
+        placed = _place_in_one(wish, homes)
+        if placed or (homes and not spread):
+            return placed
+    if step.data_rack in racks:
+        placed = fill(wish, racks[step.data_rack])
+        home_fits = could_fit(wish, racks[step.data_rack])
+        if len(placed) == wish.tasks or (home_fits and not spread):
+            return placed if len(placed) == wish.tasks or not wish.whole else []
+    placed = fill(wish, slots)
+    if wish.whole and len(placed) < wish.tasks:
+        return []
+    return placed
+
+
+def _place_in_one(wish: Wish, racks: list[list[Slot]]) -> list[str]:
+    """Places all tasks in the rack with the least room that holds them."""
+    best: list[str] = []
+    best_key: tuple[bool, int] | None = None
+    for rack in racks:
+        placed = fill(wish, rack)
+        if len(placed) < wish.tasks:
+            continue
+        free = sum(slot.room.accelerators for slot in rack)
+        key = (rack[0].rack != wish.step.data_rack, free)
+        if best_key is None or key < best_key:
+            best, best_key = placed, key
+    return best
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -0,0 +1,315 @@
+"""Decides which tasks start where, and what is stopped for them.
+
+Pure functions of what is known at one moment: no sockets, no clock.
+"""
+
+import abc
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from trefoilroad_jobs import estimate
+from trefoilroad_jobs import placement
+from trefoilroad_jobs import workload
+
+# Relative worth of a job by priority, most urgent first; the last one holds
+# for all further priorities. From the users' sheets: 4, 3 and 1 a request.
+WORTH_BY_PRIORITY = (4.0, 3.0, 1.0)
+# Share of its worth that a late job still has, from the same sheets.
+LATE_SHARE = 0.27
+# A job that ends later than this multiple of its objective is worth nothing.
+LATE_FACTOR = 3.0
+# Worth share of a job that can no longer end in time to count; it still runs
+# when nothing else wants the room.
+HOPELESS_SHARE = 0.003
+# Part of a job's worth that does not depend on its size, and the largest
+# multiple of the mean that size counts for.
+FIXED_SHARE = 0.3
+MAX_SIZE_RATIO = 4.0
+
+
+class Unit(NamedTuple):
+    """Tasks of one step that are ready to start.
+
+    Attributes:
+        job_id: The job.
+        occurrence: Number of the occurrence.
+        step_number: Number of the step.
+        step: The step.
+        indexes: Tasks that are ready; all of them for a gang.
+        used: Tasks of the step on each worker, if their number is limited.
+        service: Service whose workers run it.
+        team: Team of the job.
+        priority: 0 is the most urgent.
+        accepted_s: When the job was accepted or became due.
+        objective_s: When the job should have ended.
+        remaining_s: Expected time from the start to the end of the job.
+        work: Expected core-seconds that are left of the job.
+        size_ratio: Size of the job relative to the mean of its queue.
+        begun: Whether tasks of the job have run already.
+        guaranteed: Whether the team's guarantee covers it.
+    """
+
+    job_id: str
+    occurrence: int
+    step_number: int
+    step: workload.Step
+    indexes: tuple[int, ...]
+    used: dict[str, int]
+    service: str
+    team: str
+    priority: int
+    accepted_s: float
+    objective_s: float
+    remaining_s: float
+    work: float
+    size_ratio: float
+    begun: bool
+    guaranteed: bool
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of all its tasks."""
+        return self.step.demand.accelerators * len(self.indexes)
+
+
+class Victim(NamedTuple):
+    """Running tasks that may be stopped together.
+
+    Attributes:
+        tasks: Worker and demand of each task.
+        cost: Core-seconds of work that a stop loses.
+        priority: Priority of the job.
+        token: Identifies the tasks for the caller.
+    """
+
+    tasks: tuple[tuple[str, workload.Demand], ...]
+    cost: float
+    priority: int
+    token: object
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators that a stop frees."""
+        return sum(demand.accelerators for _, demand in self.tasks)
+
+
+class Start(NamedTuple):
+    """A unit, or a part of one, and the worker of each of its tasks."""
+
+    unit: Unit
+    workers: tuple[str, ...]
+
+
+class Plan(NamedTuple):
+    """What a round decided.
+
+    Attributes:
+        starts: What starts.
+        stops: Victims that are stopped so that guaranteed units can start.
+        waiting: Guaranteed units that wait for victims to end.
+    """
+
+    starts: list[Start]
+    stops: list[Victim]
+    waiting: list[Unit]
+
+
+class Order(abc.ABC):
+    """Ranks units; lower ranks go first."""
+
+    @abc.abstractmethod
+    def rank(self, unit: Unit, now_s: float) -> tuple[float, ...]:
+        """Returns the rank of a unit."""
+
+
+class Arrival(Order):
+    """By priority, then in the order of acceptance."""
+
+    def rank(self, unit: Unit, now_s: float) -> tuple[float, ...]:
+        """See Order.rank."""
+        return (unit.priority, unit.accepted_s)
+
+
+class LeastSlack(Order):
+    """By priority, then by the time left until the latest useful start."""
+
+    def rank(self, unit: Unit, now_s: float) -> tuple[float, ...]:
+        """See Order.rank."""
+        return (unit.priority, unit.objective_s - unit.remaining_s)
+
+
+class WorthDensity(Order):
+    """By the worth that a core-second earns if the unit starts now."""
+
+    def rank(self, unit: Unit, now_s: float) -> tuple[float, ...]:
+        """See Order.rank."""
+        density = estimate_worth(unit, now_s) / max(unit.work, 0.01)
+        return (-density, unit.accepted_s)
+
+
+def estimate_worth(unit: Unit, now_s: float) -> float:
+    """Returns what the unit's job is worth if the unit starts now."""
+    level = min(unit.priority, len(WORTH_BY_PRIORITY) - 1)
+    size = min(unit.size_ratio, MAX_SIZE_RATIO)
+    worth = WORTH_BY_PRIORITY[level] * (FIXED_SHARE + (1 - FIXED_SHARE) * size)
+    end_s = now_s + unit.remaining_s
+    allowed_s = unit.objective_s - unit.accepted_s
+    if end_s <= unit.objective_s:
+        return worth
+    if end_s <= unit.accepted_s + LATE_FACTOR * allowed_s:
+        return worth * LATE_SHARE
+    return worth * HOPELESS_SHARE
+
+
+class Planner:
+    """Plans rounds with one order."""
+
+    def __init__(self, *, order: Order):
+        self._order = order
+
+    def plan(self, units: Sequence[Unit], slots: Sequence[placement.Slot],
+             ending: Sequence[tuple[str, workload.Demand]],
+             victims: Sequence[Victim], now_s: float) -> Plan:
+        """Plans a round for one service.
+
+        Args:
+            units: What is ready.
+            slots: Workers that may be used, with their room; changed.
+            ending: Worker and demand of each task that is being stopped.
+            victims: What may be stopped for guaranteed units.
+            now_s: The time.
+
+        Returns:
+            The plan.
+        """
+        plan = Plan([], [], [])
+        open_slots = list(slots)
+        by_id = {slot.worker_id: slot for slot in open_slots}
+        soon = list(ending)
+        left = list(victims)
+        ordered = sorted(units,
+                         key=lambda unit:
+                         (not unit.guaranteed, *self._order.rank(unit, now_s)))
+        for unit in ordered:
+            workers = self._place(unit, open_slots)
+            if workers:
+                plan.starts.append(Start(unit, tuple(workers)))
+                _take(by_id, unit, workers)
+            elif unit.guaranteed:
+                chosen = _reclaim(unit, open_slots, soon, left)
+                if chosen is None:
+                    continue
+                plan.waiting.append(unit)
+                plan.stops.extend(chosen.victims)
+                soon += [task for item in chosen.victims for task in item.tasks]
+                left = [item for item in left if item not in chosen.victims]
+                _take(by_id, unit, chosen.workers)
+        return plan
+
+    def _place(self, unit: Unit, slots: list[placement.Slot]) -> list[str]:
+        wish = _build_wish(unit)
+        return placement.place(wish, slots, spread=False)
+
+
+def _build_wish(unit: Unit) -> placement.Wish:
+    return placement.Wish(step=unit.step,
+                          tasks=len(unit.indexes),
+                          whole=unit.step.gang or unit.guaranteed,
+                          used=unit.used)
+
+
+def _take(slots: dict[str, placement.Slot], unit: Unit,
+          workers: Sequence[str]) -> None:
+    for worker_id in workers:
+        slot = slots[worker_id]
+        slot.room = slot.room.minus(unit.step.occupied)
+        slot.idle = False
+
+
+class _Reclaim(NamedTuple):
+    """Victims of a reclaim and the workers that the unit will get."""
+
+    victims: list[Victim]
+    workers: list[str]
+
+
+def _reclaim(unit: Unit, slots: list[placement.Slot],
+             soon: Sequence[tuple[str, workload.Demand]],
+             victims: Sequence[Victim]) -> _Reclaim | None:
+    """Chooses what to stop so that a unit can start.
+
+    The cheapest victims for each accelerator come first. As many as are
+    needed are taken by bisection; those whose room is not used in the end are
+    spared.
+    """
+    wish = _build_wish(unit)
+    ranked = sorted(victims,
+                    key=lambda item:
+                    (-item.priority, item.cost / max(1, item.accelerators)))
+    wasted: list[str] = []
+    for spread in (False, True):
+        low, high = 0, len(ranked)
+        if not _place_after(wish, slots, soon, ranked[:high], spread):
+            continue
+        while low < high:
+            middle = (low + high) // 2
+            if _place_after(wish, slots, soon, ranked[:middle], spread):
+                high = middle
+            else:
+                low = middle + 1
+        chosen = ranked[:high]
+        wasted = _place_after(wish, slots, soon, chosen, spread)
+        break
+    if not wasted:
+        return None
+    workers = wasted
+    return _Reclaim(_spare(wish, slots, soon, chosen, workers), workers)
+
+
+def _spare(wish: placement.Wish, slots: list[placement.Slot],
+           soon: Sequence[tuple[str, workload.Demand]], chosen: list[Victim],
+           workers: list[str]) -> list[Victim]:
+    """Drops victims that the chosen workers do not need, dearest first."""
+    used = set(workers)
+    subset = [slot for slot in slots if slot.worker_id in used]
+    needed = [
+        item for item in chosen
+        if any(worker in used for worker, _ in item.tasks)
+    ]
+    for item in sorted(needed, key=lambda item: -item.cost):
+        rest = [other for other in needed if other is not item]
+        if sorted(_place_after(wish, subset, soon, rest,
+                               True)) == sorted(workers):
+            needed = rest
+    return needed
+
+
+def _place_after(wish: placement.Wish, slots: list[placement.Slot],
+                 soon: Sequence[tuple[str, workload.Demand]],
+                 victims: Sequence[Victim], spread: bool) -> list[str]:
+    """Places a wish in the room that there will be after the stops."""
+    freed: dict[str, workload.Demand] = {}
+    for worker_id, demand in [
+            *soon, *(task for item in victims for task in item.tasks)
+    ]:
+        freed[worker_id] = freed.get(worker_id, workload.Demand(0, 0,
+                                                                0)).plus(demand)
+    later = [
+        placement.Slot(worker_id=slot.worker_id,
+                       rack=slot.rack,
+                       labels=slot.labels,
+                       room=slot.room.plus(
+                           freed.get(slot.worker_id, workload.Demand(0, 0, 0))),
+                       capacity=slot.capacity,
+                       idle=slot.idle) for slot in slots
+    ]
+    return placement.place(wish, later, spread=spread)
+
+
+def compute_loss(step: workload.Step, elapsed_s: float,
+                 checkpoint_interval_s: float) -> float:
+    """Returns the core-seconds that the stop of one task loses."""
+    lost_s = elapsed_s
+    if step.checkpoints:
+        lost_s = min(elapsed_s, checkpoint_interval_s)
+    return lost_s * estimate.weigh(step.demand)
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -0,0 +1,308 @@
+"""The durable progress of a job: ends, failures and claimed runs."""
+
+from collections.abc import Iterator
+import enum
+from typing import Any
+from typing import NamedTuple
+
+import cbor2
+
+from trefoilroad_jobs import workload as workloads
+
+
+class JobState(enum.StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+class Phase(enum.Enum):
+    """What is known of a claimed run."""
+
+    CLAIMING = "claiming"  # The claim is being written.
+    STARTING = "starting"  # The start has been sent and not answered.
+    RUNNING = "running"
+    STOPPING = "stopping"  # Must end; it may still run.
+    RECOVERING = "recovering"  # Claimed by an earlier leader.
+
+
+class TaskKey(NamedTuple):
+    """Identifies a task.
+
+    Attributes:
+        job_id: The job.
+        occurrence: Number of the occurrence, from 0.
+        step: Number of the step, from 0.
+        task: Number of the task in the step, from 0.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    task: int
+
+
+class Claim:
+    """A run that may be alive on a worker.
+
+    Attributes:
+        key: The task.
+        run: Number of the run.
+        worker_id: Worker that was told, or will be told, to run it.
+        life_ms: Start of that worker's life, in Unix milliseconds.
+        phase: What is known of it.
+        start_sent: Whether a start may have left this process.
+        start_settled: Whether no start of it can take effect any more, or
+            one was answered.
+        stop_settled: Whether the worker confirmed a stop in its current life.
+        since_s: When the phase began.
+        retry_s: When the next order is due.
+        tries: Starts or stops sent in this phase.
+        percent: Progress that the worker reported last.
+        percent_s: When the progress last changed.
+        checkpoint: Latest checkpoint, or empty.
+        demand: Resources that it takes on its worker.
+        why: Why it is being stopped, for logs.
+    """
+
+    __slots__ = ("checkpoint", "demand", "key", "life_ms", "percent",
+                 "percent_s", "phase", "retry_s", "run", "since_s",
+                 "start_sent", "start_settled", "started_s", "stop_acked_s",
+                 "stop_settled", "tries", "why", "worker_id")
+
+    def __init__(self,
+                 *,
+                 key: TaskKey,
+                 run: int,
+                 worker_id: str,
+                 life_ms: int,
+                 phase: Phase,
+                 now_s: float,
+                 demand: workloads.Demand,
+                 checkpoint: str = ""):
+        self.key = key
+        self.demand = demand
+        self.run = run
+        self.worker_id = worker_id
+        self.life_ms = life_ms
+        self.phase = phase
+        self.start_sent = phase is Phase.RECOVERING
+        self.start_settled = False
+        self.stop_settled = False
+        self.stop_acked_s = float("inf")
+        self.since_s = now_s
+        self.started_s = now_s
+        self.retry_s = now_s
+        self.tries = 0
+        self.percent = 0
+        self.percent_s = now_s
+        self.checkpoint = checkpoint
+        self.why = ""
+
+    def set_phase(self, phase: Phase, now_s: float) -> None:
+        """Enters a phase."""
+        self.phase = phase
+        self.since_s = now_s
+        self.retry_s = now_s
+        self.tries = 0
+
+
+class StepProgress:
+    """Progress of one step of one occurrence.
+
+    Attributes:
+        last_runs: Highest run number of each task that was ever claimed.
+        done: Indexes of the tasks that have ended as done.
+        failures: Failed runs by index; a gang counts at index 0.
+        claims: Runs that may be alive, by index.
+        checkpoints: Where a stopped task resumes, by index.
+        not_before_s: No start before this time.
+    """
+
+    __slots__ = ("checkpoints", "claims", "done", "failures", "last_runs",
+                 "not_before_s")
+
+    def __init__(self, *, tasks: int):
+        self.last_runs = [0] * tasks
+        self.done: set[int] = set()
+        self.failures: dict[int, int] = {}
+        self.claims: dict[int, Claim] = {}
+        self.checkpoints: dict[int, str] = {}
+        self.not_before_s = float("-inf")
+
+    @property
+    def is_done(self) -> bool:
+        """Whether each task has ended as done."""
+        return len(self.done) == len(self.last_runs)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether some task has been claimed."""
+        return any(self.last_runs)
+
+    def list_waiting(self) -> list[int]:
+        """Returns the tasks that are neither done nor claimed."""
+        return [
+            index for index in range(len(self.last_runs))
+            if index not in self.done and index not in self.claims
+        ]
+
+
+class Job:
+    """A job that the leader works on.
+
+    Attributes:
+        workload: What was accepted.
+        state: State as recorded.
+        cancelled: Whether its cancellation has been accepted.
+        steps: Progress by occurrence and step.
+        seen_s: When this leader first saw it.
+        age_s: Age when it was first seen, in seconds.
+        ended_ms: When it became final, in the store's milliseconds.
+        unrecorded: Number of changes that are not durable yet.
+    """
+
+    __slots__ = ("age_s", "cancelled", "ended_ms", "seen_s", "state", "steps",
+                 "unrecorded", "workload")
+
+    def __init__(self, *, workload: workloads.Workload, now_s: float,
+                 age_s: float):
+        self.workload = workload
+        self.state = JobState.QUEUED
+        self.cancelled = False
+        self.steps: dict[tuple[int, int], StepProgress] = {}
+        self.seen_s = now_s
+        self.age_s = age_s
+        self.ended_ms = 0.0
+        self.unrecorded = 0
+
+    @property
+    def job_id(self) -> str:
+        """Identifier of the job."""
+        return self.workload.job_id
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the state never changes any more."""
+        return self.state in FINAL
+
+    @property
+    def accepted_s(self) -> float:
+        """When it was accepted, on this leader's clock, in seconds."""
+        return self.seen_s - self.age_s
+
+    def get_step(self, occurrence: int, number: int) -> StepProgress:
+        """Returns the progress of a step."""
+        step = self.steps.get((occurrence, number))
+        if step is None:
+            step = StepProgress(tasks=self.workload.steps[number].tasks)
+            self.steps[occurrence, number] = step
+        return step
+
+    def list_claims(self) -> Iterator[Claim]:
+        """Yields the runs that may be alive."""
+        for step in self.steps.values():
+            yield from step.claims.values()
+
+    def is_occurrence_done(self, occurrence: int) -> bool:
+        """Tells whether all steps of an occurrence are done."""
+        return all(
+            (occurrence, number) in self.steps and self.steps[occurrence,
+                                                              number].is_done
+            for number in range(len(self.workload.steps)))
+
+    def is_done(self) -> bool:
+        """Tells whether all occurrences are done."""
+        return all(
+            self.is_occurrence_done(occurrence)
+            for occurrence in range(self.workload.occurrences))
+
+    def has_begun(self) -> bool:
+        """Tells whether some task has been claimed."""
+        return any(step.has_begun for step in self.steps.values())
+
+    def list_ready(self, wall_ms: float) -> Iterator[tuple[int, int]]:
+        """Yields the steps whose turn has come, as (occurrence, step).
+
+        Args:
+            wall_ms: The time in Unix milliseconds.
+        """
+        for occurrence in range(self.workload.occurrences):
+            if self.workload.get_due_ms(occurrence) > wall_ms:
+                return
+            for number, step in enumerate(self.workload.steps):
+                found = self.steps.get((occurrence, number))
+                if found is not None and found.is_done:
+                    continue
+                if all((occurrence,
+                        earlier) in self.steps and self.steps[occurrence,
+                                                              earlier].is_done
+                       for earlier in step.after):
+                    yield occurrence, number
+
+
+def encode_progress(job: Job) -> bytes:
+    """Encodes the progress of a job for the store."""
+    steps = []
+    for (occurrence, number), step in job.steps.items():
+        claims = [(index, claim.run, claim.worker_id, claim.life_ms)
+                  for index, claim in step.claims.items()]
+        runs: Any = step.last_runs
+        if len(set(runs)) == 1:
+            runs = runs[0]
+        done: Any = sorted(step.done)
+        if step.is_done:
+            done = True
+        steps.append((occurrence, number, runs, done, step.failures, claims,
+                      step.checkpoints))
+    return cbor2.dumps([str(job.state), job.ended_ms, steps])
+
+
+def decode_state(data: bytes) -> JobState:
+    """Decodes only the state of a job.
+
+    Raises:
+        ValueError: If the data is not an encoded progress.
+    """
+    try:
+        return JobState(cbor2.loads(data)[0])
+    except (cbor2.CBORError, TypeError, IndexError, EOFError) as error:
+        raise ValueError(f"not a progress: {error!r}") from error
+
+
+def decode_progress(job: Job, data: bytes, now_s: float) -> None:
+    """Sets the progress of a job from the store.
+
+    Raises:
+        ValueError: If the data is not an encoded progress of this job.
+    """
+    try:
+        state, job.ended_ms, steps = cbor2.loads(data)
+        job.state = JobState(state)
+        for occurrence, number, runs, done, failures, claims, saved in steps:
+            step = job.get_step(occurrence, number)
+            tasks = len(step.last_runs)
+            step.last_runs = [runs] * tasks if isinstance(runs, int) else runs
+            step.done = set(range(tasks)) if done is True else set(done)
+            step.failures = failures
+            step.checkpoints = saved
+            for index, run, worker_id, life_ms in claims:
+                step.claims[index] = Claim(
+                    key=TaskKey(job.job_id, occurrence, number, index),
+                    run=run,
+                    worker_id=worker_id,
+                    life_ms=life_ms,
+                    phase=Phase.RECOVERING,
+                    now_s=now_s,
+                    demand=job.workload.steps[number].occupied,
+                    checkpoint=saved.get(index, ""))
+    except (cbor2.CBORError, TypeError, IndexError, EOFError) as error:
+        raise ValueError(
+            f"not a progress of {job.job_id}: {error!r}") from error
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/tables.py
@@ -0,0 +1,33 @@
+"""Tables and keys in the store."""
+
+from trefoilroad_jobs import ports
+
+INTAKE = "intake"
+"""Accepted jobs and cancellations, written by the nodes."""
+
+PROGRESS = "progress"
+"""Progress of each job, written by the leader."""
+
+LEADER_ROW: ports.RowName = ("leader", "leader")
+"""Who leads, under which epoch."""
+
+HEAD_ROW: ports.RowName = ("head", "head")
+"""Last transaction of the leader."""
+
+JOB_PREFIX = "job/"
+CANCEL_PREFIX = "cancel/"
+
+
+def name_job(job_id: str) -> ports.RowName:
+    """Returns the row of an accepted job."""
+    return INTAKE, JOB_PREFIX + job_id
+
+
+def name_cancellation(job_id: str) -> ports.RowName:
+    """Returns the row of a cancellation."""
+    return INTAKE, CANCEL_PREFIX + job_id
+
+
+def name_progress(job_id: str) -> ports.RowName:
+    """Returns the row of a job's progress."""
+    return PROGRESS, job_id
--- /dev/null
+++ b/packages/jobs/src/trefoilroad_jobs/watch.py
@@ -0,0 +1,128 @@
+"""Follows a table: its content, then its changes, through every failure."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+
+import structlog
+
+from trefoilroad_core import backoff
+from trefoilroad_jobs import ports
+from trefoilroad_node import timer
+
+RETRY_BASE_S = 0.1
+RETRY_MAX_S = 0.6
+
+OnRows = Callable[[ports.Rows], None]
+
+_log = structlog.get_logger()
+
+
+class Watch:
+    """Keeps up with one table.
+
+    Attributes:
+        fresh_s: Time up to which all changes are known, or minus infinity.
+    """
+
+    def __init__(self, *, table: str, store: ports.Store, timers: timer.Timers,
+                 rng: random.Random, wait_s: float, on_content: OnRows,
+                 on_change: OnRows):
+        """Prepares; `begin` starts it.
+
+        Args:
+            table: The table.
+            store: The store.
+            timers: Source of time.
+            rng: Source of jitter.
+            wait_s: Longest wait for a change in seconds.
+            on_content: Gets the whole content, at the start and after a loss
+                of history.
+            on_change: Gets changes.
+        """
+        self.fresh_s = float("-inf")
+        self._table = table
+        self._store = store
+        self._timers = timers
+        self._rng = rng
+        self._wait_s = wait_s
+        self._on_content = on_content
+        self._on_change = on_change
+        self._version: int | None = None
+        self._failures = 0
+        self._closed = False
+
+    def begin(self) -> None:
+        """Begins to read."""
+        self._ask()
+
+    def close(self) -> None:
+        """Ends; nothing more is called."""
+        self._closed = True
+
+    def _ask(self) -> None:
+        if self._closed:
+            return
+        sent_s = self._timers.read_clock()
+        if self._version is None:
+            self._store.read_all(
+                table=self._table,
+                on_done=lambda result: self._take(sent_s, result, True))
+        else:
+            self._store.watch(
+                table=self._table,
+                after=self._version,
+                wait_s=self._wait_s,
+                on_done=lambda result: self._take(sent_s, result, False))
+
+    def _take(self, sent_s: float,
+              result: ports.Rows | ports.HistoryLost | ports.StoreFailed,
+              whole: bool) -> None:
+        if self._closed:
+            return
+        if isinstance(result, ports.HistoryLost):
+            _log.warning("history lost, reading anew",
+                         table=self._table,
+                         version=self._version)
+            self._version = None
+            self._ask()
+        elif isinstance(result, ports.StoreFailed):
+            self._retry(result)
+        else:
+            self._note_success(sent_s)
+            self._version = max(result.version, self._version or 0)
+            if whole:
+                self._on_content(result)
+            elif result.rows:
+                self._on_change(result)
+            self._ask()
+
+    def _note_success(self, sent_s: float) -> None:
+        self.fresh_s = sent_s
+        if self._failures:
+            _log.info("store answers again",
+                      table=self._table,
+                      failures=self._failures)
+        self._failures = 0
+
+    def _retry(self, result: ports.StoreFailed) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            _log.warning("store does not answer",
+                         table=self._table,
+                         reason=result.reason,
+                         version=self._version)
+        delay_s = backoff.compute_delay(tries=self._failures,
+                                        base_s=RETRY_BASE_S,
+                                        max_s=RETRY_MAX_S,
+                                        rng=self._rng)
+        self._timers.call_later(delay_s, self._ask)
+
+
+def merge_rows(content: dict[str, bytes], rows: Sequence[ports.Row]) -> None:
+    """Applies changed rows to the content of a table."""
+    for row in rows:
+        if row.value is None:
+            content.pop(row.key, None)
+        else:
+            content[row.key] = row.value
--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -3,27 +3,19 @@
 from collections.abc import Callable
 import hashlib
 import hmac
-import http
 import json
 import re
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
 
-import circuits
-from circuits.web import events as web_events
-from circuits.web import http as web_http
-from circuits.web import servers
-import structlog
-
 from trefoilroad_core import contract
 from trefoilroad_node import edge as edges
+from trefoilroad_node import httpserver
 from trefoilroad_node import operations
 
-Response = edges.Response
-Respond = edges.Respond
-
-_log = structlog.get_logger()
+Response = httpserver.Response
+Respond = httpserver.Respond
 
 _REQUEST_ID = re.compile(r"[0-9a-f]{32}")
 _WORKER_ID = re.compile(r"[!-.0-~]{1,128}")
@@ -92,19 +84,9 @@
     return found
 
 
-class Server(servers.BaseServer):
-    """The library's server without its banner, which is not a log line."""
-
-    @circuits.handler("ready", override=True)
-    def _on_ready(self, *_: Any) -> None:
-        pass
-
-
-class Api(circuits.BaseComponent):
+class Api(httpserver.HttpServer):
     """Routes requests to the edge and to the operators' actions."""
 
-    channel = "web"
-
     def __init__(self, *, listen: str, edge: edges.Edge,
                  actions: operations.Operations, bootstrap_sha256: str,
                  max_open: int):
@@ -117,82 +99,14 @@
             bootstrap_sha256: Digest of the token of the settings, or empty.
             max_open: Most requests being answered at once.
         """
-        super().__init__()
-        host, _, port = listen.rpartition(":")
-        self._server = Server((host, int(port)),
-                              channel=self.channel,
-                              display_banner=False)
-        self._server.register(self)
+        super().__init__(listen=listen)
         self._edge = edge
         self._actions = actions
         self._bootstrap_sha256 = bootstrap_sha256
         self._max_open = max_open
-        self.open_requests = 0
-        self.stopping = False
-
-    @property
-    def http(self) -> web_http.HTTP:
-        """Parser of the requests."""
-        return self._server.http
-
-    @property
-    def port(self) -> int:
-        """Port that was bound."""
-        return int(self._server.port)
-
-    @circuits.handler("request", priority=10)
-    def _on_request(self, event: Any, request: Any, response: Any, *_:
-                    Any) -> bool:
-        event.stop()
-        self.open_requests += 1
-        sent = False
-
-        def respond(result: Response) -> None:
-            nonlocal sent
-            if not sent:
-                sent = True
-                self.open_requests -= 1
-                self._send(request, response, result)
-
-        try:
-            self._dispatch(request, respond)
-        except Exception as error:
-            # Without an answer the exchange would count as open for ever.
-            _log.exception("request failed", error=repr(error))
-            respond(Response(500, {"error": "internal error"}))
-        # A truth value tells circuits.web that the response comes later.
-        return True
-
-    @circuits.handler("httperror", priority=10)
-    def _on_httperror(self, event: Any, request: Any, response: Any, *_: Any,
-                      **__: Any) -> None:
-        event.stop()
-        status = event.code or 500
-        if event.error:
-            _log.error("request failed", error=repr(event.error[1]))
-        response.close = True
-        error = event.description or http.HTTPStatus(status).phrase
-        if event.error:
-            error = "internal error"
-        self._send(request, response, Response(status, {"error": error}))
-
-    def _send(self, request: Any, response: Any, result: Response) -> None:
-        if request.sock.fileno() < 0:
-            return
-        if isinstance(result.body, bytes):
-            response.headers["Content-Type"] = "application/octet-stream"
-            response.body = result.body
-        else:
-            response.headers["Content-Type"] = "application/json"
-            response.body = json.dumps(result.body).encode()
-        for name, value in result.headers.items():
-            response.headers[name] = value
-        response.status = result.status
-        if self.stopping:
-            response.close = True
-        self.fire(web_events.response(response), self.channel)
 
-    def _dispatch(self, request: Any, respond: Respond) -> None:
+    def dispatch(self, request: Any, respond: Respond) -> None:
+        """See HttpServer.dispatch."""
         parts = tuple(part for part in request.path.split("/") if part)
         if parts == ("healthz",):
             respond(Response(200, {"status": "ok"}))
--- a/packages/node/src/trefoilroad_node/edge.py
+++ b/packages/node/src/trefoilroad_node/edge.py
@@ -4,11 +4,9 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Mapping
 import random
 import time
 from typing import Any
-from typing import NamedTuple
 
 import structlog
 
@@ -17,6 +15,7 @@
 from trefoilroad_core import errors
 from trefoilroad_core import request
 from trefoilroad_core import submission
+from trefoilroad_node import httpserver
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import publication
 from trefoilroad_node import region
@@ -31,22 +30,8 @@
 
 _log = structlog.get_logger()
 
-
-class Response(NamedTuple):
-    """An HTTP response.
-
-    Attributes:
-        status: HTTP status.
-        body: JSON value, or bytes that are sent as they are.
-        headers: Further headers.
-    """
-
-    status: int
-    body: Any
-    headers: Mapping[str, str] = {}
-
-
-Respond = Callable[[Response], None]
+Response = httpserver.Response
+Respond = httpserver.Respond
 OnAccepted = Callable[[request.Record, int], None]
 
 
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -12,6 +12,7 @@
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
+# Connections to one address unless the caller asks for more.
 MAX_CONNECTIONS = 4
 
 
@@ -164,8 +165,13 @@
 class HttpClient:
     """Sends requests over a few kept-alive connections to each address."""
 
-    def __init__(self, *, hub: streams.Streams, timers: timer.Timers,
-                 headers: Mapping[str, str], volume: traffic.Traffic):
+    def __init__(self,
+                 *,
+                 hub: streams.Streams,
+                 timers: timer.Timers,
+                 headers: Mapping[str, str],
+                 volume: traffic.Traffic,
+                 max_connections: int = MAX_CONNECTIONS):
         """Prepares the client.
 
         Args:
@@ -173,15 +179,24 @@
             timers: Ends requests that take too long.
             headers: Headers of every request.
             volume: Counts the bytes.
+            max_connections: Most connections to one address.
         """
+        self._max_connections = max_connections
         self._hub = hub
         self._timers = timers
         self._headers = dict(headers)
         self._volume = volume
         self._peers: dict[str, Peer] = {}
 
-    def send(self, *, address: str, method: str, path: str, body: bytes,
-             timeout_s: float, on_done: OnDone) -> None:
+    def send(self,
+             *,
+             address: str,
+             method: str,
+             path: str,
+             body: bytes,
+             timeout_s: float,
+             on_done: OnDone,
+             headers: Mapping[str, str] | None = None) -> None:
         """Sends a request.
 
         Args:
@@ -191,8 +206,9 @@
             body: The body, may be empty.
             timeout_s: Time for the whole exchange in seconds.
             on_done: Gets the answer, or Lost.
+            headers: Headers of this request beside those of all requests.
         """
-        data = self._encode(address, method, path, body)
+        data = self._encode(address, method, path, body, headers or {})
         self._volume.sent += len(data)
         exchange = Exchange(data=data, on_done=on_done)
         peer = self._peers.setdefault(address, Peer())
@@ -207,9 +223,9 @@
         for connection in peer.connections if peer else []:
             connection.close()
 
-    def _encode(self, address: str, method: str, path: str,
-                body: bytes) -> bytes:
-        headers = self._headers | {
+    def _encode(self, address: str, method: str, path: str, body: bytes,
+                extra: Mapping[str, str]) -> bytes:
+        headers = self._headers | dict(extra) | {
             "Host": address,
             "Content-Length": str(len(body))
         }
@@ -234,7 +250,7 @@
         for connection in peer.connections:
             if connection.idle:
                 return connection
-        if len(peer.connections) >= MAX_CONNECTIONS:
+        if len(peer.connections) >= self._max_connections:
             return None
         host, _, port = address.rpartition(":")
         connection = Connection(volume=self._volume,
--- /dev/null
+++ b/packages/node/src/trefoilroad_node/httpserver.py
@@ -0,0 +1,140 @@
+"""An HTTP server on circuits.web whose answers may come later."""
+
+import abc
+from collections.abc import Callable
+from collections.abc import Mapping
+import http
+import json
+from typing import Any
+from typing import NamedTuple
+
+import circuits
+from circuits.web import events as web_events
+from circuits.web import http as web_http
+from circuits.web import servers
+import structlog
+
+_log = structlog.get_logger()
+
+
+class Response(NamedTuple):
+    """An HTTP response.
+
+    Attributes:
+        status: HTTP status.
+        body: JSON value, or bytes that are sent as they are.
+        headers: Further headers.
+    """
+
+    status: int
+    body: Any
+    headers: Mapping[str, str] = {}
+
+
+Respond = Callable[[Response], None]
+
+
+class Server(servers.BaseServer):
+    """The library's server without its banner, which is not a log line."""
+
+    @circuits.handler("ready", override=True)
+    def _on_ready(self, *_: Any) -> None:
+        pass
+
+
+class HttpServer(circuits.BaseComponent):
+    """Serves one address; what it answers is up to `dispatch`.
+
+    Attributes:
+        open_requests: Requests that have no answer yet.
+        stopping: Whether connections are closed after their next answer.
+    """
+
+    channel = "web"
+
+    def __init__(self, *, listen: str, channel: str | None = None):
+        """Binds the address.
+
+        Args:
+            listen: "host:port".
+            channel: Channel of its events, if there are several servers.
+        """
+        super().__init__(channel=channel or self.channel)
+        host, _, port = listen.rpartition(":")
+        self._server = Server((host, int(port)),
+                              channel=self.channel,
+                              display_banner=False)
+        self._server.register(self)
+        self.open_requests = 0
+        self.stopping = False
+
+    @property
+    def http(self) -> web_http.HTTP:
+        """Parser of the requests."""
+        return self._server.http
+
+    @property
+    def port(self) -> int:
+        """Port that was bound."""
+        return int(self._server.port)
+
+    @abc.abstractmethod
+    def dispatch(self, request: Any, respond: Respond) -> None:
+        """Serves one request.
+
+        Args:
+            request: Request of circuits.web.
+            respond: Must be called once, now or later.
+        """
+
+    @circuits.handler("request", priority=10)
+    def _on_request(self, event: Any, request: Any, response: Any, *_:
+                    Any) -> bool:
+        event.stop()
+        self.open_requests += 1
+        sent = False
+
+        def respond(result: Response) -> None:
+            nonlocal sent
+            if not sent:
+                sent = True
+                self.open_requests -= 1
+                self._send(request, response, result)
+
+        try:
+            self.dispatch(request, respond)
+        except Exception as error:
+            # Without an answer the exchange would count as open for ever.
+            _log.exception("request failed", error=repr(error))
+            respond(Response(500, {"error": "internal error"}))
+        # A truth value tells circuits.web that the response comes later.
+        return True
+
+    @circuits.handler("httperror", priority=10)
+    def _on_httperror(self, event: Any, request: Any, response: Any, *_: Any,
+                      **__: Any) -> None:
+        event.stop()
+        status = event.code or 500
+        if event.error:
+            _log.error("request failed", error=repr(event.error[1]))
+        response.close = True
+        error = event.description or http.HTTPStatus(status).phrase
+        if event.error:
+            error = "internal error"
+        self._send(request, response, Response(status, {"error": error}))
+
+    def _send(self, request: Any, response: Any, result: Response) -> None:
+        if request.sock.fileno() < 0:
+            return
+        if isinstance(result.body, bytes):
+            response.headers["Content-Type"] = "application/octet-stream"
+            response.body = result.body
+        else:
+            response.headers["Content-Type"] = "application/json"
+            response.body = json.dumps(result.body).encode()
+        for name, value in result.headers.items():
+            response.headers[name] = value
+        response.status = result.status
+        if self.stopping:
+            response.close = True
+        self.fire(web_events.response(response), self.channel)
--- a/packages/node/src/trefoilroad_node/logs.py
+++ b/packages/node/src/trefoilroad_node/logs.py
@@ -2,17 +2,23 @@
 
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
 
-def configure_logs(*, log_format: str, level: str, node_id: str) -> None:
+def configure_logs(*,
+                   log_format: str,
+                   level: str,
+                   node_id: str,
+                   stream: TextIO | None = None) -> None:
     """Sets up logging for the whole process.
 
     Args:
         log_format: "json" or "console".
         level: Lowest level that is written.
         node_id: Name of the node, added to each line.
+        stream: Where the lines go; standard error if absent.
     """
     renderer: structlog.types.Processor = structlog.processors.JSONRenderer()
     if log_format == "console":
@@ -26,5 +32,5 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr))
+        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr))
     structlog.contextvars.bind_contextvars(node=node_id)
--- a/packages/node/src/trefoilroad_node/timer.py
+++ b/packages/node/src/trefoilroad_node/timer.py
@@ -75,8 +75,11 @@
         self._heap: list[tuple[float, int, Subscription]] = []
 
     def read_clock(self) -> float:
-        """See Timers.read_clock."""
-        return time.monotonic()
+        """See Timers.read_clock; counts the time of a suspended machine.
+
+        Leases and ages must not look younger after a suspension.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def call_later(self, delay_s: float, callback: Callback) -> Subscription:
         """See Timers.call_later."""
