Call no worker before the claims of earlier leaders are adopted

Ends that a worker listed before the claims were read counted as those of stray runs and were acknowledged; the tasks ran twice after each takeover.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -126,6 +126,7 @@
                 claim.since_s = now_s
                 self._runs.adopt(claim, stop=job.is_final or job.cancelled)
         self.ready = True
+        self._runs.begin()
         _log.info("jobs recovered",
                   epoch=self.epoch,
                   jobs=len(self.jobs),
@@ -363,7 +364,7 @@
 
     def _tick(self) -> None:
         now_s = self._timers.read_clock()
-        self._runs.tick(self.ready)
+        self._runs.tick()
         if now_s - self._round_s >= ROUND_INTERVAL_S:
             self._run_round()
 
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -142,6 +142,11 @@
         """Whether this node leads."""
         return self._leadership.leading
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the leader that this node knows."""
+        return self._leadership.leader.epoch
+
     def count_pending(self, queue: str) -> int:
         """Returns the number of jobs of a queue that have not begun."""
         if self._dispatcher is not None and self._dispatcher.ready:
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -82,9 +82,20 @@
         self._on_change = on_change
         self._on_deposed = on_deposed
         self._closed = False
+        self._ready = False
         self._listed_s = timers.read_clock()
         self._names: dict[str, progress.TaskKey] = {}
 
+    def begin(self) -> None:
+        """Begins to call workers, once all earlier claims are adopted.
+
+        An end that is listed before its claim is known would be taken for
+        that of a stray run and be acknowledged.
+        """
+        self._ready = True
+        for member in self._fleet.members.values():
+            self._poll(member)
+
     def close(self) -> None:
         """Sends nothing more."""
         self._closed = True
@@ -286,8 +297,8 @@
     def _poll(self, member: fleets.Member) -> None:
         """Asks for a report and renews the lease, if that is due."""
         now_s = self._timers.read_clock()
-        if (self._closed or member.polling or now_s < member.poll_s or
-                not self._needs_poll(member)):
+        if (self._closed or not self._ready or member.polling or
+                now_s < member.poll_s or not self._needs_poll(member)):
             return
         if now_s - self._ledger.confirmed_s > self._bounds.authority_s:
             return
@@ -485,14 +496,9 @@
 
     # Time.
 
-    def tick(self, ready: bool) -> None:
-        """Does what is due by the passing of time.
-
-        Args:
-            ready: Whether claims of earlier leaders have been read; until
-                then reports are not judged.
-        """
-        if not ready:
+    def tick(self) -> None:
+        """Does what is due by the passing of time."""
+        if not self._ready:
             return
         now_s = self._timers.read_clock()
         for member in list(self._fleet.members.values()):
--- /dev/null
+++ b/packages/jobs/tests/test_recovery.py
@@ -0,0 +1,84 @@
+"""Jobs survive the loss of any process; each test names what it guards against."""
+
+import pytest
+
+from trefoilroad_standins.jobs import site as sites
+
+
+@pytest.fixture
+def site():
+    made = sites.Site()
+    made.run(1.0)
+    return made
+
+
+def _submit_many(site, count, **fields):
+    for number in range(count):
+        site.submit(f"{number:016x}", through=f"n{number % 3}", **fields)
+
+
+def test_calm_day(site):
+    """Guards against a broken whole path."""
+    _submit_many(site, 6, tasks=3)
+    site.run(6.0)
+    for number in range(6):
+        assert site.ask_state(f"{number:016x}") == "completed"
+    assert site.count("start") == 18
+    assert site.find_faults() == []
+
+
+def test_leader_killed_while_tasks_run(site):
+    """Guards against ends that are acknowledged before claims are known.
+
+    A new leader that asked workers for reports before it had read the claims
+    acknowledged the ends of unknown runs, and started these tasks again.
+    """
+    _submit_many(site, 6, tasks=3, run_s=1.0)
+    site.run(0.8)
+    leader = site.find_leader()
+    site.kill(leader.name)
+    site.run(10.0)
+    other = site.find_leader()
+    assert other is not None
+    assert other is not leader
+    for number in range(6):
+        assert site.ask_state(f"{number:016x}",
+                              through=other.name) == "completed"
+    assert site.count("start") == 18
+    assert site.find_faults() == []
+
+
+def test_all_killed(site):
+    """Guards against the loss of an accepted job when all processes die."""
+    _submit_many(site, 3, tasks=2, run_s=4.0)
+    site.run(1.0)
+    assert [reply.outcome.name for reply in site.replies.values()
+           ] == ["ACCEPTED"] * 3
+    for name in list(site.nodes):
+        site.kill(name)
+    for number in range(3):
+        site.add_node(f"m{number}")
+    site.run(15.0)
+    for number in range(3):
+        assert site.ask_state(f"{number:016x}", through="m0") == "completed"
+    assert site.find_faults() == []
+
+
+def test_frozen_leader_wakes_up(site):
+    """Guards against orders of a leader that slept through its successor."""
+    _submit_many(site, 4, tasks=2, run_s=3.0)
+    site.run(0.6)
+    leader = site.find_leader()
+    leader.host.frozen = True
+    site.run(5.0)
+    assert site.find_leader() is not leader or leader.node.leading
+    leader.host.thaw()
+    _submit_many(site, 4, tasks=2, run_s=3.0)
+    site.run(10.0)
+    other = site.find_leader()
+    assert other is not leader
+    assert not leader.node.leading
+    for number in range(4):
+        assert site.ask_state(f"{number:016x}",
+                              through=other.name) == "completed"
+    assert site.find_faults() == []
--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -0,0 +1,323 @@
+"""A deployment on a virtual clock: real nodes, stand-ins around them."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import cbor2
+
+from trefoilroad_jobs import directory as directories
+from trefoilroad_jobs import intake
+from trefoilroad_jobs import limits
+from trefoilroad_jobs import node as nodes
+from trefoilroad_jobs import ports
+from trefoilroad_jobs import workload
+from trefoilroad_node import links as node_links
+from trefoilroad_node import metrics
+from trefoilroad_standins import clock
+from trefoilroad_standins.jobs import tables as row_tables
+from trefoilroad_standins.jobs import workers as machines
+
+LINK_DELAY_S = 0.001
+QUEUE = directories.Queue(name="queue",
+                          host="host",
+                          prefix="/queue/",
+                          service="service",
+                          priority=1,
+                          max_failures=3,
+                          slack=3.0,
+                          objective_ms=1000.0,
+                          anonymous=False)
+URGENT = QUEUE._replace(name="urgent", prefix="/urgent/", priority=0, slack=1.5)
+CAPACITY = workload.Demand(64_000, 256_000, 8)
+SMALL = workload.Demand(1000, 1000, 1)
+
+
+class _Links(node_links.Links):
+    """Links that deliver inside the site."""
+
+    def __init__(self, *, site: "Site", origin: str):
+        self._site = site
+        self._origin = origin
+        self._addresses: set[str] = set()
+
+    def set_addresses(self, addresses: set[str]) -> None:
+        """See Links.set_addresses."""
+        self._addresses = set(addresses)
+
+    def send(self, address: str, message: node_links.Message) -> bool:
+        """See Links.send."""
+        return self._site.deliver(self._origin, address, message)
+
+    def broadcast(self, message: node_links.Message) -> None:
+        """See Links.broadcast."""
+        for address in self._addresses:
+            self.send(address, message)
+
+
+class _Wall(ports.Wall):
+    """The virtual time of day."""
+
+    def __init__(self, *, ticking: clock.Clock):
+        self._ticking = ticking
+
+    def read_wall_ms(self) -> float:
+        """See ports.Wall.read_wall_ms."""
+        return machines.EPOCH_MS + self._ticking.now_s * 1000.0
+
+
+class SiteNode:
+    """One process of the site."""
+
+    def __init__(self, *, site: "Site", name: str, rng: random.Random):
+        self.name = name
+        self.host = clock.Host(clock=site.clock)
+        self.store = row_tables.NodeStore(tables=site.tables,
+                                          host=self.host,
+                                          rng=rng)
+        self.workers = machines.NodeWorkers(machines=site.machines,
+                                            host=self.host,
+                                            rng=rng)
+        timers = clock.HostTimers(host=self.host,
+                                  rng=rng,
+                                  offset_s=rng.uniform(0, 1000))
+        self.node = nodes.Node(node_id=name,
+                               link=name,
+                               eligible=True,
+                               sources=nodes.Sources(
+                                   config_table="config",
+                                   workers_table="workers",
+                                   decode_directory=site.decode_directory,
+                                   decode_worker=site.decode_worker),
+                               store=self.store,
+                               workers=self.workers,
+                               links=_Links(site=site, origin=name),
+                               timers=timers,
+                               wall=_Wall(ticking=site.clock),
+                               bounds=limits.Limits(),
+                               metrics=metrics.NoMetrics(),
+                               rng=rng)
+
+
+class Site:
+    """Nodes, workers and a store.
+
+    Attributes:
+        history: What happened on the workers, in order.
+        clock: The virtual clock.
+    """
+
+    def __init__(self,
+                 *,
+                 seed: int = 1,
+                 node_count: int = 3,
+                 worker_count: int = 4,
+                 per_rack: int = 4,
+                 guarantees: dict[str, int] | None = None):
+        self.clock = clock.Clock()
+        self.tables = row_tables.Tables(ticking=self.clock)
+        self.history: list[machines.Event] = []
+        self.machines: dict[str, machines.WorkerMachine] = {}
+        self.behaviours: dict[str, machines.Behaviour] = {}
+        self.nodes: dict[str, SiteNode] = {}
+        self.replies: dict[str, intake.Reply] = {}
+        self.cut_links: set[frozenset[str]] = set()
+        self.directory = directories.Directory(
+            version=1,
+            queues=(QUEUE, URGENT),
+            guarded=frozenset({"service"}),
+            teams={
+                name: directories.Team(name, (), count)
+                for name, count in (guarantees or {}).items()
+            },
+            max_body_bytes=100_000)
+        self._rng = random.Random(seed)
+        for number in range(worker_count):
+            self.add_worker(f"w{number:02}", f"r{number // per_rack}")
+        self.tables.put("config", "config", b"1")
+        for number in range(node_count):
+            self.add_node(f"n{number}")
+        self._beat()
+
+    # Composition.
+
+    def add_worker(self, worker_id: str, rack: str) -> None:
+        """Adds a worker."""
+        machine = machines.WorkerMachine(worker_id=worker_id,
+                                         rack=rack,
+                                         ticking=self.clock,
+                                         capacity=CAPACITY,
+                                         history=self.history,
+                                         behave=self._behave)
+        self.machines[worker_id] = machine
+        self.register(machine)
+
+    def register(self, machine: machines.WorkerMachine) -> None:
+        """Writes the registration of a worker."""
+        self.tables.put("workers", machine.worker_id,
+                        cbor2.dumps([machine.draining, machine.life_ms]))
+
+    def add_node(self, name: str) -> SiteNode:
+        """Starts a process."""
+        rng = random.Random(self._rng.random())
+        self.nodes[name] = SiteNode(site=self, name=name, rng=rng)
+        return self.nodes[name]
+
+    def decode_directory(
+            self, content: dict[str, bytes]) -> directories.Directory | None:
+        """Reads the configuration row."""
+        if "config" not in content:
+            return None
+        return self.directory._replace(version=int(content["config"]))
+
+    def decode_worker(self, key: str, value: bytes) -> ports.Worker | None:
+        """Reads a registration."""
+        draining, life_ms = cbor2.loads(value)
+        return self.machines[key].describe()._replace(draining=draining,
+                                                      life_ms=life_ms)
+
+    def _behave(self, name: str) -> machines.Behaviour:
+        job_id, _, step, _ = name.split(".")
+        return self.behaviours[f"{job_id}.{step}"]
+
+    def _beat(self) -> None:
+        """Drops registrations of workers that are gone or out of reach."""
+        for machine in self.machines.values():
+            listed = machine.worker_id in self.tables.rows.get("workers", {})
+            if listed and not machine.alive:
+                self.tables.put("workers", machine.worker_id, None)
+            elif not listed and machine.alive:
+                self.register(machine)
+        self.clock.schedule(1.5, self._beat)
+
+    def deliver(self, origin: str, address: str,
+                message: node_links.Message) -> bool:
+        """Delivers a message between nodes."""
+        target = self.nodes.get(address)
+        if (target is None or not target.host.alive or
+                frozenset({origin, address}) in self.cut_links):
+            return False
+        self.clock.schedule(
+            LINK_DELAY_S, lambda: target.host.deliver(lambda: target.node.
+                                                      take_message(message)))
+        return True
+
+    # Actions.
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.clock.run(seconds)
+
+    def find_leader(self) -> SiteNode | None:
+        """Returns the live node that leads, with the highest epoch."""
+        leading = [
+            item for item in self.nodes.values()
+            if item.host.alive and item.node.leading
+        ]
+        return max(leading, key=lambda item: item.node.epoch, default=None)
+
+    def submit(self,
+               job_id: str,
+               *,
+               tasks: int = 1,
+               run_s: float = 2.0,
+               through: str = "n0",
+               demand: workload.Demand = SMALL,
+               queue: directories.Queue = QUEUE,
+               team: str = "team",
+               fails: bool = False,
+               **fields: Any) -> None:
+        """Submits a job of one step through a node."""
+        step = workload.Step(tasks=tasks,
+                             demand=demand,
+                             estimate_ms=int(run_s * 1000),
+                             **fields)
+        self.submit_steps(job_id, [step], [run_s],
+                          through=through,
+                          queue=queue,
+                          team=team,
+                          fails=fails)
+
+    def submit_steps(self,
+                     job_id: str,
+                     steps: list[workload.Step],
+                     run_s: list[float],
+                     *,
+                     through: str = "n0",
+                     queue: directories.Queue = QUEUE,
+                     team: str = "team",
+                     fails: bool = False) -> None:
+        """Submits a job through a node."""
+        for number, step in enumerate(steps):
+            self.behaviours[f"{job_id}.{number}"] = machines.Behaviour(
+                step.occupied, run_s[number], fails)
+        job = intake.build_workload(queue, team, job_id, "payload",
+                                    tuple(steps), 0, 0, 0)
+        self._call(through, job_id,
+                   lambda node, reply: node.intake.submit(job, reply))
+
+    def cancel(self, job_id: str, through: str = "n0") -> None:
+        """Cancels a job through a node."""
+        self._call(
+            through, job_id,
+            lambda node, reply: node.intake.cancel(job_id, "team", reply))
+
+    def show(self, job_id: str, through: str = "n0") -> None:
+        """Asks for the state of a job through a node."""
+        self._call(through, job_id,
+                   lambda node, reply: node.intake.show(job_id, "team", reply))
+
+    def _call(self, through: str, job_id: str,
+              call: Callable[[nodes.Node, intake.OnReply], None]) -> None:
+        item = self.nodes[through]
+        self.replies.pop(job_id, None)
+
+        def keep(reply: intake.Reply) -> None:
+            self.replies[job_id] = reply
+
+        item.host.deliver(lambda: call(item.node, keep))
+
+    def ask_state(self, job_id: str, through: str = "n0") -> str:
+        """Asks for the state of a job and waits for the answer."""
+        self.show(job_id, through)
+        self.run(1.0)
+        reply = self.replies.get(job_id)
+        return reply.state or reply.outcome.name if reply else "no answer"
+
+    def kill(self, name: str) -> None:
+        """Kills a process."""
+        self.nodes[name].host.alive = False
+
+    # Judgement.
+
+    def count(self, kind: str, prefix: str = "") -> int:
+        """Counts events of a kind, of tasks whose name begins so."""
+        return sum(event.kind == kind and event.name.startswith(prefix)
+                   for event in self.history)
+
+    def find_faults(self) -> list[str]:
+        """Finds broken promises in what happened on the workers."""
+        faults = []
+        alive: dict[str, list[machines.Event]] = {}
+        done: dict[str, set[int]] = {}
+        noted: set[str] = set()
+        for event in self.history:
+            running = alive.setdefault(event.name, [])
+            if event.kind == "start":
+                if running:
+                    faults.append(f"{event} while {running[0]} runs")
+                if event.name in noted:
+                    faults.append(f"{event} after its end was noted")
+                running.append(event)
+            elif event.kind == "noted":
+                if event.run in done.get(event.name, ()):
+                    noted.add(event.name)
+            else:
+                alive[event.name] = [
+                    item for item in running
+                    if (item.worker_id, item.run) != (event.worker_id,
+                                                      event.run)
+                ]
+                if event.kind == "done":
+                    done.setdefault(event.name, set()).add(event.run)
+        return faults
--- /dev/null
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -0,0 +1,351 @@
+"""Workers in memory: leases, fences, runs and their ends."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+
+from trefoilroad_jobs import ports
+from trefoilroad_jobs import progress
+from trefoilroad_jobs import workload
+from trefoilroad_standins import clock
+
+DELAY_S = 0.001
+STOP_S = 0.1
+# Unix time at the start of the virtual clock, in milliseconds.
+EPOCH_MS = 1_700_000_000_000
+
+
+class Event(NamedTuple):
+    """Something that happened on a worker.
+
+    Attributes:
+        at_s: When.
+        worker_id: Where.
+        kind: "start", "noted" or how a run ended.
+        name: The task.
+        run: Number of the run.
+    """
+
+    at_s: float
+    worker_id: str
+    kind: str
+    name: str
+    run: int
+
+
+class _Run:
+    """A run on a worker."""
+
+    def __init__(self, *, run: int, demand: workload.Demand, begun_s: float,
+                 ends_s: float, gang: int):
+        self.run = run
+        self.demand = demand
+        self.begun_s = begun_s
+        self.ends_s = ends_s
+        self.gang = gang
+        self.stopping = False
+        self.checkpoint = ""
+
+
+class Behaviour(NamedTuple):
+    """How the tasks of a job behave.
+
+    Attributes:
+        demand: Resources of a task.
+        run_s: Run time.
+        fails: Whether each run fails.
+    """
+
+    demand: workload.Demand
+    run_s: float
+    fails: bool = False
+
+
+class WorkerMachine:
+    """One worker.
+
+    Attributes:
+        reachable: Whether calls get through.
+        fails: Whether all runs fail soon after their start.
+        hangs: Whether runs make no progress.
+    """
+
+    def __init__(self, *, worker_id: str, rack: str, ticking: clock.Clock,
+                 capacity: workload.Demand, history: list[Event],
+                 behave: Callable[[str], Behaviour]):
+        self.worker_id = worker_id
+        self.rack = rack
+        self.capacity = capacity
+        self.reachable = True
+        self.alive = True
+        self.fails = False
+        self.hangs = False
+        self.draining = False
+        self._ticking = ticking
+        self._history = history
+        self._behave = behave
+        self._waiters: list[Callable[[], None]] = []
+        self._begin_life()
+        self._ticking.schedule(0.05, self._advance)
+
+    def _begin_life(self) -> None:
+        self.life_ms = EPOCH_MS + int(self._ticking.now_s * 1000)
+        self.born_s = self._ticking.now_s
+        self.fence = 0
+        self.lease_ms = 0.0
+        self.runs: dict[str, _Run] = {}
+        self.highest: dict[str, int] = {}
+        self.ended: list[ports.EndedTask] = []
+        self.ends = 0
+
+    @property
+    def clock_ms(self) -> float:
+        """Its steady clock, which is 1% slow."""
+        return (self._ticking.now_s - self.born_s) * 990.0
+
+    def describe(self) -> ports.Worker:
+        """Returns its registration."""
+        return ports.Worker(worker_id=self.worker_id,
+                            address=f"{self.worker_id}:1",
+                            service="service",
+                            zone="zone",
+                            rack=self.rack,
+                            labels=frozenset({self.rack}),
+                            capacity=self.capacity,
+                            draining=self.draining,
+                            remaining_ms=2000,
+                            life_ms=self.life_ms)
+
+    def crash(self) -> None:
+        """Loses everything and stays down."""
+        self.alive = False
+        self._record_all("crashed")
+        self.runs = {}
+
+    def restart(self) -> None:
+        """Begins a new life under the same id."""
+        self._record_all("crashed")
+        self.alive = True
+        self._begin_life()
+
+    def _record_all(self, kind: str) -> None:
+        for name, run in self.runs.items():
+            self._record(kind, name, run.run)
+
+    def _record(self, kind: str, name: str, run: int) -> None:
+        self._history.append(
+            Event(self._ticking.now_s, self.worker_id, kind, name, run))
+
+    # Calls.
+
+    def _admit(self, epoch: int) -> bool:
+        if epoch < self.fence:
+            return False
+        self.fence = epoch
+        return True
+
+    def _answer(self, verdict: ports.Verdict) -> ports.Answer:
+        return ports.Answer(verdict, self.clock_ms)
+
+    def start(self, order: ports.StartOrder, name: str) -> ports.Answer:
+        """Serves a start."""
+        if not self._admit(order.epoch):
+            return self._answer(ports.Verdict.FENCED)
+        if name in self.runs and self.runs[name].run == order.run:
+            return self._answer(ports.Verdict.DONE)
+        if order.run <= self.highest.get(name, 0):
+            return self._answer(ports.Verdict.SUPERSEDED)
+        if order.lease_until_ms <= self.clock_ms:
+            return self._answer(ports.Verdict.LATE)
+        behaviour = self._behave(name)
+        room = self.capacity
+        for run in self.runs.values():
+            room = room.minus(run.demand)
+        if not behaviour.demand.fits(room):
+            return self._answer(ports.Verdict.NO_ROOM)
+        self._extend(order.lease_until_ms)
+        now_s = self._ticking.now_s
+        duration_s = 0.2 if self.fails else behaviour.run_s
+        self.runs[name] = _Run(run=order.run,
+                               demand=behaviour.demand,
+                               begun_s=now_s,
+                               ends_s=now_s + duration_s,
+                               gang=0)
+        self.highest[name] = order.run
+        self._record("start", name, order.run)
+        return self._answer(ports.Verdict.DONE)
+
+    def stop(self, name: str, run: int, epoch: int) -> ports.Answer:
+        """Serves a stop."""
+        if not self._admit(epoch):
+            return self._answer(ports.Verdict.FENCED)
+        self.highest[name] = max(run, self.highest.get(name, 0))
+        found = self.runs.get(name)
+        if found is not None and found.run <= run and not found.stopping:
+            found.stopping = True
+            found.ends_s = self._ticking.now_s + STOP_S
+        return self._answer(ports.Verdict.DONE)
+
+    def report(self, epoch: int, seen: int,
+               lease_until_ms: int | None) -> ports.Report | ports.Answer:
+        """Serves a renewal."""
+        if not self._admit(epoch):
+            return self._answer(ports.Verdict.FENCED)
+        if lease_until_ms is not None:
+            self._extend(lease_until_ms)
+        for end in self.ended:
+            if end.number <= seen:
+                self._record("noted", end.name, end.run)
+        self.ended = [end for end in self.ended if end.number > seen]
+        running = [
+            ports.RunningTask(name, run.run, run.checkpoint,
+                              self._get_percent(run))
+            for name, run in self.runs.items()
+        ]
+        return ports.Report(self.clock_ms, self.life_ms, running,
+                            list(self.ended), True)
+
+    def wait(self, callback: Callable[[], None]) -> None:
+        """Calls back at the next end."""
+        self._waiters.append(callback)
+
+    def _extend(self, lease_ms: int) -> None:
+        self.lease_ms = max(self.lease_ms, min(lease_ms,
+                                               self.clock_ms + 10_000))
+
+    def _get_percent(self, run: _Run) -> int:
+        if self.hangs:
+            return 0
+        whole_s = max(0.01, run.ends_s - run.begun_s)
+        return min(99, int(100 * (self._ticking.now_s - run.begun_s) / whole_s))
+
+    def _advance(self) -> None:
+        self._ticking.schedule(0.05, self._advance)
+        if not self.alive:
+            return
+        now_s = self._ticking.now_s
+        lapsed = self.clock_ms > self.lease_ms
+        for name, run in list(self.runs.items()):
+            if lapsed:
+                self._end(name, run, ports.How.LAPSED)
+            elif run.ends_s <= now_s and run.stopping:
+                self._end(name, run, ports.How.STOPPED)
+            elif run.ends_s <= now_s and not self.hangs:
+                bad = self.fails or self._behave(name).fails
+                self._end(name, run,
+                          ports.How.FAILED if bad else ports.How.DONE)
+
+    def _end(self, name: str, run: _Run, how: ports.How) -> None:
+        del self.runs[name]
+        self.ends += 1
+        self.ended.append(ports.EndedTask(self.ends, name, run.run, how, ""))
+        self._record(how.value, name, run.run)
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter()
+
+
+class NodeWorkers(ports.Workers):
+    """The workers as one node reaches them.
+
+    Attributes:
+        lose: Share of the orders that get no answer.
+        late_s: Such an order is carried out this much later.
+        cut: Workers that this node cannot reach.
+    """
+
+    def __init__(self, *, machines: dict[str, WorkerMachine], host: clock.Host,
+                 rng: random.Random):
+        self.lose = 0.0
+        self.late_s = 0.0
+        self.cut: set[str] = set()
+        self._machines = machines
+        self._host = host
+        self._rng = rng
+
+    def _call(self, worker: ports.Worker, call: Callable[[WorkerMachine], Any],
+              on_done: Callable[[Any], None], timeout_s: float) -> None:
+        ticking = self._host.clock
+        lost = ports.Answer(ports.Verdict.LOST)
+
+        def fail() -> None:
+            ticking.schedule(timeout_s,
+                             lambda: self._host.deliver(lambda: on_done(lost)))
+
+        def arrive() -> None:
+            machine = self._machines.get(worker.worker_id)
+            if (machine is None or not machine.alive or not machine.reachable or
+                    worker.worker_id in self.cut):
+                fail()
+            elif self._rng.random() < self.lose:
+                ticking.schedule(self.late_s, lambda: call(machine))
+                fail()
+            else:
+                result = call(machine)
+                ticking.schedule(
+                    DELAY_S,
+                    lambda: self._host.deliver(lambda: on_done(result)))
+
+        ticking.schedule(DELAY_S, arrive)
+
+    def start(self, worker: ports.Worker, order: ports.StartOrder,
+              on_done: ports.OnAnswer) -> None:
+        """See ports.Workers.start."""
+        name = self.format_name(order.key)
+        self._call(worker, lambda machine: machine.start(order, name), on_done,
+                   0.8)
+
+    def stop(self, worker: ports.Worker, *, name: str, run: int, epoch: int,
+             on_done: ports.OnAnswer) -> None:
+        """See ports.Workers.stop."""
+        self._call(worker, lambda machine: machine.stop(name, run, epoch),
+                   on_done, 0.8)
+
+    def renew(self, worker: ports.Worker, *, epoch: int, seen: int,
+              lease_until_ms: int | None, wait_ms: int,
+              on_done: ports.OnReport) -> None:
+        """See ports.Workers.renew."""
+        ticking = self._host.clock
+
+        def call(machine: WorkerMachine) -> ports.Report | ports.Answer:
+            return machine.report(epoch, seen, lease_until_ms)
+
+        def wait(machine: WorkerMachine) -> ports.Report | ports.Answer:
+            first = call(machine)
+            if (isinstance(first, ports.Answer) or first.ended or wait_ms == 0):
+                finish(first)
+                return first
+            machine.wait(lambda: finish(call(machine)))
+            ticking.schedule(wait_ms / 1000.0, lambda: finish(call(machine)))
+            return first
+
+        answered = False
+
+        def finish(result: Any) -> None:
+            nonlocal answered
+            if answered or worker.worker_id in self.cut:
+                return
+            answered = True
+            ticking.schedule(
+                DELAY_S, lambda: self._host.deliver(lambda: on_done(result)))
+
+        def drop(result: Any) -> None:
+            nonlocal answered
+            if (isinstance(result, ports.Answer) and
+                    result.verdict is ports.Verdict.LOST and not answered):
+                answered = True
+                on_done(result)
+
+        def watch_loss() -> None:
+            self._host.deliver(lambda: drop(ports.Answer(ports.Verdict.LOST)))
+
+        ticking.schedule(wait_ms / 1000.0 + 0.8, watch_loss)
+        self._call(worker, wait, drop, wait_ms / 1000.0 + 0.8)
+
+    def forget(self, worker: ports.Worker) -> None:
+        """See ports.Workers.forget."""
+
+    def format_name(self, key: progress.TaskKey) -> str:
+        """See ports.Workers.format_name."""
+        return f"{key.job_id}.{key.occurrence}.{key.step}.{key.task}"
