--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -10,6 +10,8 @@
 CLOCK_DRIFT = 0.02
 # Added to a computed end of a lease, for the resolution of clocks.
 LEASE_SLACK_S = 0.1
+# A clock that is further behind than this is not that of the same life.
+LIFE_SLACK_MS = 200.0
 
 
 class Member:
@@ -21,6 +23,8 @@
         claims: Runs that may be alive there, by task.
         life_ms: Life that answered last; 0 before the first answer.
         contacted: Whether it has answered this leader in this life.
+        doubtful: Whether a new life may have begun that has not been noticed.
+            An acknowledgement could then be taken for one of its own ends.
         clock_ms: Its steady clock when it answered last.
         clock_s: Leader's time of that answer.
         lease_ms: Latest end of a lease that this leader has sent, on the
@@ -33,7 +37,6 @@
         poll_s: When the next report is due.
         full_until_s: It rejected a start for want of room; nothing new before
             this time.
-        stuck: Whether work that runs there makes no progress.
     """
 
     def __init__(self, *, worker: ports.Worker):
@@ -42,6 +45,7 @@
         self.claims: dict[progress.TaskKey, progress.Claim] = {}
         self.life_ms = 0
         self.contacted = False
+        self.doubtful = True
         self.clock_ms = 0.0
         self.clock_s = 0.0
         self.lease_ms = 0
@@ -52,10 +56,22 @@
         self.polling = False
         self.poll_s = float("-inf")
         self.full_until_s = float("-inf")
-        self.stopping_s = float("-inf")
 
-    def note_clock(self, clock_ms: float, now_s: float) -> None:
-        """Takes a reading of the worker's clock."""
+    def note_clock(self, clock_ms: float, now_s: float,
+                   max_lease_s: float) -> None:
+        """Takes a reading of the worker's clock.
+
+        A clock that is behind what a slow clock would show is that of a new
+        life. It shortens a lease that was meant for the clock of the old one.
+        """
+        elapsed_s = max(0.0, now_s - self.clock_s - LEASE_SLACK_S)
+        expected_ms = self.clock_ms + elapsed_s * (1 - CLOCK_DRIFT) * 1000.0
+        if self.contacted and clock_ms < expected_ms - LIFE_SLACK_MS:
+            self.doubtful = True
+            self.lease_ms = max(self.lease_ms,
+                                int(clock_ms + max_lease_s * 1000.0))
+            if clock_ms < self.clock_ms:
+                self.lease_ms = int(clock_ms + max_lease_s * 1000.0)
         self.clock_ms = clock_ms
         self.clock_s = now_s
         self.answered_s = now_s
@@ -63,6 +79,7 @@
 
     def note_silence(self, now_s: float) -> None:
         """Takes note that a call got no answer."""
+        self.doubtful = True
         if self.silent_s == float("inf"):
             self.silent_s = now_s
 
@@ -91,7 +108,6 @@
         """Forgets what held only for an earlier life."""
         self.life_ms = life_ms
         self.contacted = True
-        self.lease_ms = 0
         self.recorded = 0
         self.processed = 0
 
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -85,7 +85,7 @@
     """
 
     def __init__(self, *, node_id: str, link: str, store: ports.Store,
-                 timers: timer.Timers, rng: random.Random, eligible: bool,
+                 timers: timer.Timers, rng: random.Random, reluctance_s: float,
                  on_gain: Callable[[int, int, float],
                                    None], on_loss: Callable[[str], None]):
         """Begins to watch.
@@ -96,7 +96,8 @@
             store: The store.
             timers: Source of time.
             rng: Source of jitter.
-            eligible: Whether this node may lead.
+            reluctance_s: A node on a small VM waits this much longer, so
+                that a larger one leads if there is any, in seconds.
             on_gain: Called with the epoch, the version of the head row and
                 the time until which the leader before may have led.
             on_loss: Called with the reason.
@@ -109,7 +110,9 @@
         self._store = store
         self._timers = timers
         self._rng = rng
-        self.eligible = eligible
+        self._reluctance_s = reluctance_s
+        self._vacant_s = float("inf")
+        self._stopped = False
         self._on_gain = on_gain
         self._on_loss = on_loss
         self._row_version = 0
@@ -172,7 +175,7 @@
         The caller must have stopped to act as leader.
         """
         was_leading = self.leading
-        self.eligible = False
+        self._stopped = True
         self.lose("planned stop")
         if not was_leading:
             on_done()
@@ -184,11 +187,13 @@
                            on_done=lambda _: on_done())
 
     def _check(self) -> None:
-        if self.leading or self._taking or not self.known or not self.eligible:
+        if self.leading or self._taking or not self.known or self._stopped:
             return
         now_s = self._timers.read_clock()
-        vacant = not self.leader.node_id
-        if not vacant and now_s - self._heard_s < SILENCE_S:
+        if self._is_vacant(now_s):
+            if now_s - self._vacant_s < self._reluctance_s:
+                return
+        elif now_s - self._heard_s < SILENCE_S:
             return
         if not self._reading:
             self._reading = True
@@ -196,6 +201,14 @@
                              key=tables.HEAD_ROW[1],
                              on_done=self._take_head)
 
+    def _is_vacant(self, now_s: float) -> bool:
+        """Tells whether the leader row names nobody, and notes since when."""
+        if self.leader.node_id:
+            self._vacant_s = float("inf")
+            return False
+        self._vacant_s = min(self._vacant_s, now_s)
+        return True
+
     def _take_head(
             self,
             result: ports.Rows | ports.HistoryLost | ports.StoreFailed) -> None:
@@ -209,13 +222,14 @@
         if self._observed is None or self._observed.version != version:
             self._observed = Observation(version, now_s)
         since_s = self._observed.since_s
-        vacant = not self.leader.node_id
-        if vacant or now_s - since_s >= LEASE_S:
+        unchanged_s = now_s - since_s
+        if self._is_vacant(
+                now_s) or unchanged_s >= LEASE_S + self._reluctance_s:
             self._take(version, since_s)
 
     def _take(self, head_version: int, since_s: float) -> None:
         """Takes the lead, if neither row has changed."""
-        if self._taking or self.leading or not self.eligible:
+        if self._taking or self.leading or self._stopped:
             return
         self._taking = True
         leader = Leader(self.leader.epoch + 1, self._node_id, self._link)
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -66,7 +66,7 @@
         stopping: Whether a planned stop is under way.
     """
 
-    def __init__(self, *, node_id: str, link: str, eligible: bool,
+    def __init__(self, *, node_id: str, link: str, reluctance_s: float,
                  sources: Sources, store: ports.Store, workers: ports.Workers,
                  links: node_links.Links, timers: timer.Timers,
                  wall: ports.Wall, bounds: limits.Limits,
@@ -76,7 +76,8 @@
         Args:
             node_id: Name of the node.
             link: Its address for links, "host:port".
-            eligible: Whether it may lead.
+            reluctance_s: How much longer it waits before it leads, in
+                seconds.
             sources: Tables that the platform writes.
             store: The store.
             workers: Sends orders to workers.
@@ -121,7 +122,7 @@
                                                   store=store,
                                                   timers=timers,
                                                   rng=rng,
-                                                  eligible=eligible,
+                                                  reluctance_s=reluctance_s,
                                                   on_gain=self._begin_lead,
                                                   on_loss=self._end_lead)
         self._config_watch = self._watch(sources.config_table, CONFIG_WAIT_S,
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -61,7 +61,7 @@
         start_sent: Whether a start may have left this process.
         start_settled: Whether no start of it can take effect any more, or
             one was answered.
-        stop_settled: Whether the worker confirmed a stop in its current life.
+        stop_acked_s: When the worker confirmed a stop, or infinity.
         since_s: When the phase began.
         retry_s: When the next order is due.
         tries: Starts or stops sent in this phase.
@@ -75,7 +75,7 @@
     __slots__ = ("checkpoint", "demand", "key", "life_ms", "percent",
                  "percent_s", "phase", "retry_s", "run", "since_s",
                  "start_sent", "start_settled", "started_s", "stop_acked_s",
-                 "stop_settled", "tries", "why", "worker_id")
+                 "tries", "why", "worker_id")
 
     def __init__(self,
                  *,
@@ -95,7 +95,6 @@
         self.phase = phase
         self.start_sent = phase is Phase.RECOVERING
         self.start_settled = False
-        self.stop_settled = False
         self.stop_acked_s = float("inf")
         self.since_s = now_s
         self.started_s = now_s
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -118,6 +118,7 @@
             member.poll_s = float("-inf")
             if member.life_ms not in (0, member.worker.life_ms):
                 member.contacted = False
+                member.doubtful = True
             self._poll(member)
         for member in self._fleet.drop_gone():
             _log.info("worker gone", worker=member.worker.worker_id)
@@ -179,7 +180,7 @@
             return
         now_s = self._timers.read_clock()
         if answer.clock_ms is not None:
-            member.note_clock(answer.clock_ms, now_s)
+            member.note_clock(answer.clock_ms, now_s, self._bounds.max_lease_s)
         verdict = answer.verdict
         if verdict is Verdict.FENCED:
             self._on_deposed(f"worker {claim.worker_id} follows another leader")
@@ -259,12 +260,11 @@
             return
         now_s = self._timers.read_clock()
         if answer.clock_ms is not None:
-            member.note_clock(answer.clock_ms, now_s)
+            member.note_clock(answer.clock_ms, now_s, self._bounds.max_lease_s)
         if answer.verdict is Verdict.FENCED:
             self._on_deposed(f"worker {claim.worker_id} follows another leader")
         elif answer.verdict in (Verdict.DONE, Verdict.SUPERSEDED):
             if life_ms == member.life_ms:
-                claim.stop_settled = True
                 claim.stop_acked_s = min(claim.stop_acked_s, now_s)
                 claim.retry_s = float("inf")
             self._schedule_poll(member, now_s)
@@ -290,7 +290,7 @@
     def _needs_poll(self, member: fleets.Member) -> bool:
         if not member.worker.address:
             return False
-        return bool(member.claims or not member.contacted or
+        return bool(member.claims or member.doubtful or
                     member.processed > member.recorded or
                     member.silent_s < float("inf"))
 
@@ -305,7 +305,9 @@
         member.polling = True
         lease_ms = None
         wait_ms = 0
-        if member.contacted:
+        seen = 0
+        if member.contacted and not member.doubtful:
+            seen = member.recorded
             lease_ms = member.compute_lease_ms(self._bounds.lease_s, now_s)
             if member.processed == member.recorded and member.claims:
                 wait_ms = self._bounds.report_wait_ms
@@ -315,7 +317,7 @@
         self._workers.renew(
             member.worker,
             epoch=self._epoch,
-            seen=member.recorded,
+            seen=seen,
             lease_until_ms=lease_ms,
             wait_ms=wait_ms,
             on_done=lambda report: self._take_report(member, now_s, report))
@@ -336,10 +338,15 @@
                       silent_s=round(now_s - member.silent_s, 3))
         life_ms = report.life_ms or member.worker.life_ms
         if not member.contacted or life_ms != member.life_ms:
-            self._begin_life(member, life_ms)
-        member.note_clock(report.clock_ms, now_s)
+            member.begin_life(life_ms)
+            self._on_change()
+        member.doubtful = False
+        member.note_clock(report.clock_ms, now_s, self._bounds.max_lease_s)
         listed = self._take_ends(member, report)
-        self._take_running(member, report, sent_s, listed, now_s)
+        present = self._take_running(member, report, now_s)
+        for claim in list(member.claims.values()):
+            if claim.key not in present and claim.key not in listed:
+                self._take_absence(member, claim, report, sent_s)
         member.poll_s = now_s
         if member.processed > member.recorded:
             self._record_ends(member)
@@ -364,26 +371,6 @@
         member.note_silence(now_s)
         member.poll_s = now_s + self._bounds.probe_interval_s
 
-    def _begin_life(self, member: fleets.Member, life_ms: int) -> None:
-        """Handles the first answer, or the first one of a new life."""
-        first = member.life_ms == 0
-        member.begin_life(life_ms)
-        self._on_change()
-        for claim in list(member.claims.values()):
-            if claim.life_ms == life_ms:
-                continue
-            if first or claim.start_settled or claim.phase is Phase.RECOVERING:
-                # This call carried the epoch, so starts of earlier leaders
-                # are refused from now on.
-                self._resolve(claim, None, "its worker has started anew")
-            elif claim.phase in (Phase.STARTING, Phase.STOPPING):
-                # The start may still come, and the new life would take it.
-                claim.life_ms = life_ms
-                claim.stop_settled = False
-                claim.stop_acked_s = float("inf")
-                claim.phase = Phase.STARTING
-                self.stop(claim, "its worker has started anew")
-
     def _take_ends(self, member: fleets.Member,
                    report: ports.Report) -> set[progress.TaskKey]:
         """Processes ends that are listed for the first time."""
@@ -418,8 +405,8 @@
         self._ledger.call_after(note)
 
     def _take_running(self, member: fleets.Member, report: ports.Report,
-                      sent_s: float, listed: set[progress.TaskKey],
-                      now_s: float) -> None:
+                      now_s: float) -> set[progress.TaskKey]:
+        """Takes over what is said of running tasks; returns those it knows."""
         present: set[progress.TaskKey] = set()
         for task in report.running:
             key = self._names.get(task.name)
@@ -428,10 +415,9 @@
                 self._stop_stray(member, task)
                 continue
             present.add(key)
+            claim.life_ms = member.life_ms
             self._take_progress(member, claim, task, now_s)
-        for claim in list(member.claims.values()):
-            if claim.key not in present and claim.key not in listed:
-                self._take_absence(claim, report, sent_s)
+        return present
 
     def _take_progress(self, member: fleets.Member, claim: progress.Claim,
                        task: ports.RunningTask, now_s: float) -> None:
@@ -469,16 +455,31 @@
             if step.checkpoints and left_s > leaves_s * DRAIN_MARGIN:
                 self.stop(claim, "its worker leaves before it can end")
 
-    def _take_absence(self, claim: progress.Claim, report: ports.Report,
-                      sent_s: float) -> None:
+    def _take_absence(self, member: fleets.Member, claim: progress.Claim,
+                      report: ports.Report, sent_s: float) -> None:
         """Judges a run that a report lists neither as running nor ended."""
         if not report.complete:
             return
         if claim.phase is Phase.RECOVERING:
+            # The report's call carried our epoch: a start of an earlier
+            # leader that has not come yet is refused from now on.
             self._resolve(claim, None, "was never started")
         elif claim.phase is Phase.RUNNING and claim.since_s < sent_s:
             self._resolve(claim, ports.How.LAPSED, "its worker lost it")
-        elif claim.phase is Phase.STOPPING and claim.stop_acked_s < sent_s:
+        elif claim.phase is Phase.STOPPING:
+            self._take_stopped(member, claim, sent_s)
+
+    def _take_stopped(self, member: fleets.Member, claim: progress.Claim,
+                      sent_s: float) -> None:
+        """Judges a run that is being stopped and that no report lists."""
+        if claim.life_ms != member.life_ms and claim.start_settled:
+            self._resolve(claim, None, "its worker has started anew")
+        elif claim.life_ms != member.life_ms:
+            # The start may still come, and the new life would take it.
+            claim.life_ms = member.life_ms
+            claim.stop_acked_s = float("inf")
+            self._send_stop(claim)
+        elif claim.stop_acked_s < sent_s:
             self._resolve(claim, None, claim.why)
 
     def _stop_stray(self, member: fleets.Member,
--- /dev/null
+++ b/packages/jobs/tests/test_disorder.py
@@ -0,0 +1,12 @@
+"""Random faults on the virtual site break no promise."""
+
+import pytest
+
+from trefoilroad_standins.jobs import disorder
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_promises_hold(seed):
+    """Guards against tasks that run twice, are lost, or run after a refusal."""
+    play = disorder.Disorder(seed=seed)
+    assert play.run() == [], "\n".join(play.log)
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -82,3 +82,75 @@
         assert site.ask_state(f"{number:016x}",
                               through=other.name) == "completed"
     assert site.find_faults() == []
+
+
+def test_worker_begins_new_life_unnoticed(site):
+    """Guards against ends of a new life that are forgotten unread.
+
+    The numbers of ends start anew with each life. An acknowledgement that was
+    meant for the old life had the worker forget the ends of the new one, and
+    their tasks ran again.
+    """
+    _submit_many(site, 12, tasks=2, run_s=0.5)
+    site.run(3.0)
+    for machine in site.machines.values():
+        machine.restart()
+    for number in range(12, 18):
+        site.submit(f"{number:016x}", tasks=2, run_s=0.5)
+    site.run(6.0)
+    assert site.count("start") == 36
+    assert site.find_faults() == []
+
+
+def test_worker_crashes_with_its_runs(site):
+    """Guards against tasks that wait for ever for a worker that is gone."""
+    site.submit("a" * 16, tasks=8, run_s=4.0)
+    site.run(1.0)
+    busy = {event.worker_id for event in site.history}
+    for worker_id in busy:
+        site.machines[worker_id].crash()
+    site.run(16.0)
+    assert site.ask_state("a" * 16) == "completed"
+    assert site.find_faults() == []
+
+
+def test_cancelled_job_stops(site):
+    """Guards against work that goes on after its job was cancelled."""
+    site.submit("a" * 16, tasks=4, run_s=20.0)
+    site.run(1.0)
+    site.cancel("a" * 16, through="n1")
+    site.run(1.0)
+    assert site.replies["a" * 16].outcome.name == "CANCELLED"
+    assert site.ask_state("a" * 16) == "cancelled"
+    assert all(not machine.runs for machine in site.machines.values())
+
+
+def test_job_that_always_fails(site):
+    """Guards against more runs than the queue allows."""
+    site.submit("a" * 16, tasks=1, run_s=0.3, fails=True)
+    site.run(10.0)
+    assert site.ask_state("a" * 16) == "failed"
+    assert site.count("start") == 3
+
+
+def test_store_down_for_long(site):
+    """Guards against runs that lapse while only the store is away."""
+    site.submit("a" * 16, tasks=4, run_s=8.0)
+    site.run(1.0)
+    site.tables.down = True
+    site.run(9.0)
+    site.tables.down = False
+    site.run(4.0)
+    assert site.ask_state("a" * 16) == "completed"
+    assert site.count("start") == 4
+    assert site.count("lapsed") == 0
+
+
+def test_repeat_through_another_node(site):
+    """Guards against a job that runs twice because it was sent twice."""
+    site.submit("a" * 16, tasks=2, through="n0")
+    site.run(0.5)
+    site.submit("a" * 16, tasks=2, through="n2")
+    site.run(6.0)
+    assert site.replies["a" * 16].outcome.name == "ACCEPTED"
+    assert site.count("start") == 2
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -22,8 +22,9 @@
     Attributes:
         at_s: When.
         worker_id: Where.
-        kind: "start", "noted" or how a run ended.
-        name: The task.
+        kind: "start", "noted", "lapse" (the worker's lease) or how a run
+            ended.
+        name: The task, if it concerns one.
         run: Number of the run.
     """
 
@@ -90,10 +91,12 @@
         self._ticking.schedule(0.05, self._advance)
 
     def _begin_life(self) -> None:
+        self._waiters.clear()
         self.life_ms = EPOCH_MS + int(self._ticking.now_s * 1000)
         self.born_s = self._ticking.now_s
         self.fence = 0
         self.lease_ms = 0.0
+        self._lapsed = True
         self.runs: dict[str, _Run] = {}
         self.highest: dict[str, int] = {}
         self.ended: list[ports.EndedTask] = []
@@ -226,6 +229,9 @@
             return
         now_s = self._ticking.now_s
         lapsed = self.clock_ms > self.lease_ms
+        if lapsed and not self._lapsed:
+            self._record("lapse", "", 0)
+        self._lapsed = lapsed
         for name, run in list(self.runs.items()):
             if lapsed:
                 self._end(name, run, ports.How.LAPSED)
@@ -279,7 +285,14 @@
                     worker.worker_id in self.cut):
                 fail()
             elif self._rng.random() < self.lose:
-                ticking.schedule(self.late_s, lambda: call(machine))
+                life_ms = machine.life_ms
+
+                def carry_out() -> None:
+                    # The order waits in the process that took it.
+                    if machine.alive and machine.life_ms == life_ms:
+                        call(machine)
+
+                ticking.schedule(self.late_s, carry_out)
                 fail()
             else:
                 result = call(machine)
@@ -316,8 +329,16 @@
             if (isinstance(first, ports.Answer) or first.ended or wait_ms == 0):
                 finish(first)
                 return first
-            machine.wait(lambda: finish(call(machine)))
-            ticking.schedule(wait_ms / 1000.0, lambda: finish(call(machine)))
+            life_ms = machine.life_ms
+
+            def wake() -> None:
+                # A call that has been answered or given up is gone, and so is
+                # one whose connection ended with an earlier life.
+                if not answered and machine.life_ms == life_ms:
+                    finish(call(machine))
+
+            machine.wait(wake)
+            ticking.schedule(wait_ms / 1000.0, wake)
             return first
 
         answered = False
