--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -30,8 +30,10 @@
         checkpoint_interval_s: Work between two checkpoints.
         gang_timeout_s: A member waits this long for the others.
         retention_s: A final job is kept this long.
-        shrink_grace_s: A registration must be missing this long before its
-            worker is given up.
+        reclaim_patience_s: A guaranteed job waits at most this long before
+            others are stopped for it; the users' bound for its start is 2.7 s.
+        reclaim_lead_s: Time from a stop to the start in the freed room: the
+            stop, its report, a commit and the start.
     """
 
     lease_s: float = 6.0
@@ -49,4 +51,5 @@
     checkpoint_interval_s: float = 1.0
     gang_timeout_s: float = 3.0
     retention_s: float = 150.0
-    shrink_grace_s: float = 0.0
+    reclaim_patience_s: float = 1.2
+    reclaim_lead_s: float = 0.4
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -47,6 +47,8 @@
         size_ratio: Size of the job relative to the mean of its queue.
         begun: Whether tasks of the job have run already.
         guaranteed: Whether the team's guarantee covers it.
+        reclaim_s: Time from which others are stopped for a guaranteed unit;
+            until then room may become free by itself.
     """
 
     job_id: str
@@ -65,6 +67,7 @@
     size_ratio: float
     begun: bool
     guaranteed: bool
+    reclaim_s: float = 0.0
 
     @property
     def accelerators(self) -> int:
@@ -200,9 +203,11 @@
                 if chosen is None:
                     continue
                 plan.waiting.append(unit)
-                plan.stops.extend(chosen.victims)
+                if now_s >= unit.reclaim_s:
+                    plan.stops.extend(chosen.victims)
                 soon += [task for item in chosen.victims for task in item.tasks]
                 left = [item for item in left if item not in chosen.victims]
+                # Units after it do not get the room that it waits for.
                 _take(by_id, unit, chosen.workers)
         return plan
 
@@ -243,9 +248,7 @@
     spared.
     """
     wish = _build_wish(unit)
-    ranked = sorted(victims,
-                    key=lambda item:
-                    (-item.priority, item.cost / max(1, item.accelerators)))
+    ranked = sorted(victims, key=_weigh_loss)
     wasted: list[str] = []
     for spread in (False, True):
         low, high = 0, len(ranked)
@@ -266,6 +269,13 @@
     return _Reclaim(_spare(wish, slots, soon, chosen, workers), workers)
 
 
+def _weigh_loss(victim: Victim) -> float:
+    """Returns what a stop loses for each accelerator that it frees."""
+    level = min(victim.priority, len(WORTH_BY_PRIORITY) - 1)
+    return (victim.cost * WORTH_BY_PRIORITY[level] /
+            max(1, victim.accelerators))
+
+
 def _spare(wish: placement.Wish, slots: list[placement.Slot],
            soon: Sequence[tuple[str, workload.Demand]], chosen: list[Victim],
            workers: list[str]) -> list[Victim]:
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -145,7 +145,22 @@
             work=self._estimate_work(job, occurrence),
             size_ratio=self._estimator.compare_size(accepted),
             begun=job.has_begun(),
-            guaranteed=False)
+            guaranteed=False,
+            reclaim_s=self._compute_reclaim_s(begun_s, slack, chain_s,
+                                              extra_ms / 1000.0))
+
+    def _compute_reclaim_s(self, begun_s: float, slack: float, chain_s: float,
+                           extra_s: float) -> float:
+        """Returns when others must be stopped for a guaranteed unit.
+
+        Early enough to begin within the bound of a reclaim and to end within
+        the objective, and no earlier: tasks end all the time, and the work of
+        a stopped one is lost.
+        """
+        spare_s = (slack -
+                   1.0) * chain_s + extra_s - self._bounds.reclaim_lead_s
+        patience_s = min(spare_s, self._bounds.reclaim_patience_s)
+        return begun_s + max(0.0, patience_s)
 
     def _estimate_remaining_s(self, job: progress.Job, occurrence: int,
                               number: int) -> float:
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1,4 +1,4 @@
-"""Jobs survive the loss of any process; each test names what it guards against."""
+"""Jobs survive the loss of any process; each test names what it prevents."""
 
 import pytest
 
