--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -51,5 +51,5 @@
     checkpoint_interval_s: float = 1.0
     gang_timeout_s: float = 3.0
     retention_s: float = 150.0
-    reclaim_patience_s: float = 1.2
+    reclaim_patience_s: float = 0.0
     reclaim_lead_s: float = 0.4
