--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -40,15 +40,16 @@
         ready: Whether the rows of earlier leaders have been read.
     """
 
-    def __init__(self, *, epoch: int, workers: ports.Workers,
-                 timers: timer.Timers, wall: ports.Wall, ledger: ledgers.Ledger,
-                 bounds: limits.Limits, plan: planner.Planner,
-                 metrics: sinks.Metrics, led_until_s: float,
-                 on_deposed: Callable[[str], None]):
+    def __init__(self, *, epoch: int, store: ports.Store,
+                 workers: ports.Workers, timers: timer.Timers, wall: ports.Wall,
+                 ledger: ledgers.Ledger, bounds: limits.Limits,
+                 plan: planner.Planner, metrics: sinks.Metrics,
+                 led_until_s: float, on_deposed: Callable[[str], None]):
         """Begins an epoch.
 
         Args:
             epoch: The epoch.
+            store: The store, for rows that the ledger does not write.
             workers: Sends orders.
             timers: Source of time.
             wall: The time of day.
@@ -64,6 +65,7 @@
         self.ready = False
         self._active: dict[str, progress.Job] = {}
         self._cancelled: set[str] = set()
+        self._store = store
         self._timers = timers
         self._wall = wall
         self._ledger = ledger
@@ -456,13 +458,31 @@
         for job in list(self.jobs.values()):
             if (job.is_final and job.ended_ms < limit_ms and
                     not any(job.list_claims())):
-                del self.jobs[job.job_id]
-                self._cancelled.discard(job.job_id)
-                self._ledger.remove([
-                    tables.name_job(job.job_id),
-                    tables.name_cancellation(job.job_id),
-                    tables.name_progress(job.job_id)
-                ])
+                self._remove(job.job_id)
+
+    def _remove(self, job_id: str) -> None:
+        """Removes a job, its progress last: without it the job would run."""
+
+        def take(
+            result: ports.Committed | ports.Conflict | ports.StoreFailed
+        ) -> None:
+            if not isinstance(result, ports.Committed) or self._closed:
+                return
+            if not rows:
+                self.jobs.pop(job_id, None)
+                self._cancelled.discard(job_id)
+                self._ledger.forget(job_id)
+                return
+            remove_next()
+
+        def remove_next() -> None:
+            self._store.commit(conditions={},
+                               puts={},
+                               removals=[rows.pop()],
+                               on_done=take)
+
+        rows = [tables.name_job(job_id), tables.name_cancellation(job_id)]
+        remove_next()
 
 
 def _pick_checkpoint(step: progress.StepProgress) -> str:
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -19,8 +19,13 @@
 # it sends a beat twice a second.
 SILENCE_S = 1.1
 CHECK_INTERVAL_S = 0.2
-# Spreads the nodes that try to take over at the same moment.
+# Spreads the nodes that try to take over at the same moment. A slow store
+# carries out few transactions, so they are spread over several of its delays.
 JITTER_S = 0.15
+JITTER_DELAYS = 4.0
+# A node that has run for less than this waits less: in a rolling restart it
+# has its own restart behind it.
+SETTLED_S = 20.0
 # A leader that has confirmed nothing for this long does not vouch for the
 # states that it knows.
 VOUCH_S = 1.5
@@ -113,6 +118,9 @@
         self._reluctance_s = reluctance_s
         self._vacant_s = float("inf")
         self._stopped = False
+        self._begun_s = timers.read_clock()
+        self._try_s = float("-inf")
+        self._store_delay_s = 0.0
         self._on_gain = on_gain
         self._on_loss = on_loss
         self._row_version = 0
@@ -143,7 +151,15 @@
         if self.leading and leader.node_id != self._node_id:
             self.lose(f"epoch {leader.epoch} of {leader.node_id!r} began")
         if not leader.node_id and not self.leading:
-            self._timers.call_later(self._rng.random() * JITTER_S, self._check)
+            delay_s = self._draw_delay_s()
+            self._try_s = self._timers.read_clock() + delay_s
+            self._timers.call_later(delay_s, self._check)
+
+    def _draw_delay_s(self) -> float:
+        """Returns a random delay before a try to take the lead."""
+        age_s = self._timers.read_clock() - self._begun_s
+        share = self._rng.uniform(0.5, 1.0) * min(1.0, age_s / SETTLED_S)
+        return share * max(JITTER_S, JITTER_DELAYS * self._store_delay_s)
 
     def hear(self, epoch: int, head_version: int, age_s: float) -> None:
         """Takes a beat of the leader.
@@ -190,6 +206,8 @@
         if self.leading or self._taking or not self.known or self._stopped:
             return
         now_s = self._timers.read_clock()
+        if now_s < self._try_s:
+            return
         if self._is_vacant(now_s):
             if now_s - self._vacant_s < self._reluctance_s:
                 return
@@ -197,9 +215,10 @@
             return
         if not self._reading:
             self._reading = True
-            self._store.read(table=tables.HEAD_ROW[0],
-                             key=tables.HEAD_ROW[1],
-                             on_done=self._take_head)
+            self._store.read(
+                table=tables.HEAD_ROW[0],
+                key=tables.HEAD_ROW[1],
+                on_done=lambda result: self._take_head(now_s, result))
 
     def _is_vacant(self, now_s: float) -> bool:
         """Tells whether the leader row names nobody, and notes since when."""
@@ -210,7 +229,7 @@
         return True
 
     def _take_head(
-            self,
+            self, sent_s: float,
             result: ports.Rows | ports.HistoryLost | ports.StoreFailed) -> None:
         self._reading = False
         now_s = self._timers.read_clock()
@@ -218,6 +237,7 @@
             # A leader cannot renew either while the store is away.
             self._observed = None
             return
+        self._store_delay_s = now_s - sent_s
         version = result.rows[0].version if result.rows else 0
         if self._observed is None or self._observed.version != version:
             self._observed = Observation(version, now_s)
@@ -264,6 +284,7 @@
             self._take_conflict(leader, result)
         else:
             _log.warning("taking the lead failed", reason=result.reason)
+            self._try_s = self._timers.read_clock() + self._draw_delay_s()
 
     def _take_conflict(self, leader: Leader, result: ports.Conflict) -> None:
         """Finds out whether an earlier try of this node has taken effect."""
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -116,9 +116,10 @@
         self._dirty[job.job_id] = job
         self._plan_flush()
 
-    def remove(self, rows: list[ports.RowName]) -> None:
-        """Has rows removed with one of the next transactions."""
-        self._removals += rows
+    def forget(self, job_id: str) -> None:
+        """Has the progress of a job removed with the next transaction."""
+        self._dirty.pop(job_id, None)
+        self._removals.append(tables.name_progress(job_id))
         self._plan_flush()
 
     def call_after(self, callback: Callable[[], None]) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -231,6 +231,7 @@
                                 on_deposed=self._leadership.lose)
         dispatcher = dispatchers.Dispatcher(
             epoch=epoch,
+            store=self._store,
             workers=self._workers,
             timers=self._timers,
             wall=self._wall,
--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -127,6 +127,12 @@
         self._protocol.send_request(request)
         self._flush()
 
+    @circuits.handler("write", priority=10)
+    def _on_write(self, event: Any, _: bytes) -> None:
+        # The library would register a socket that has been closed meanwhile.
+        if not self._socket.connected:
+            event.stop()
+
     @circuits.handler("read")
     def _on_read(self, data: bytes) -> None:
         if self._protocol is not None:
