--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -66,11 +66,21 @@
         stopping: Whether a planned stop is under way.
     """
 
-    def __init__(self, *, node_id: str, link: str, reluctance_s: float,
-                 sources: Sources, store: ports.Store, workers: ports.Workers,
-                 links: node_links.Links, timers: timer.Timers,
-                 wall: ports.Wall, bounds: limits.Limits,
-                 metrics: sinks.Metrics, rng: random.Random):
+    def __init__(self,
+                 *,
+                 node_id: str,
+                 link: str,
+                 reluctance_s: float,
+                 sources: Sources,
+                 store: ports.Store,
+                 workers: ports.Workers,
+                 links: node_links.Links,
+                 timers: timer.Timers,
+                 wall: ports.Wall,
+                 bounds: limits.Limits,
+                 plan: planner.Planner | None = None,
+                 metrics: sinks.Metrics,
+                 rng: random.Random):
         """Joins the parts and begins to read.
 
         Args:
@@ -85,6 +95,7 @@
             timers: Source of time.
             wall: The time of day.
             bounds: Time limits of the leader.
+            plan: Plans rounds; the default if absent.
             metrics: Sink of metrics.
             rng: Source of jitter.
         """
@@ -99,6 +110,7 @@
         self._timers = timers
         self._wall = wall
         self._bounds = bounds
+        self._plan = plan or planner.Planner(order=planner.WorthDensity())
         self._metrics = metrics
         self._rng = rng
         self._config_rows: dict[str, bytes] = {}
@@ -229,18 +241,17 @@
                                 epoch=epoch,
                                 head_version=head_version,
                                 on_deposed=self._leadership.lose)
-        dispatcher = dispatchers.Dispatcher(
-            epoch=epoch,
-            store=self._store,
-            workers=self._workers,
-            timers=self._timers,
-            wall=self._wall,
-            ledger=ledger,
-            bounds=self._bounds,
-            plan=planner.Planner(order=planner.WorthDensity()),
-            metrics=self._metrics,
-            led_until_s=led_until_s,
-            on_deposed=self._leadership.lose)
+        dispatcher = dispatchers.Dispatcher(epoch=epoch,
+                                            store=self._store,
+                                            workers=self._workers,
+                                            timers=self._timers,
+                                            wall=self._wall,
+                                            ledger=ledger,
+                                            bounds=self._bounds,
+                                            plan=self._plan,
+                                            metrics=self._metrics,
+                                            led_until_s=led_until_s,
+                                            on_deposed=self._leadership.lose)
         self._ledger = ledger
         self._dispatcher = dispatcher
         dispatcher.see_directory(self.directory)
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -1,6 +1,7 @@
 """Chooses workers for the tasks of one step."""
 
 import collections
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from trefoilroad_jobs import workload
@@ -67,7 +68,7 @@
     return count
 
 
-def fill(wish: Wish, slots: list[Slot]) -> list[str]:
+def fill(wish: Wish, slots: Sequence[Slot]) -> list[str]:
     """Fills slots in order, the fullest that still fit first.
 
     Packing onto workers that are partly used keeps whole workers free for
@@ -89,13 +90,13 @@
     return placed
 
 
-def could_fit(wish: Wish, slots: list[Slot]) -> bool:
+def could_fit(wish: Wish, slots: Sequence[Slot]) -> bool:
     """Tells whether the wish would fit if all slots were idle."""
     total = sum(_count_slot(wish, slot, slot.capacity) for slot in slots)
     return total >= wish.tasks
 
 
-def group_by_rack(slots: list[Slot]) -> dict[str, list[Slot]]:
+def group_by_rack(slots: Sequence[Slot]) -> dict[str, list[Slot]]:
     """Groups slots by rack."""
     racks: dict[str, list[Slot]] = collections.defaultdict(list)
     for slot in slots:
@@ -103,7 +104,7 @@
     return racks
 
 
-def place(wish: Wish, slots: list[Slot], *, spread: bool) -> list[str]:
+def place(wish: Wish, slots: Sequence[Slot], *, spread: bool) -> list[str]:
     """Places the tasks of a wish.
 
     A step whose tasks are slower on several racks gets one rack, the one that
@@ -137,7 +138,7 @@
     return placed
 
 
-def _place_in_one(wish: Wish, racks: list[list[Slot]]) -> list[str]:
+def _place_in_one(wish: Wish, racks: Sequence[Sequence[Slot]]) -> list[str]:
     """Places all tasks in the rack with the least room that holds them."""
     best: list[str] = []
     best_key: tuple[bool, int] | None = None
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -21,11 +21,21 @@
 # Worth share of a job that can no longer end in time to count; it still runs
 # when nothing else wants the room.
 HOPELESS_SHARE = 0.003
+# Worth of a core-second that a stop throws away: its price in the users' lists,
+# and what the fleet earns with a core-second on a busy day.
+STOP_PRICE = 0.0017 + 0.0035
+# A reservation lasts this long; a stop takes at most half a second.
+RESERVATION_S = 1.2
+# Units without a guarantee for which stops are considered in one round.
+MAX_PREEMPTIONS = 3
 # Part of a job's worth that does not depend on its size, and the largest
 # multiple of the mean that size counts for.
 FIXED_SHARE = 0.3
 MAX_SIZE_RATIO = 4.0
 
+UnitKey = tuple[str, int, int]
+"""Job, occurrence and step."""
+
 
 class Unit(NamedTuple):
     """Tasks of one step that are ready to start.
@@ -69,6 +79,11 @@
     guaranteed: bool
     reclaim_s: float = 0.0
 
+    @property
+    def key(self) -> "UnitKey":
+        """Identifies the step."""
+        return self.job_id, self.occurrence, self.step_number
+
     @property
     def accelerators(self) -> int:
         """Accelerators of all its tasks."""
@@ -117,6 +132,21 @@
     waiting: list[Unit]
 
 
+class Reservation(NamedTuple):
+    """Room that is being made for a unit.
+
+    Without it, each round until the stopped tasks have ended might choose
+    other workers, and stop more.
+
+    Attributes:
+        workers: Worker of each task.
+        until_s: When it lapses.
+    """
+
+    workers: tuple[str, ...]
+    until_s: float
+
+
 class Order(abc.ABC):
     """Ranks units; lower ranks go first."""
 
@@ -164,11 +194,24 @@
     return worth * HOPELESS_SHARE
 
 
+def _is_pressing(unit: Unit, now_s: float) -> bool:
+    """Tells whether a unit ends within its objective only if it starts now."""
+    return (unit.reclaim_s <= now_s and
+            now_s + unit.remaining_s <= unit.objective_s)
+
+
+def _is_worth_it(unit: Unit, victims: Sequence[Victim], now_s: float) -> bool:
+    """Tells whether a start in time earns more than the stops lose."""
+    gain = estimate_worth(unit, now_s) * (1.0 - LATE_SHARE)
+    return gain > STOP_PRICE * sum(victim.cost for victim in victims)
+
+
 class Planner:
     """Plans rounds with one order."""
 
     def __init__(self, *, order: Order):
         self._order = order
+        self._reserved: dict[UnitKey, Reservation] = {}
 
     def plan(self, units: Sequence[Unit], slots: Sequence[placement.Slot],
              ending: Sequence[tuple[str, workload.Demand]],
@@ -186,34 +229,65 @@
             The plan.
         """
         plan = Plan([], [], [])
-        open_slots = list(slots)
-        by_id = {slot.worker_id: slot for slot in open_slots}
+        slots_by_id = {slot.worker_id: slot for slot in slots}
+        self._drop_reservations(units, slots_by_id, now_s)
         soon = list(ending)
         left = list(victims)
+        tries = 0
         ordered = sorted(units,
                          key=lambda unit:
-                         (not unit.guaranteed, *self._order.rank(unit, now_s)))
+                         (unit.key not in self._reserved, not unit.guaranteed,
+                          *self._order.rank(unit, now_s)))
         for unit in ordered:
-            workers = self._place(unit, open_slots)
+            workers = self._place(unit, slots, slots_by_id)
             if workers:
                 plan.starts.append(Start(unit, tuple(workers)))
-                _take(by_id, unit, workers)
-            elif unit.guaranteed:
-                chosen = _reclaim(unit, open_slots, soon, left)
-                if chosen is None:
+                _take(slots_by_id, unit, workers)
+                self._reserved.pop(unit.key, None)
+                continue
+            reservation = self._reserved.get(unit.key)
+            if reservation is not None:
+                _take(slots_by_id, unit, reservation.workers)
+                continue
+            if now_s < unit.reclaim_s:
+                continue
+            if not unit.guaranteed:
+                if tries == MAX_PREEMPTIONS or not _is_pressing(unit, now_s):
                     continue
+                tries += 1
+            weaker = [item for item in left if item.priority > unit.priority]
+            chosen = _reclaim(unit, slots, soon, weaker)
+            if chosen is None:
+                continue
+            if unit.guaranteed or _is_worth_it(unit, chosen.victims, now_s):
                 plan.waiting.append(unit)
-                if now_s >= unit.reclaim_s:
-                    plan.stops.extend(chosen.victims)
+                plan.stops.extend(chosen.victims)
                 soon += [task for item in chosen.victims for task in item.tasks]
                 left = [item for item in left if item not in chosen.victims]
-                # Units after it do not get the room that it waits for.
-                _take(by_id, unit, chosen.workers)
+                self._reserved[unit.key] = Reservation(tuple(chosen.workers),
+                                                       now_s + RESERVATION_S)
+                _take(slots_by_id, unit, chosen.workers)
         return plan
 
-    def _place(self, unit: Unit, slots: list[placement.Slot]) -> list[str]:
+    def _drop_reservations(self, units: Sequence[Unit],
+                           slots: dict[str,
+                                       placement.Slot], now_s: float) -> None:
+        """Drops reservations that are old, or whose unit or worker is gone."""
+        waiting = {unit.key for unit in units}
+        for key, reservation in list(self._reserved.items()):
+            if (key not in waiting or reservation.until_s <= now_s or
+                    any(worker not in slots for worker in reservation.workers)):
+                del self._reserved[key]
+
+    def _place(self, unit: Unit, slots: Sequence[placement.Slot],
+               by_id: dict[str, placement.Slot]) -> list[str]:
         wish = _build_wish(unit)
-        return placement.place(wish, slots, spread=False)
+        reservation = self._reserved.get(unit.key)
+        if reservation is None:
+            return placement.place(wish, slots, spread=False)
+        own = [by_id[worker] for worker in sorted(set(reservation.workers))]
+        placed = placement.place(wish, own, spread=True)
+        return placed if len(placed) == wish.tasks else []
 
 
 def _build_wish(unit: Unit) -> placement.Wish:
@@ -238,7 +312,7 @@
     workers: list[str]
 
 
-def _reclaim(unit: Unit, slots: list[placement.Slot],
+def _reclaim(unit: Unit, slots: Sequence[placement.Slot],
              soon: Sequence[tuple[str, workload.Demand]],
              victims: Sequence[Victim]) -> _Reclaim | None:
     """Chooses what to stop so that a unit can start.
@@ -276,7 +350,7 @@
             max(1, victim.accelerators))
 
 
-def _spare(wish: placement.Wish, slots: list[placement.Slot],
+def _spare(wish: placement.Wish, slots: Sequence[placement.Slot],
            soon: Sequence[tuple[str, workload.Demand]], chosen: list[Victim],
            workers: list[str]) -> list[Victim]:
     """Drops victims that the chosen workers do not need, dearest first."""
@@ -294,7 +368,7 @@
     return needed
 
 
-def _place_after(wish: placement.Wish, slots: list[placement.Slot],
+def _place_after(wish: placement.Wish, slots: Sequence[placement.Slot],
                  soon: Sequence[tuple[str, workload.Demand]],
                  victims: Sequence[Victim], spread: bool) -> list[str]:
     """Places a wish in the room that there will be after the stops."""
--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -10,6 +10,7 @@
 from trefoilroad_jobs import intake
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import node as nodes
+from trefoilroad_jobs import planner
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import workload
 from trefoilroad_node import links as node_links
@@ -69,7 +70,8 @@
 class SiteNode:
     """One process of the site."""
 
-    def __init__(self, *, site: "Site", name: str, rng: random.Random):
+    def __init__(self, *, site: "Site", name: str, rng: random.Random,
+                 plan: planner.Planner | None, bounds: limits.Limits):
         self.name = name
         self.host = clock.Host(clock=site.clock)
         self.store = row_tables.NodeStore(tables=site.tables,
@@ -94,7 +96,8 @@
                                links=_Links(site=site, origin=name),
                                timers=timers,
                                wall=_Wall(ticking=site.clock),
-                               bounds=limits.Limits(),
+                               bounds=bounds,
+                               plan=plan,
                                metrics=metrics.NoMetrics(),
                                rng=rng)
 
@@ -113,7 +116,10 @@
                  node_count: int = 3,
                  worker_count: int = 4,
                  per_rack: int = 4,
-                 guarantees: dict[str, int] | None = None):
+                 guarantees: dict[str, int] | None = None,
+                 queues: tuple[directories.Queue, ...] = (QUEUE, URGENT),
+                 plan: planner.Planner | None = None,
+                 bounds: limits.Limits | None = None):
         self.clock = clock.Clock()
         self.tables = row_tables.Tables(ticking=self.clock)
         self.history: list[machines.Event] = []
@@ -124,7 +130,7 @@
         self.cut_links: set[frozenset[str]] = set()
         self.directory = directories.Directory(
             version=1,
-            queues=(QUEUE, URGENT),
+            queues=queues,
             guarded=frozenset({"service"}),
             teams={
                 name: directories.Team(name, (), count)
@@ -132,6 +138,8 @@
             },
             max_body_bytes=100_000)
         self._rng = random.Random(seed)
+        self._plan = plan
+        self._bounds = bounds or limits.Limits()
         for number in range(worker_count):
             self.add_worker(f"w{number:02}", f"r{number // per_rack}")
         self.tables.put("config", "config", b"1")
@@ -160,7 +168,11 @@
     def add_node(self, name: str) -> SiteNode:
         """Starts a process."""
         rng = random.Random(self._rng.random())
-        self.nodes[name] = SiteNode(site=self, name=name, rng=rng)
+        self.nodes[name] = SiteNode(site=self,
+                                    name=name,
+                                    rng=rng,
+                                    plan=self._plan,
+                                    bounds=self._bounds)
         return self.nodes[name]
 
     def decode_directory(
