--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -28,6 +28,14 @@
 RESERVATION_S = 1.2
 # Units without a guarantee for which stops are considered in one round.
 MAX_PREEMPTIONS = 3
+# Workers are left to empty for a large gang this long before it must start;
+# most tasks end within that time.
+DRAIN_LEAD_S = 6.0
+# A drain goes on this long after the latest useful start, as run times are
+# only estimates.
+DRAIN_GRACE_S = 3.0
+# Gangs that workers are emptied for at the same time.
+MAX_DRAINS = 2
 # Part of a job's worth that does not depend on its size, and the largest
 # multiple of the mean that size counts for.
 FIXED_SHARE = 0.3
@@ -200,6 +208,54 @@
             now_s + unit.remaining_s <= unit.objective_s)
 
 
+def _may_drain(unit: Unit, now_s: float) -> bool:
+    """Tells whether workers are kept free for a unit by now.
+
+    Only as late as that still lets it end in time, or in the time in which it
+    counts as late.
+    """
+    latest_s = unit.objective_s - unit.remaining_s
+    if latest_s + DRAIN_GRACE_S < now_s:
+        allowed_s = unit.objective_s - unit.accepted_s
+        latest_s = (unit.accepted_s + LATE_FACTOR * allowed_s -
+                    unit.remaining_s)
+    return latest_s - DRAIN_LEAD_S <= now_s <= latest_s + DRAIN_GRACE_S
+
+
+def _choose_drain(wish: placement.Wish,
+                  slots: Sequence[placement.Slot]) -> tuple[str, ...]:
+    """Chooses the workers with the most room that hold a wish when empty."""
+    groups = list(placement.group_by_rack(slots).values())
+    groups = [group for group in groups if placement.could_fit(wish, group)]
+    if not wish.step.one_rack or not groups:
+        groups = [list(slots)]
+    best: tuple[str, ...] = ()
+    best_room = -1
+    for group in groups:
+        ranked = sorted(group, key=lambda slot: -slot.room.accelerators)
+        chosen: list[placement.Slot] = []
+        for slot in ranked:
+            if placement.could_fit(wish, chosen):
+                break
+            chosen.append(slot)
+        room = sum(slot.room.accelerators for slot in chosen)
+        if placement.could_fit(wish, chosen) and room > best_room:
+            best = tuple(slot.worker_id for slot in chosen)
+            best_room = room
+    return best
+
+
+def _block(unit: Unit, slots: Sequence[placement.Slot]) -> None:
+    """Takes the room that a unit will need from units after it."""
+    left = len(unit.indexes)
+    for slot in slots:
+        count = min(left,
+                    placement.count_fitting(unit.step.occupied, slot.capacity))
+        left -= count
+        for _ in range(count):
+            slot.room = slot.room.minus(unit.step.occupied)
+
+
 def _is_worth_it(unit: Unit, victims: Sequence[Victim], now_s: float) -> bool:
     """Tells whether a start in time earns more than the stops lose."""
     gain = estimate_worth(unit, now_s) * (1.0 - LATE_SHARE)
@@ -212,6 +268,7 @@
     def __init__(self, *, order: Order):
         self._order = order
         self._reserved: dict[UnitKey, Reservation] = {}
+        self._drains: dict[UnitKey, tuple[str, ...]] = {}
 
     def plan(self, units: Sequence[Unit], slots: Sequence[placement.Slot],
              ending: Sequence[tuple[str, workload.Demand]],
@@ -234,16 +291,18 @@
         soon = list(ending)
         left = list(victims)
         tries = 0
-        ordered = sorted(units,
-                         key=lambda unit:
-                         (unit.key not in self._reserved, not unit.guaranteed,
-                          *self._order.rank(unit, now_s)))
+        ordered = sorted(
+            units,
+            key=lambda unit:
+            (unit.key not in self._reserved, not unit.guaranteed, unit.key
+             not in self._drains, *self._order.rank(unit, now_s)))
         for unit in ordered:
             workers = self._place(unit, slots, slots_by_id)
             if workers:
                 plan.starts.append(Start(unit, tuple(workers)))
                 _take(slots_by_id, unit, workers)
                 self._reserved.pop(unit.key, None)
+                self._drains.pop(unit.key, None)
                 continue
             reservation = self._reserved.get(unit.key)
             if reservation is not None:
@@ -251,15 +310,17 @@
                 continue
             if now_s < unit.reclaim_s:
                 continue
+            drained = self._drain(unit, slots_by_id, now_s)
             if not unit.guaranteed:
-                if tries == MAX_PREEMPTIONS or not _is_pressing(unit, now_s):
+                if not drained and (tries == MAX_PREEMPTIONS or
+                                    not _is_pressing(unit, now_s)):
                     continue
                 tries += 1
             weaker = [item for item in left if item.priority > unit.priority]
-            chosen = _reclaim(unit, slots, soon, weaker)
-            if chosen is None:
-                continue
-            if unit.guaranteed or _is_worth_it(unit, chosen.victims, now_s):
+            within = [slots_by_id[name] for name in drained] or slots
+            chosen = _reclaim(unit, within, soon, weaker)
+            if chosen is not None and (unit.guaranteed or _is_worth_it(
+                    unit, chosen.victims, now_s)):
                 plan.waiting.append(unit)
                 plan.stops.extend(chosen.victims)
                 soon += [task for item in chosen.victims for task in item.tasks]
@@ -267,13 +328,42 @@
                 self._reserved[unit.key] = Reservation(tuple(chosen.workers),
                                                        now_s + RESERVATION_S)
                 _take(slots_by_id, unit, chosen.workers)
+            elif drained:
+                _block(unit, [slots_by_id[name] for name in drained])
         return plan
 
+    def _drain(self, unit: Unit, slots: dict[str, placement.Slot],
+               now_s: float) -> tuple[str, ...]:
+        """Returns workers that are left to empty for a large unit.
+
+        Small tasks would take each piece of room as it becomes free, and a
+        gang that needs several whole workers would wait for ever.
+        """
+        if (unit.guaranteed or unit.priority == 0 or not unit.step.gang or
+                not _may_drain(unit, now_s)):
+            self._drains.pop(unit.key, None)
+            return ()
+        chosen = self._drains.get(unit.key, ())
+        if chosen and all(name in slots for name in chosen):
+            return chosen
+        if not chosen and len(self._drains) >= MAX_DRAINS:
+            return ()
+        taken = {name for other in self._drains.values() for name in other}
+        free = [slot for name, slot in slots.items() if name not in taken]
+        chosen = _choose_drain(_build_wish(unit), free)
+        self._drains.pop(unit.key, None)
+        if chosen:
+            self._drains[unit.key] = chosen
+        return chosen
+
     def _drop_reservations(self, units: Sequence[Unit],
                            slots: dict[str,
                                        placement.Slot], now_s: float) -> None:
         """Drops reservations that are old, or whose unit or worker is gone."""
         waiting = {unit.key for unit in units}
+        for key in list(self._drains):
+            if key not in waiting:
+                del self._drains[key]
         for key, reservation in list(self._reserved.items()):
             if (key not in waiting or reservation.until_s <= now_s or
                     any(worker not in slots for worker in reservation.workers)):
--- a/packages/standins/src/trefoilroad_standins/jobs/disorder.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/disorder.py
@@ -1,6 +1,7 @@
 """Random faults on a virtual site, and a judgement of what came of them."""
 
 from collections.abc import Callable
+import functools
 import random
 
 from trefoilroad_jobs import workload
@@ -37,7 +38,7 @@
         self.site.run(1.0)
         for number in range(JOBS):
             clock.schedule(self.rng.uniform(0, BUSY_S),
-                           lambda number=number: self._submit(number))
+                           functools.partial(self._submit, number))
         for _ in range(FAULTS):
             clock.schedule(self.rng.uniform(0, BUSY_S), self._break)
         self.site.run(BUSY_S)
@@ -114,7 +115,11 @@
 
     def _replace(self, name: str) -> None:
         self.site.kill(name)
-        self.site.clock.schedule(0.5, lambda: self.site.add_node(f"{name}'"))
+
+        def begin() -> None:
+            self.site.add_node(f"{name}'")
+
+        self.site.clock.schedule(0.5, begin)
 
     def _alive(self) -> list[str]:
         return [
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -1,6 +1,7 @@
 """Workers in memory: leases, fences, runs and their ends."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import random
 from typing import Any
 from typing import NamedTuple
@@ -370,3 +371,40 @@
     def format_name(self, key: progress.TaskKey) -> str:
         """See ports.Workers.format_name."""
         return f"{key.job_id}.{key.occurrence}.{key.step}.{key.task}"
+
+
+def find_faults(history: Sequence[Event]) -> list[str]:
+    """Finds broken promises in what happened on the workers.
+
+    An end counts once it has been acknowledged, unless the worker's lease
+    lapsed before that: then nobody could wait for it.
+    """
+    faults = []
+    alive: dict[str, list[Event]] = {}
+    done_s: dict[tuple[str, str, int], float] = {}
+    lapse_s: dict[str, float] = {}
+    noted: set[str] = set()
+    for event in history:
+        running = alive.setdefault(event.name, [])
+        place = event.worker_id, event.name, event.run
+        if event.kind == "start":
+            if running:
+                faults.append(f"{event} while {running[0]} runs")
+            if event.name in noted:
+                faults.append(f"{event} after its end was noted")
+            running.append(event)
+        elif event.kind == "lapse":
+            lapse_s[event.worker_id] = event.at_s
+        elif event.kind == "noted":
+            end_s = done_s.get(place)
+            if (end_s is not None and
+                    lapse_s.get(event.worker_id, -1.0) < end_s):
+                noted.add(event.name)
+        else:
+            alive[event.name] = [
+                item for item in running
+                if (item.worker_id, item.name, item.run) != place
+            ]
+            if event.kind == "done":
+                done_s[place] = event.at_s
+    return faults
