--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 	$(BIN)/python -m trefoilroad_standins.soak --seed $(SEED) --count $(STEPS)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest packages platform
+	$(BIN)/python -P -m pytest packages
+	cd platform && ../$(BIN)/python -P -m pytest
 
 lint: $(STAMP)
 	$(BIN)/yapf --diff --recursive packages platform
