--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -154,7 +154,23 @@
              filled=9)
 
 KINDS = (DETECT, RENDER, INDEX)
+GROWN = (DETECT._replace(rate=1.18,
+                         filled=23,
+                         width=(10.0, 60),
+                         run_s=(11.0, 0.3, 11.0)),
+         RENDER._replace(rate=6.9, width=(4.7, 28)),
+         INDEX._replace(rate=1.82,
+                        filled=27,
+                        width=(30.0, 180),
+                        run_s=(6.1, 0.3, 11.0)))
 PATTERNS = {
+    "grown":
+        Pattern(GROWN, (Burst(1, 4.0, 6.0, 2.0), Burst(
+            2, 3.9, 6.5, 2.1), Burst(0, 7.4, 4.0, 2.6)),
+                1.1,
+                workers=176,
+                per_rack=12,
+                teams=10),
     "calm":
         Pattern(KINDS, (), 0.63),
     "urgent-burst":
--- a/packages/standins/src/trefoilroad_standins/jobs/proxy.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/proxy.py
@@ -83,7 +83,7 @@
                     continue
                 writer.write(data)
                 await writer.drain()
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass  # One end is gone; the other is closed by the caller.
         finally:
             self._spoilt.discard(writer)
