--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -8,6 +8,9 @@
 
 Demand = workload.Demand
 
+# Tasks without any demand that are counted to fit on one worker.
+UNLIMITED = 1_000
+
 
 class Slot:
     """What one worker offers in a round.
@@ -18,19 +21,25 @@
         labels: Its labels.
         room: What is free.
         capacity: What it has in all.
-        idle: Whether it runs nothing.
     """
 
-    __slots__ = ("capacity", "idle", "labels", "rack", "room", "worker_id")
+    __slots__ = ("capacity", "labels", "rack", "room", "worker_id")
 
     def __init__(self, *, worker_id: str, rack: str, labels: frozenset[str],
-                 room: Demand, capacity: Demand, idle: bool):
+                 room: Demand, capacity: Demand):
         self.worker_id = worker_id
         self.rack = rack
         self.labels = labels
         self.room = room
         self.capacity = capacity
-        self.idle = idle
+
+    def add_room(self, demand: Demand) -> "Slot":
+        """Returns the slot as it is with more room."""
+        return Slot(worker_id=self.worker_id,
+                    rack=self.rack,
+                    labels=self.labels,
+                    room=self.room.plus(demand),
+                    capacity=self.capacity)
 
 
 class Wish(NamedTuple):
@@ -52,10 +61,17 @@
 
 def count_fitting(demand: Demand, room: Demand) -> int:
     """Returns how many tasks of a demand fit into a room."""
-    counts = [
-        have // want for want, have in zip(demand, room, strict=True) if want
-    ]
-    return max(0, min(counts, default=1_000))
+    # Plain comparisons: a round at 176 workers asks this 10,000 times.
+    count = UNLIMITED
+    if demand.accelerators:
+        count = room.accelerators // demand.accelerators
+        if count <= 0:
+            return 0
+    if demand.milli_cores:
+        count = min(count, room.milli_cores // demand.milli_cores)
+    if demand.memory_mb:
+        count = min(count, room.memory_mb // demand.memory_mb)
+    return max(0, count)
 
 
 def _count_slot(wish: Wish, slot: Slot, room: Demand) -> int:
@@ -121,28 +137,41 @@
         fit.
     """
     step = wish.step
-    racks = group_by_rack(slots)
+    if wish.whole and not _has_room(wish, slots):
+        return []
     if step.one_rack and wish.tasks > 1:
-        homes = [rack for rack in racks.values() if could_fit(wish, rack)]
-        placed = _place_in_one(wish, homes)
-        if placed or (homes and not spread):
+        racks = group_by_rack(slots)
+        placed = _place_in_one(wish, list(racks.values()))
+        if placed:
+            return placed
+        if not spread and any(could_fit(wish, rack) for rack in racks.values()):
+            return []
+    if step.data_rack:
+        home = [slot for slot in slots if slot.rack == step.data_rack]
+        placed = fill(wish, home)
+        if len(placed) == wish.tasks:
             return placed
-    if step.data_rack in racks:
-        placed = fill(wish, racks[step.data_rack])
-        home_fits = could_fit(wish, racks[step.data_rack])
-        if len(placed) == wish.tasks or (home_fits and not spread):
-            return placed if len(placed) == wish.tasks or not wish.whole else []
+        if not spread and could_fit(wish, home):
+            return [] if wish.whole else placed
     placed = fill(wish, slots)
     if wish.whole and len(placed) < wish.tasks:
         return []
     return placed
 
 
+def _has_room(wish: Wish, slots: Sequence[Slot]) -> bool:
+    """Tells whether there are enough accelerators, wherever they are."""
+    free = sum(slot.room.accelerators for slot in slots)
+    return free >= wish.step.demand.accelerators * wish.tasks
+
+
 def _place_in_one(wish: Wish, racks: Sequence[Sequence[Slot]]) -> list[str]:
     """Places all tasks in the rack with the least room that holds them."""
     best: list[str] = []
     best_key: tuple[bool, int] | None = None
     for rack in racks:
+        if not _has_room(wish, rack):
+            continue
         placed = fill(wish, rack)
         if len(placed) < wish.tasks:
             continue
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -34,8 +34,9 @@
 # A drain goes on this long after the latest useful start, as run times are
 # only estimates.
 DRAIN_GRACE_S = 3.0
-# Gangs that workers are emptied for at the same time.
-MAX_DRAINS = 2
+# One gang at a time for so many workers has workers emptied for it.
+WORKERS_PER_DRAIN = 12
+NOTHING = workload.Demand(0, 0, 0)
 # Part of a job's worth that does not depend on its size, and the largest
 # multiple of the mean that size counts for.
 FIXED_SHARE = 0.3
@@ -291,11 +292,7 @@
         soon = list(ending)
         left = list(victims)
         tries = 0
-        ordered = sorted(
-            units,
-            key=lambda unit:
-            (unit.key not in self._reserved, not unit.guaranteed, unit.key
-             not in self._drains, *self._order.rank(unit, now_s)))
+        ordered = sorted(units, key=lambda unit: self._rank(unit, now_s))
         for unit in ordered:
             workers = self._place(unit, slots, slots_by_id)
             if workers:
@@ -346,7 +343,7 @@
         chosen = self._drains.get(unit.key, ())
         if chosen and all(name in slots for name in chosen):
             return chosen
-        if not chosen and len(self._drains) >= MAX_DRAINS:
+        if not chosen and len(self._drains) >= len(slots) // WORKERS_PER_DRAIN:
             return ()
         taken = {name for other in self._drains.values() for name in other}
         free = [slot for name, slot in slots.items() if name not in taken]
@@ -356,6 +353,13 @@
             self._drains[unit.key] = chosen
         return chosen
 
+    def _rank(self, unit: Unit, now_s: float) -> tuple[float, ...]:
+        """Ranks a unit; urgent ones may use room that is being emptied."""
+        return (unit.key
+                not in self._reserved, not unit.guaranteed, unit.priority
+                > 0, unit.key
+                not in self._drains, *self._order.rank(unit, now_s))
+
     def _drop_reservations(self, units: Sequence[Unit],
                            slots: dict[str,
                                        placement.Slot], now_s: float) -> None:
@@ -392,7 +396,6 @@
     for worker_id in workers:
         slot = slots[worker_id]
         slot.room = slot.room.minus(unit.step.occupied)
-        slot.idle = False
 
 
 class _Reclaim(NamedTuple):
@@ -463,19 +466,14 @@
                  victims: Sequence[Victim], spread: bool) -> list[str]:
     """Places a wish in the room that there will be after the stops."""
     freed: dict[str, workload.Demand] = {}
-    for worker_id, demand in [
-            *soon, *(task for item in victims for task in item.tasks)
-    ]:
-        freed[worker_id] = freed.get(worker_id, workload.Demand(0, 0,
-                                                                0)).plus(demand)
+    for worker_id, demand in soon:
+        freed[worker_id] = freed.get(worker_id, NOTHING).plus(demand)
+    for victim in victims:
+        for worker_id, demand in victim.tasks:
+            freed[worker_id] = freed.get(worker_id, NOTHING).plus(demand)
     later = [
-        placement.Slot(worker_id=slot.worker_id,
-                       rack=slot.rack,
-                       labels=slot.labels,
-                       room=slot.room.plus(
-                           freed.get(slot.worker_id, workload.Demand(0, 0, 0))),
-                       capacity=slot.capacity,
-                       idle=slot.idle) for slot in slots
+        slot.add_room(freed[slot.worker_id])
+        if slot.worker_id in freed else slot for slot in slots
     ]
     return placement.place(wish, later, spread=spread)
 
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -204,8 +204,7 @@
                                rack=worker.rack,
                                labels=worker.labels,
                                room=room,
-                               capacity=worker.capacity,
-                               idle=not member.claims))
+                               capacity=worker.capacity))
         return slots
 
     # What may be stopped.
--- a/packages/standins/src/trefoilroad_standins/jobs/fleetserver.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fleetserver.py
@@ -264,7 +264,7 @@
             if not machine.alive:
                 raise OSError("down")
             call = json.loads(body)
-            epoch = call["fencingToken"]
+            epoch = int(call["fencingToken"])
             if target == "/-/run-start":
                 return _encode_answer(_start(machine, call))
             if target == "/-/run-stop":
--- a/packages/standins/src/trefoilroad_standins/jobs/proxy.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/proxy.py
@@ -64,6 +64,8 @@
         try:
             await asyncio.gather(self._pump(reader, far_writer, False),
                                  self._pump(far_reader, writer, True))
+        except asyncio.CancelledError:
+            pass  # The soak ends.
         finally:
             self._writers -= pair
             for end in pair:
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -88,17 +88,23 @@
 status_s = 120
 """
 
+# Ports that this process has given out; a node that is down keeps its own.
+_given: set[int] = set()
+
 
 def find_ports(count: int) -> list[int]:
     """Finds free ports outside the range that the kernel hands out itself."""
     found: list[int] = []
     while len(found) < count:
         port = random.randint(*PORTS)
+        if port in _given:
+            continue
         with socket.socket() as item:
             try:
                 item.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        _given.add(port)
         found.append(port)
     return found
 
