--- /dev/null
+++ b/packages/jobs/tests/test_planner.py
@@ -0,0 +1,170 @@
+"""Rounds: placement, guarantees, stops and drains."""
+
+from trefoilroad_jobs import placement
+from trefoilroad_jobs import planner
+from trefoilroad_jobs import workload
+
+CAPACITY = workload.Demand(64_000, 256_000, 8)
+WHOLE = workload.Demand(8000, 1000, 8)
+ONE = workload.Demand(1000, 1000, 1)
+
+
+def _slots(count=4, per_rack=2, used=0):
+    return [
+        placement.Slot(worker_id=f"w{number}",
+                       rack=f"r{number // per_rack}",
+                       labels=frozenset({f"r{number // per_rack}"}),
+                       room=CAPACITY._replace(accelerators=8 - used),
+                       capacity=CAPACITY) for number in range(count)
+    ]
+
+
+def _unit(name, **changes):
+    fields = {
+        "job_id": name,
+        "occurrence": 0,
+        "step_number": 0,
+        "step": workload.Step(tasks=1, demand=ONE),
+        "indexes": (0,),
+        "used": {},
+        "service": "service",
+        "team": "team",
+        "priority": 1,
+        "accepted_s": 0.0,
+        "objective_s": 30.0,
+        "remaining_s": 5.0,
+        "work": 10.0,
+        "size_ratio": 1.0,
+        "begun": False,
+        "guaranteed": False
+    }
+    return planner.Unit(**fields | changes)
+
+
+def _gang(name, tasks, demand=WHOLE, **changes):
+    step = workload.Step(tasks=tasks,
+                         demand=demand,
+                         gang=True,
+                         one_rack=changes.pop("one_rack", False))
+    return _unit(name, step=step, indexes=tuple(range(tasks)), **changes)
+
+
+def _plan(units, slots, ending=(), victims=(), now_s=0.0, known=None):
+    known = known or planner.Planner(order=planner.WorthDensity())
+    return known.plan(units, slots, ending, victims, now_s)
+
+
+def test_gang_is_placed_whole_or_not_at_all():
+    """Guards against members that wait for others until their timeout."""
+    plan = _plan([_gang("a", 5)], _slots())
+    assert plan.starts == []
+    plan = _plan([_gang("a", 4)], _slots())
+    assert sorted(plan.starts[0].workers) == ["w0", "w1", "w2", "w3"]
+
+
+def test_gang_that_wants_one_rack_gets_one():
+    """Guards against work that takes three times as long."""
+    plan = _plan([_gang("a", 2, one_rack=True)], _slots())
+    racks = {name in ("w0", "w1") for name in plan.starts[0].workers}
+    assert len(racks) == 1
+
+
+def test_gang_that_no_rack_can_hold_is_spread():
+    """Guards against a job that waits for ever for a rack that large."""
+    plan = _plan([_gang("a", 3, one_rack=True)], _slots())
+    assert len(plan.starts) == 1
+
+
+def test_label_and_limit_for_a_worker():
+    """Guards against a start on a worker that the job excludes."""
+    step = workload.Step(tasks=4, demand=ONE, label="r1", max_per_worker=1)
+    unit = _unit("a", step=step, indexes=(0, 1, 2, 3), used={"w2": 1})
+    plan = _plan([unit], _slots())
+    assert plan.starts[0].workers == ("w3",)
+
+
+def test_guaranteed_unit_reclaims_the_cheapest_victims():
+    """Guards against stops that cost more than needed."""
+    victims = [
+        planner.Victim(((f"w{number}", WHOLE),), 10.0 + number, 2, number)
+        for number in range(4)
+    ]
+    unit = _unit("a",
+                 step=workload.Step(tasks=1, demand=WHOLE),
+                 priority=0,
+                 guaranteed=True)
+    plan = _plan([unit], _slots(used=8), victims=victims)
+    assert [victim.token for victim in plan.stops] == [0]
+    assert plan.starts == []
+
+
+def test_no_second_reclaim_while_the_first_stops_end():
+    """Guards against a new choice, and new stops, in every round."""
+    known = planner.Planner(order=planner.WorthDensity())
+    victims = [
+        planner.Victim(((f"w{number}", WHOLE),), 10.0, 2, number)
+        for number in range(4)
+    ]
+    unit = _unit("a",
+                 step=workload.Step(tasks=1, demand=WHOLE),
+                 priority=0,
+                 guaranteed=True)
+    first = _plan([unit], _slots(used=8), victims=victims, known=known)
+    assert len(first.stops) == 1
+    second = _plan([unit],
+                   _slots(used=8),
+                   ending=[("w0", WHOLE)],
+                   victims=victims[1:],
+                   now_s=0.1,
+                   known=known)
+    assert second.stops == []
+
+
+def test_urgent_unit_stops_cheap_work_only():
+    """Guards against stops that lose more than the start earns."""
+    unit = _unit("a",
+                 step=workload.Step(tasks=1, demand=WHOLE),
+                 priority=0,
+                 objective_s=6.0)
+    cheap = [planner.Victim((("w0", WHOLE),), 20.0, 2, "cheap")]
+    dear = [planner.Victim((("w0", WHOLE),), 2000.0, 2, "dear")]
+    assert len(_plan([unit], _slots(used=8), victims=cheap).stops) == 1
+    assert _plan([unit], _slots(used=8), victims=dear).stops == []
+
+
+def test_no_stops_for_a_unit_that_is_late_anyway():
+    """Guards against work thrown away for nothing."""
+    unit = _unit("a",
+                 step=workload.Step(tasks=1, demand=WHOLE),
+                 priority=0,
+                 objective_s=4.0)
+    cheap = [planner.Victim((("w0", WHOLE),), 20.0, 2, "cheap")]
+    assert _plan([unit], _slots(used=8), victims=cheap).stops == []
+
+
+def test_large_gang_gets_workers_emptied():
+    """Guards against a gang that starves behind single tasks."""
+    known = planner.Planner(order=planner.WorthDensity())
+    gang = _gang("a", 2, objective_s=10.0, remaining_s=5.0)
+    small = _unit("b", priority=2)
+    plan = _plan([gang, small], _slots(count=12, used=7), known=known)
+    assert [start.unit.job_id for start in plan.starts] == ["b"]
+    taken = plan.starts[0].workers[0]
+    slots = _slots(count=12, used=8)
+    for slot in slots:
+        if slot.worker_id != taken:
+            slot.room = slot.room._replace(accelerators=1)
+    left = [slot.worker_id for slot in slots if slot.room.accelerators]
+    crowd = [_unit(f"c{number}", priority=2) for number in range(20)]
+    plan = _plan([gang, *crowd], slots, now_s=1.0, known=known)
+    assert len(plan.starts) == len(left) - 2
+
+
+def test_order_by_worth_prefers_dense_work():
+    """Guards against large late work that holds up small work in time."""
+    order = planner.WorthDensity()
+    dense = _unit("a", work=10.0)
+    sparse = _unit("b", work=1000.0)
+    late = _unit("c", work=10.0, objective_s=1.0)
+    assert order.rank(dense, 0.0) < order.rank(sparse, 0.0)
+    assert order.rank(dense, 0.0) < order.rank(late, 0.0)
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -149,7 +149,13 @@
                             store=self.proxy.port))
 
     async def start(self) -> None:
-        """Starts the process; its log is appended to a file."""
+        """Starts the process, unless it runs; its log goes to a file.
+
+        Plans overlap: another one may have started it again already, and a
+        second process would be left behind.
+        """
+        if self._process is not None and not self.has_ended:
+            return
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
