--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,11 @@
 PACKAGES := core node client standins replay jobs
 SEED ?= 1
 STEPS ?= 1000
+COUNT ?= 10
+PYTEST_OPTIONS ?=
 
 
-.PHONY: setup demo playground test bench capacity soak lint format check clean
+.PHONY: setup demo playground test bench capacity soak soak-jobs lint format check clean
 
 setup: $(STAMP)
 
@@ -34,8 +36,11 @@
 soak: $(STAMP)
 	$(BIN)/python -m trefoilroad_standins.soak --seed $(SEED) --count $(STEPS)
 
+soak-jobs: $(STAMP)
+	$(BIN)/python -m trefoilroad_standins.jobs.soak --seed $(SEED) --count $(COUNT)
+
 test: $(STAMP)
-	$(BIN)/python -P -m pytest packages
+	$(BIN)/python -P -m pytest $(PYTEST_OPTIONS) packages
 	cd platform && ../$(BIN)/python -P -m pytest
 
 lint: $(STAMP)
