--- a/packages/jobs/src/trefoilroad_jobs/directory.py
+++ b/packages/jobs/src/trefoilroad_jobs/directory.py
@@ -50,14 +50,12 @@
     Attributes:
         version: Number of the version, 0 before the first.
         queues: Queues.
-        guarded: Services whose workers reject what does not fit.
         teams: Teams by name.
         max_body_bytes: Largest request body in bytes.
     """
 
     version: int
     queues: tuple[Queue, ...]
-    guarded: frozenset[str]
     teams: dict[str, Team]
     max_body_bytes: int
 
@@ -92,8 +90,4 @@
         return self.teams[team].guaranteed if team in self.teams else 0
 
 
-EMPTY = Directory(version=0,
-                  queues=(),
-                  guarded=frozenset(),
-                  teams={},
-                  max_body_bytes=0)
+EMPTY = Directory(version=0, queues=(), teams={}, max_body_bytes=0)
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -4,7 +4,6 @@
 
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
-from trefoilroad_jobs import workload
 
 # Workers' steady clocks may be this much slow.
 CLOCK_DRIFT = 0.02
@@ -31,7 +30,6 @@
             worker's clock.
         recorded: Highest number of an end that is recorded durably.
         processed: Highest number of an end that has been processed.
-        answered_s: Leader's time of the last answer.
         silent_s: Leader's time since which it has not answered, or infinity.
         polling: Whether a report has been asked for and has not come.
         poll_s: When the next report is due.
@@ -51,7 +49,6 @@
         self.lease_ms = 0
         self.recorded = 0
         self.processed = 0
-        self.answered_s = float("-inf")
         self.silent_s = float("inf")
         self.polling = False
         self.poll_s = float("-inf")
@@ -74,7 +71,6 @@
                 self.lease_ms = int(clock_ms + max_lease_s * 1000.0)
         self.clock_ms = clock_ms
         self.clock_s = now_s
-        self.answered_s = now_s
         self.silent_s = float("inf")
 
     def note_silence(self, now_s: float) -> None:
@@ -155,11 +151,3 @@
         for member in self.members.values():
             if member.worker.service == service:
                 yield member
-
-
-def subtract(room: workload.Demand, demand: workload.Demand,
-             count: int) -> workload.Demand:
-    """Returns the room that `count` tasks leave."""
-    return workload.Demand(room.milli_cores - demand.milli_cores * count,
-                           room.memory_mb - demand.memory_mb * count,
-                           room.accelerators - demand.accelerators * count)
--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -304,9 +304,15 @@
     return bool(told.team and team and told.team != team)
 
 
-def build_workload(queue: directories.Queue, team: str, job_id: str,
-                   payload: str, steps: tuple[workload.Step, ...], repeats: int,
-                   first_start_ms: int, interval_ms: int) -> workload.Workload:
+def build_workload(queue: directories.Queue,
+                   team: str,
+                   job_id: str,
+                   payload: str,
+                   steps: tuple[workload.Step, ...],
+                   *,
+                   repeats: int = 0,
+                   first_start_ms: int = 0,
+                   interval_ms: int = 0) -> workload.Workload:
     """Joins what a caller submits with what its queue declares."""
     return workload.Workload(job_id=job_id,
                              queue=queue.name,
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -28,7 +28,6 @@
         retry_base_s: First delay after a failed run.
         retry_max_s: Longest delay after a failed run.
         checkpoint_interval_s: Work between two checkpoints.
-        gang_timeout_s: A member waits this long for the others.
         retention_s: A final job is kept this long.
         reclaim_patience_s: A guaranteed job waits at most this long before
             others are stopped for it; the users' bound for its start is 2.7 s.
@@ -49,7 +48,6 @@
     retry_base_s: float = 0.2
     retry_max_s: float = 2.0
     checkpoint_interval_s: float = 1.0
-    gang_timeout_s: float = 3.0
     retention_s: float = 150.0
     reclaim_patience_s: float = 0.0
     reclaim_lead_s: float = 0.4
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -64,7 +64,6 @@
         remaining_s: Expected time from the start to the end of the job.
         work: Expected core-seconds that are left of the job.
         size_ratio: Size of the job relative to the mean of its queue.
-        begun: Whether tasks of the job have run already.
         guaranteed: Whether the team's guarantee covers it.
         reclaim_s: Time from which others are stopped for a guaranteed unit;
             until then room may become free by itself.
@@ -84,7 +83,6 @@
     remaining_s: float
     work: float
     size_ratio: float
-    begun: bool
     guaranteed: bool
     reclaim_s: float = 0.0
 
@@ -133,12 +131,10 @@
     Attributes:
         starts: What starts.
         stops: Victims that are stopped so that guaranteed units can start.
-        waiting: Guaranteed units that wait for victims to end.
     """
 
     starts: list[Start]
     stops: list[Victim]
-    waiting: list[Unit]
 
 
 class Reservation(NamedTuple):
@@ -286,7 +282,7 @@
         Returns:
             The plan.
         """
-        plan = Plan([], [], [])
+        plan = Plan([], [])
         slots_by_id = {slot.worker_id: slot for slot in slots}
         self._drop_reservations(units, slots_by_id, now_s)
         soon = list(ending)
@@ -318,7 +314,6 @@
             chosen = _reclaim(unit, within, soon, weaker)
             if chosen is not None and (unit.guaranteed or _is_worth_it(
                     unit, chosen.victims, now_s)):
-                plan.waiting.append(unit)
                 plan.stops.extend(chosen.victims)
                 soon += [task for item in chosen.victims for task in item.tasks]
                 left = [item for item in left if item not in chosen.victims]
--- a/packages/jobs/src/trefoilroad_jobs/ports.py
+++ b/packages/jobs/src/trefoilroad_jobs/ports.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
-from typing import Any
 from typing import NamedTuple
 
 from trefoilroad_jobs import progress
@@ -311,6 +310,3 @@
     @abc.abstractmethod
     def read_wall_ms(self) -> float:
         """Returns the time in Unix milliseconds."""
-
-
-Message = dict[str, Any]
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -61,7 +61,7 @@
         units: dict[str, list[planner.Unit]] = collections.defaultdict(list)
         for unit in self._collect_units(view):
             units[unit.service].append(unit)
-        whole = planner.Plan([], [], [])
+        whole = planner.Plan([], [])
         for service, wanted in units.items():
             slots = self._build_slots(view, service)
             ending, victims = self._collect_running(view, service)
@@ -69,7 +69,6 @@
                                       view.now_s)
             whole.starts.extend(plan.starts)
             whole.stops.extend(plan.stops)
-            whole.waiting.extend(plan.waiting)
             started = {start.unit.job_id for start in plan.starts}
             for unit in wanted:
                 if unit.job_id not in started:
@@ -144,7 +143,6 @@
             remaining_s=self._estimate_remaining_s(job, occurrence, number),
             work=self._estimate_work(job, occurrence),
             size_ratio=self._estimator.compare_size(accepted),
-            begun=job.has_begun(),
             guaranteed=False,
             reclaim_s=self._compute_reclaim_s(begun_s, slack, chain_s,
                                               extra_ms / 1000.0))
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -35,7 +35,6 @@
         "remaining_s": 5.0,
         "work": 10.0,
         "size_ratio": 1.0,
-        "begun": False,
         "guaranteed": False
     }
     return planner.Unit(**fields | changes)
--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -131,7 +131,6 @@
         self.directory = directories.Directory(
             version=1,
             queues=queues,
-            guarded=frozenset({"service"}),
             teams={
                 name: directories.Team(name, (), count)
                 for name, count in (guarantees or {}).items()
@@ -264,7 +263,7 @@
             self.behaviours[f"{job_id}.{number}"] = machines.Behaviour(
                 step.occupied, run_s[number], fails)
         job = intake.build_workload(queue, team, job_id, "payload",
-                                    tuple(steps), 0, 0, 0)
+                                    tuple(steps))
         self._call(through, job_id,
                    lambda node, reply: node.intake.submit(job, reply))
 
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -78,13 +78,11 @@
 store = "127.0.0.1:{store}"
 cpu_share = 1.0
 cpu_speed = 1
-memory_mb = 300
 link_mbps = 1000.0
 revoke_ms = 5000
 grace_s = 6.0
 max_lease_ms = 10000
 checkpoint_interval_s = 1.0
-gang_timeout_ms = 3000
 status_s = 120
 """
 
