--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -18,6 +18,7 @@
 from trefoilroad_jobs import rounds
 from trefoilroad_jobs import runs
 from trefoilroad_jobs import tables
+from trefoilroad_jobs import units
 from trefoilroad_jobs import workload
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import timer
@@ -393,7 +394,7 @@
             self._reclaim(victim)
         self._metrics.time("round", self._timers.read_clock() - begun_s)
 
-    def _start(self, start: planner.Start, now_s: float) -> None:
+    def _start(self, start: units.Start, now_s: float) -> None:
         unit = start.unit
         job = self._active[unit.job_id]
         step = job.get_step(unit.occurrence, unit.step_number)
@@ -436,7 +437,7 @@
         self._ledger.mark(job)
         self._ledger.call_after(lambda: self._runs.start(claims, job.workload))
 
-    def _reclaim(self, victim: planner.Victim) -> None:
+    def _reclaim(self, victim: units.Victim) -> None:
         claims = victim.token
         assert isinstance(claims, list)
         _log.info("run reclaimed",
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -13,6 +13,7 @@
 from trefoilroad_jobs import leadership as leaderships
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
+from trefoilroad_jobs import ordering
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import tables
@@ -110,7 +111,7 @@
         self._timers = timers
         self._wall = wall
         self._bounds = bounds
-        self._plan = plan or planner.Planner(order=planner.WorthDensity())
+        self._plan = plan or planner.Planner(order=ordering.WorthDensity())
         self._metrics = metrics
         self._rng = rng
         self._config_rows: dict[str, bytes] = {}
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -11,7 +11,7 @@
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import progress
-from trefoilroad_jobs import workload
+from trefoilroad_jobs import units
 
 Phase = progress.Phase
 
@@ -55,14 +55,14 @@
             job_id, "waits for the steps before it, "
             "for its time or for its retry delay")
 
-    def run(self, view: View) -> planner.Plan:
+    def run(self, view: View) -> units.Plan:
         """Plans for all services."""
         self._reasons = {}
-        units: dict[str, list[planner.Unit]] = collections.defaultdict(list)
+        ready: dict[str, list[units.Unit]] = collections.defaultdict(list)
         for unit in self._collect_units(view):
-            units[unit.service].append(unit)
-        whole = planner.Plan([], [])
-        for service, wanted in units.items():
+            ready[unit.service].append(unit)
+        whole = units.Plan([], [])
+        for service, wanted in ready.items():
             slots = self._build_slots(view, service)
             ending, victims = self._collect_running(view, service)
             plan = self._planner.plan(wanted, slots, ending, victims,
@@ -79,8 +79,8 @@
 
     # What is ready.
 
-    def _collect_units(self, view: View) -> list[planner.Unit]:
-        units = []
+    def _collect_units(self, view: View) -> list[units.Unit]:
+        found = []
         used = self._sum_guaranteed(view)
         for job in sorted(view.jobs.values(), key=lambda job: job.accepted_s):
             for occurrence, number in job.list_ready(view.wall_ms):
@@ -89,8 +89,8 @@
                     continue
                 if unit.priority == GUARANTEED_PRIORITY:
                     unit = _claim_guarantee(view, unit, used)
-                units.append(unit)
-        return units
+                found.append(unit)
+        return found
 
     def _sum_guaranteed(self, view: View) -> dict[str, int]:
         """Returns the accelerators that urgent jobs of each team use."""
@@ -108,7 +108,7 @@
         return job.workload.priority if queue is None else queue.priority
 
     def _build_unit(self, view: View, job: progress.Job, occurrence: int,
-                    number: int) -> planner.Unit | None:
+                    number: int) -> units.Unit | None:
         accepted = job.workload
         step = accepted.steps[number]
         state = job.get_step(occurrence, number)
@@ -128,7 +128,7 @@
         extra_ms = accepted.objective_ms
         if queue is not None:
             extra_ms = queue.objective_ms
-        return planner.Unit(
+        return units.Unit(
             job_id=job.job_id,
             occurrence=occurrence,
             step_number=number,
@@ -208,11 +208,11 @@
     # What may be stopped.
 
     def _collect_running(
-        self, view: View, service: str
-    ) -> tuple[list[tuple[str, workload.Demand]], list[planner.Victim]]:
+            self, view: View,
+            service: str) -> tuple[list[units.TaskRoom], list[units.Victim]]:
         """Returns what is being stopped, and what may be."""
-        ending: list[tuple[str, workload.Demand]] = []
-        victims: list[planner.Victim] = []
+        ending: list[units.TaskRoom] = []
+        victims: list[units.Victim] = []
         gangs: dict[tuple[str, int, int],
                     list[progress.Claim]] = (collections.defaultdict(list))
         for member in view.fleet.list_members(service):
@@ -235,17 +235,17 @@
         return ending, victims
 
     def _build_victim(self, view: View, job: progress.Job,
-                      claims: list[progress.Claim]) -> planner.Victim:
+                      claims: list[progress.Claim]) -> units.Victim:
         step = job.workload.steps[claims[0].key.step]
         cost = sum(
-            planner.compute_loss(step, view.now_s - claim.started_s,
-                                 self._bounds.checkpoint_interval_s)
+            units.compute_loss(step, view.now_s - claim.started_s,
+                               self._bounds.checkpoint_interval_s)
             for claim in claims)
-        return planner.Victim(tasks=tuple(
+        return units.Victim(tasks=tuple(
             (claim.worker_id, claim.demand) for claim in claims),
-                              cost=cost,
-                              priority=self._find_priority(view, job),
-                              token=claims)
+                            cost=cost,
+                            priority=self._find_priority(view, job),
+                            token=claims)
 
 
 def _count_used(state: progress.StepProgress) -> dict[str, int]:
@@ -253,8 +253,8 @@
         claim.worker_id for claim in state.claims.values())
 
 
-def _claim_guarantee(view: View, unit: planner.Unit,
-                     used: dict[str, int]) -> planner.Unit:
+def _claim_guarantee(view: View, unit: units.Unit,
+                     used: dict[str, int]) -> units.Unit:
     """Marks a unit as guaranteed while its team's guarantee lasts."""
     total = used[unit.team] + unit.accelerators
     if total > view.directory.get_guarantee(unit.team):
--- a/packages/jobs/tests/test_load.py
+++ b/packages/jobs/tests/test_load.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog
 
+from trefoilroad_jobs import ordering
 from trefoilroad_jobs import planner
 from trefoilroad_standins.jobs import load
 
@@ -55,6 +56,6 @@
 
 def test_order_by_worth_keeps_up_with_arrival():
     """Guards against an order that serves a mixed flood worse than arrival."""
-    dense = _play("large-burst", order=planner.WorthDensity())
-    plain = _play("large-burst", order=planner.Arrival())
+    dense = _play("large-burst", order=ordering.WorthDensity())
+    plain = _play("large-burst", order=ordering.Arrival())
     assert _mean(dense, "worth") >= _mean(plain, "worth") - 0.03
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -1,7 +1,9 @@
 """Rounds: placement, guarantees, stops and drains."""
 
+from trefoilroad_jobs import ordering
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
+from trefoilroad_jobs import units
 from trefoilroad_jobs import workload
 
 CAPACITY = workload.Demand(64_000, 256_000, 8)
@@ -37,7 +39,7 @@
         "size_ratio": 1.0,
         "guaranteed": False
     }
-    return planner.Unit(**fields | changes)
+    return units.Unit(**fields | changes)
 
 
 def _gang(name, tasks, demand=WHOLE, **changes):
@@ -49,7 +51,7 @@
 
 
 def _plan(units, slots, ending=(), victims=(), now_s=0.0, known=None):
-    known = known or planner.Planner(order=planner.WorthDensity())
+    known = known or planner.Planner(order=ordering.WorthDensity())
     return known.plan(units, slots, ending, victims, now_s)
 
 
@@ -85,7 +87,7 @@
 def test_guaranteed_unit_reclaims_the_cheapest_victims():
     """Guards against stops that cost more than needed."""
     victims = [
-        planner.Victim(((f"w{number}", WHOLE),), 10.0 + number, 2, number)
+        units.Victim(((f"w{number}", WHOLE),), 10.0 + number, 2, number)
         for number in range(4)
     ]
     unit = _unit("a",
@@ -99,9 +101,9 @@
 
 def test_no_second_reclaim_while_the_first_stops_end():
     """Guards against a new choice, and new stops, in every round."""
-    known = planner.Planner(order=planner.WorthDensity())
+    known = planner.Planner(order=ordering.WorthDensity())
     victims = [
-        planner.Victim(((f"w{number}", WHOLE),), 10.0, 2, number)
+        units.Victim(((f"w{number}", WHOLE),), 10.0, 2, number)
         for number in range(4)
     ]
     unit = _unit("a",
@@ -125,8 +127,8 @@
                  step=workload.Step(tasks=1, demand=WHOLE),
                  priority=0,
                  objective_s=6.0)
-    cheap = [planner.Victim((("w0", WHOLE),), 20.0, 2, "cheap")]
-    dear = [planner.Victim((("w0", WHOLE),), 2000.0, 2, "dear")]
+    cheap = [units.Victim((("w0", WHOLE),), 20.0, 2, "cheap")]
+    dear = [units.Victim((("w0", WHOLE),), 2000.0, 2, "dear")]
     assert len(_plan([unit], _slots(used=8), victims=cheap).stops) == 1
     assert _plan([unit], _slots(used=8), victims=dear).stops == []
 
@@ -137,13 +139,13 @@
                  step=workload.Step(tasks=1, demand=WHOLE),
                  priority=0,
                  objective_s=4.0)
-    cheap = [planner.Victim((("w0", WHOLE),), 20.0, 2, "cheap")]
+    cheap = [units.Victim((("w0", WHOLE),), 20.0, 2, "cheap")]
     assert _plan([unit], _slots(used=8), victims=cheap).stops == []
 
 
 def test_large_gang_gets_workers_emptied():
     """Guards against a gang that starves behind single tasks."""
-    known = planner.Planner(order=planner.WorthDensity())
+    known = planner.Planner(order=ordering.WorthDensity())
     gang = _gang("a", 2, objective_s=10.0, remaining_s=5.0)
     small = _unit("b", priority=2)
     plan = _plan([gang, small], _slots(count=12, used=7), known=known)
@@ -161,7 +163,7 @@
 
 def test_order_by_worth_prefers_dense_work():
     """Guards against large late work that holds up small work in time."""
-    order = planner.WorthDensity()
+    order = ordering.WorthDensity()
     dense = _unit("a", work=10.0)
     sparse = _unit("b", work=1000.0)
     late = _unit("c", work=10.0, objective_s=1.0)
--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -13,7 +13,9 @@
 from trefoilroad_jobs import directory as directories
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import limits
+from trefoilroad_jobs import ordering
 from trefoilroad_jobs import planner
+from trefoilroad_jobs import units
 from trefoilroad_jobs import workload
 from trefoilroad_standins.jobs import site as sites
 
@@ -304,7 +306,7 @@
 def play(pattern: Pattern,
          seed: int,
          *,
-         order: planner.Order | None = None,
+         order: ordering.Order | None = None,
          bounds: limits.Limits | None = None) -> Result:
     """Plays a day.
 
@@ -324,7 +326,7 @@
         f"team{rank}": int(total * weight / sum(weights))
         for rank, weight in enumerate(weights)
     }
-    plan = planner.Planner(order=order or planner.WorthDensity())
+    plan = planner.Planner(order=order or ordering.WorthDensity())
     site = sites.Site(seed=seed,
                       node_count=1,
                       worker_count=pattern.workers,
@@ -362,7 +364,7 @@
             stopped += 1
             step = by_id[job_id].step
             ran_s = event.at_s - begun_s[event.name, event.run]
-            wasted += planner.compute_loss(step, ran_s, 0.5)
+            wasted += units.compute_loss(step, ran_s, 0.5)
     means = {
         position:
             sum(sample.work for sample in samples if sample.kind == position) /
