Bound the wait for lost workers after a takeover by the leases really given

Leases are 6 s for every leader, a leader that gave up its place has stopped before, and one that is silent acts for 6 s after its last transaction.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -45,7 +45,7 @@
                  workers: ports.Workers, timers: timer.Timers, wall: ports.Wall,
                  ledger: ledgers.Ledger, bounds: limits.Limits,
                  plan: planner.Planner, metrics: sinks.Metrics,
-                 led_until_s: float, on_deposed: Callable[[str], None]):
+                 acted_until_s: float, on_deposed: Callable[[str], None]):
         """Begins an epoch.
 
         Args:
@@ -58,7 +58,8 @@
             bounds: Time limits.
             plan: Plans rounds.
             metrics: Sink of metrics.
-            led_until_s: When the leader before may have led at the latest.
+            acted_until_s: When the leader before may have renewed a lease at
+                the latest.
             on_deposed: Called when something shows a newer leader.
         """
         self.epoch = epoch
@@ -87,7 +88,7 @@
             timers=timers,
             ledger=ledger,
             bounds=bounds,
-            fallback_s=(led_until_s + bounds.authority_s + bounds.max_lease_s /
+            fallback_s=(acted_until_s + fleet.LEASE_SLACK_S + bounds.lease_s /
                         (1 - fleet.CLOCK_DRIFT)),
             find_job=self.jobs.get,
             on_end=self._take_end,
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -91,8 +91,8 @@
 
     def __init__(self, *, node_id: str, link: str, store: ports.Store,
                  timers: timer.Timers, rng: random.Random, reluctance_s: float,
-                 on_gain: Callable[[int, int, float],
-                                   None], on_loss: Callable[[str], None]):
+                 authority_s: float, on_gain: Callable[[int, int, float], None],
+                 on_loss: Callable[[str], None]):
         """Begins to watch.
 
         Args:
@@ -103,8 +103,9 @@
             rng: Source of jitter.
             reluctance_s: A node on a small VM waits this much longer, so
                 that a larger one leads if there is any, in seconds.
+            authority_s: How long a leader acts after its last transaction.
             on_gain: Called with the epoch, the version of the head row and
-                the time until which the leader before may have led.
+                the time until which the leader before may have acted.
             on_loss: Called with the reason.
         """
         self.leader = NOBODY
@@ -116,6 +117,7 @@
         self._timers = timers
         self._rng = rng
         self._reluctance_s = reluctance_s
+        self._authority_s = authority_s
         self._vacant_s = float("inf")
         self._stopped = False
         self._begun_s = timers.read_clock()
@@ -252,41 +254,47 @@
         if self._taking or self.leading or self._stopped:
             return
         self._taking = True
+        now_s = self._timers.read_clock()
+        # A leader that gave up its place had stopped to act before.
+        acted_until_s = now_s
+        if not self._is_vacant(now_s):
+            acted_until_s = since_s + self._authority_s
         leader = Leader(self.leader.epoch + 1, self._node_id, self._link)
         head = ledger.Head(leader.epoch, 0)
         _log.info("taking the lead",
                   epoch=leader.epoch,
                   before=self.leader.node_id,
-                  unchanged_s=round(self._timers.read_clock() - since_s, 3))
-        self._store.commit(
-            conditions={
-                tables.LEADER_ROW: self._row_version,
-                tables.HEAD_ROW: head_version
-            },
-            puts={
-                tables.LEADER_ROW: encode_leader(leader),
-                tables.HEAD_ROW: ledger.encode_head(head)
-            },
-            removals=[],
-            on_done=lambda result: self._take_result(leader, result))
+                  unchanged_s=round(now_s - since_s, 3))
+        self._store.commit(conditions={
+            tables.LEADER_ROW: self._row_version,
+            tables.HEAD_ROW: head_version
+        },
+                           puts={
+                               tables.LEADER_ROW: encode_leader(leader),
+                               tables.HEAD_ROW: ledger.encode_head(head)
+                           },
+                           removals=[],
+                           on_done=lambda result: self._take_result(
+                               leader, acted_until_s, result))
 
     def _take_result(
-            self, leader: Leader,
+            self, leader: Leader, acted_until_s: float,
             result: ports.Committed | ports.Conflict | ports.StoreFailed
     ) -> None:
         self._taking = False
         self._observed = None
         if isinstance(result, ports.Committed):
             self._row_version = result.version
-            self._gain(leader, result.version)
+            self._gain(leader, result.version, acted_until_s)
             return
         if isinstance(result, ports.Conflict):
-            self._take_conflict(leader, result)
+            self._take_conflict(leader, acted_until_s, result)
         else:
             _log.warning("taking the lead failed", reason=result.reason)
             self._try_s = self._timers.read_clock() + self._draw_delay_s()
 
-    def _take_conflict(self, leader: Leader, result: ports.Conflict) -> None:
+    def _take_conflict(self, leader: Leader, acted_until_s: float,
+                       result: ports.Conflict) -> None:
         """Finds out whether an earlier try of this node has taken effect."""
         row = result.rows.get(tables.LEADER_ROW)
         if row is None:
@@ -298,11 +306,12 @@
         if head is not None and head.value == ledger.encode_head(
                 ledger.Head(leader.epoch, 0)):
             self._row_version = row.version
-            self._gain(leader, head.version)
+            self._gain(leader, head.version, acted_until_s)
 
-    def _gain(self, leader: Leader, head_version: int) -> None:
+    def _gain(self, leader: Leader, head_version: int,
+              acted_until_s: float) -> None:
         self.leader = leader
         self.leading = True
         self._heard_s = self._timers.read_clock()
         _log.info("leading", epoch=leader.epoch)
-        self._on_gain(leader.epoch, head_version, self._heard_s)
+        self._on_gain(leader.epoch, head_version, acted_until_s)
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -10,12 +10,12 @@
     `max_lease_s` come from the platform's settings where it has any.
 
     Attributes:
-        lease_s: Lease that is given to a worker. Long enough for a takeover
-            (2 s of silence, then a second to reach all workers), short enough
-            that work of a lost worker starts again soon.
+        lease_s: Lease that every leader gives to a worker. Long enough for a
+            takeover (2 s of silence, then a second to reach all workers),
+            short enough that work of a lost worker starts again soon.
         max_lease_s: Longest lease that a worker accepts.
         authority_s: A leader that cannot reach the store renews leases for at
-            most this long.
+            most this long; with the lease that bridges outages of 10 s.
         report_wait_ms: Longest wait of a worker for an end before it reports,
             in milliseconds.
         start_timeout_s: Wait for the answer to a start; workers answer within
@@ -37,7 +37,7 @@
 
     lease_s: float = 6.0
     max_lease_s: float = 10.0
-    authority_s: float = 10.0
+    authority_s: float = 6.0
     report_wait_ms: int = 2000
     start_timeout_s: float = 0.8
     start_tries: int = 2
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -130,14 +130,16 @@
                                      ask_leader=self._ask_leader,
                                      read_store_ms=self._read_store_ms,
                                      on_accepted=self._notify_leader)
-        self._leadership = leaderships.Leadership(node_id=node_id,
-                                                  link=link,
-                                                  store=store,
-                                                  timers=timers,
-                                                  rng=rng,
-                                                  reluctance_s=reluctance_s,
-                                                  on_gain=self._begin_lead,
-                                                  on_loss=self._end_lead)
+        self._leadership = leaderships.Leadership(
+            node_id=node_id,
+            link=link,
+            store=store,
+            timers=timers,
+            rng=rng,
+            reluctance_s=reluctance_s,
+            authority_s=bounds.authority_s,
+            on_gain=self._begin_lead,
+            on_loss=self._end_lead)
         self._config_watch = self._watch(sources.config_table, CONFIG_WAIT_S,
                                          self._take_config_content,
                                          self._take_config_change)
@@ -234,7 +236,7 @@
     # Leading.
 
     def _begin_lead(self, epoch: int, head_version: int,
-                    led_until_s: float) -> None:
+                    acted_until_s: float) -> None:
         self._links.set_addresses(set())
         self._followers = {}
         ledger = ledgers.Ledger(store=self._store,
@@ -251,7 +253,7 @@
                                             bounds=self._bounds,
                                             plan=self._plan,
                                             metrics=self._metrics,
-                                            led_until_s=led_until_s,
+                                            acted_until_s=acted_until_s,
                                             on_deposed=self._leadership.lose)
         self._ledger = ledger
         self._dispatcher = dispatcher
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -154,3 +154,32 @@
     site.run(6.0)
     assert site.replies["a" * 16].outcome.name == "ACCEPTED"
     assert site.count("start") == 2
+
+
+def test_worker_and_leader_lost_together(site):
+    """Guards against tasks that wait for leases which nobody can have given.
+
+    The new leader has no contact with the worker, so only the longest lease
+    of the leader before tells when the runs there have ended.
+    """
+    site.submit("a" * 16, tasks=8, run_s=4.0)
+    site.run(1.0)
+    for worker_id in {event.worker_id for event in site.history}:
+        site.machines[worker_id].crash()
+    site.kill(site.find_leader().name)
+    site.run(17.5)
+    assert site.ask_state("a" * 16, site.find_leader().name) == "completed"
+    assert site.find_faults() == []
+
+
+def test_worker_lost_around_a_planned_stop(site):
+    """Guards against the same wait after a leader gave up its place."""
+    site.submit("a" * 16, tasks=8, run_s=4.0)
+    site.run(1.0)
+    for worker_id in {event.worker_id for event in site.history}:
+        site.machines[worker_id].crash()
+    leader = site.find_leader()
+    leader.node.begin_stop(lambda: None)
+    site.run(12.5)
+    assert site.ask_state("a" * 16, site.find_leader().name) == "completed"
+    assert site.find_faults() == []
