Handle answers, gone workers and faults in one place each

An answer to a start and to a stop began with the same checks, workers that are gone were forgotten in two loops, and both daemons had a copy of the handler that logs faults. Results of the store have one name for each union. A queue is found by an index; it was searched for each run in each round. Removes the mark of a cancelled job, which is final at the same moment, and fields that nothing read.

--- a/packages/jobs/src/trefoilroad_jobs/directory.py
+++ b/packages/jobs/src/trefoilroad_jobs/directory.py
@@ -69,12 +69,9 @@
                 best = queue
         return best
 
-    def find_named(self, name: str) -> Queue | None:
-        """Finds a queue by its name."""
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
+    def index_queues(self) -> dict[str, Queue]:
+        """Returns the queues by name."""
+        return {queue.name: queue for queue in self.queues}
 
     def find_team(self, key: str) -> Team | None:
         """Finds the team that a key belongs to, in constant time."""
--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -75,6 +75,7 @@
         self._metrics = metrics
         self._closed = False
         self._directory = directories.EMPTY
+        self._queues: dict[str, directories.Queue] = {}
         self._fleet = fleet.Fleet()
         self._health = health.Health()
         self._estimator = estimate.Estimator()
@@ -128,7 +129,7 @@
             for claim in list(job.list_claims()):
                 recovered += 1
                 claim.since_s = now_s
-                self._runs.adopt(claim, stop=job.is_final or job.cancelled)
+                self._runs.adopt(claim, stop=job.is_final)
         self.ready = True
         self._runs.begin()
         _log.info("jobs recovered",
@@ -204,6 +205,7 @@
     def see_directory(self, directory: directories.Directory) -> None:
         """Takes over a configuration."""
         self._directory = directory
+        self._queues = directory.index_queues()
         self._request_round()
 
     # What callers ask.
@@ -245,7 +247,6 @@
         job = self.jobs.get(job_id)
         if job is None or job.is_final:
             return
-        job.cancelled = True
         self._finish(job, progress.JobState.CANCELLED, "cancelled")
 
     def _finish(self, job: progress.Job, state: progress.JobState,
@@ -312,7 +313,7 @@
             step.done = set(range(spec.tasks))
         else:
             step.done.add(claim.key.task)
-        if not job.is_final and not job.cancelled and job.is_done():
+        if not job.is_final and job.is_done():
             self._finish(job, progress.JobState.COMPLETED, "all tasks done")
 
     def _take_failure(self, job: progress.Job, step: progress.StepProgress,
@@ -344,7 +345,7 @@
             self._runs.stop(claim, why)
 
     def _find_max_failures(self, job: progress.Job) -> int:
-        queue = self._directory.find_named(job.workload.queue)
+        queue = self._queues.get(job.workload.queue)
         if queue is None:
             return job.workload.max_failures
         return queue.max_failures
@@ -387,6 +388,7 @@
                         jobs=self._active,
                         fleet=self._fleet,
                         directory=self._directory,
+                        queues=self._queues,
                         quarantined=self._health.find(
                             health.Status.QUARANTINED)))
         for start in decision.starts:
@@ -465,9 +467,7 @@
     def _remove(self, job_id: str) -> None:
         """Removes a job, its progress last: without it the job would run."""
 
-        def take(
-            result: ports.Committed | ports.Conflict | ports.StoreFailed
-        ) -> None:
+        def take(result: ports.CommitResult) -> None:
             if not isinstance(result, ports.Committed) or self._closed:
                 return
             if not rows:
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -65,10 +65,10 @@
         expected_ms = self.clock_ms + elapsed_s * (1 - CLOCK_DRIFT) * 1000.0
         if self.contacted and clock_ms < expected_ms - LIFE_SLACK_MS:
             self.doubtful = True
-            self.lease_ms = max(self.lease_ms,
-                                int(clock_ms + max_lease_s * 1000.0))
-            if clock_ms < self.clock_ms:
-                self.lease_ms = int(clock_ms + max_lease_s * 1000.0)
+            longest_ms = int(clock_ms + max_lease_s * 1000.0)
+            if clock_ms >= self.clock_ms:
+                longest_ms = max(longest_ms, self.lease_ms)
+            self.lease_ms = longest_ms
         self.clock_ms = clock_ms
         self.clock_s = now_s
         self.silent_s = float("inf")
--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -77,7 +77,6 @@
         self.on_done = on_done
         self.begun_s = begun_s
         self.maybe_written = False
-        self.done = False
 
 
 class Intake:
@@ -130,10 +129,7 @@
                            removals=[],
                            on_done=lambda result: self._take(item, result))
 
-    def _take(
-            self, item: Submission,
-            result: ports.Committed | ports.Conflict | ports.StoreFailed
-    ) -> None:
+    def _take(self, item: Submission, result: ports.CommitResult) -> None:
         if isinstance(result, ports.Committed):
             self._on_accepted(tables.JOB_PREFIX + item.job.job_id, item.value)
             self._conclude(item, Reply(Outcome.ACCEPTED), "written")
@@ -217,9 +213,7 @@
         """Reads the state of a job from the store."""
         accepted: list[workload.Workload] = []
 
-        def take_job(
-                result: ports.Rows | ports.HistoryLost | ports.StoreFailed
-        ) -> None:
+        def take_job(result: ports.RowsResult) -> None:
             if not isinstance(result, ports.Rows):
                 _log.warning("job state cannot be read",
                              request=job_id,
@@ -233,9 +227,7 @@
                                  key=job_id,
                                  on_done=take_progress)
 
-        def take_progress(
-                result: ports.Rows | ports.HistoryLost | ports.StoreFailed
-        ) -> None:
+        def take_progress(result: ports.RowsResult) -> None:
             if not isinstance(result, ports.Rows):
                 take(None)
                 return
@@ -276,9 +268,7 @@
     def _write_cancellation(self, job_id: str, begun_s: float,
                             on_done: OnReply) -> None:
 
-        def take(
-            result: ports.Committed | ports.Conflict | ports.StoreFailed
-        ) -> None:
+        def take(result: ports.CommitResult) -> None:
             waited_s = self._timers.read_clock() - begun_s
             if isinstance(result, ports.Committed):
                 _log.info("job cancelled",
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -230,9 +230,7 @@
         self._vacant_s = min(self._vacant_s, now_s)
         return True
 
-    def _take_head(
-            self, sent_s: float,
-            result: ports.Rows | ports.HistoryLost | ports.StoreFailed) -> None:
+    def _take_head(self, sent_s: float, result: ports.RowsResult) -> None:
         self._reading = False
         now_s = self._timers.read_clock()
         if not isinstance(result, ports.Rows):
@@ -277,10 +275,8 @@
                            on_done=lambda result: self._take_result(
                                leader, acted_until_s, result))
 
-    def _take_result(
-            self, leader: Leader, acted_until_s: float,
-            result: ports.Committed | ports.Conflict | ports.StoreFailed
-    ) -> None:
+    def _take_result(self, leader: Leader, acted_until_s: float,
+                     result: ports.CommitResult) -> None:
         self._taking = False
         self._observed = None
         if isinstance(result, ports.Committed):
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -46,20 +46,6 @@
     return cbor2.dumps(list(head))
 
 
-def decode_head(value: bytes | None) -> Head:
-    """Decodes the head row; an absent one is that of epoch 0.
-
-    Raises:
-        ValueError: If the value is something else.
-    """
-    if not value:
-        return Head(0, 0)
-    try:
-        return Head(*cbor2.loads(value))
-    except (cbor2.CBORError, TypeError, EOFError) as error:
-        raise ValueError(f"not a head row: {error!r}") from error
-
-
 class _Batch:
     """Rows that are written together."""
 
@@ -192,10 +178,8 @@
             removals=batch.removals,
             on_done=lambda result: self._take(batch, sent_s, result))
 
-    def _take(
-            self, batch: _Batch, sent_s: float,
-            result: ports.Committed | ports.Conflict | ports.StoreFailed
-    ) -> None:
+    def _take(self, batch: _Batch, sent_s: float,
+              result: ports.CommitResult) -> None:
         if self._closed or batch is not self._batch:
             return
         if isinstance(result, ports.Committed):
--- a/packages/jobs/src/trefoilroad_jobs/ports.py
+++ b/packages/jobs/src/trefoilroad_jobs/ports.py
@@ -71,19 +71,20 @@
     Attributes:
         reason: What happened, for logs.
         maybe: Whether a write may have taken effect, or may still do so.
-        overloaded: Whether the store asked for fewer calls.
     """
 
     reason: str
     maybe: bool
-    overloaded: bool = False
 
 
 RowName = tuple[str, str]
 """Table and key of a row."""
 
-OnCommit = Callable[[Committed | Conflict | StoreFailed], None]
-OnRows = Callable[[Rows | HistoryLost | StoreFailed], None]
+CommitResult = Committed | Conflict | StoreFailed
+RowsResult = Rows | HistoryLost | StoreFailed
+
+OnCommit = Callable[[CommitResult], None]
+OnRows = Callable[[RowsResult], None]
 
 
 class Store(abc.ABC):
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -160,7 +160,6 @@
     Attributes:
         workload: What was accepted.
         state: State as recorded.
-        cancelled: Whether its cancellation has been accepted.
         steps: Progress by occurrence and step.
         seen_s: When this leader first saw it.
         age_s: Age when it was first seen, in seconds.
@@ -168,14 +167,13 @@
         unrecorded: Number of changes that are not durable yet.
     """
 
-    __slots__ = ("age_s", "cancelled", "ended_ms", "seen_s", "state", "steps",
-                 "unrecorded", "workload")
+    __slots__ = ("age_s", "ended_ms", "seen_s", "state", "steps", "unrecorded",
+                 "workload")
 
     def __init__(self, *, workload: workloads.Workload, now_s: float,
                  age_s: float):
         self.workload = workload
         self.state = JobState.QUEUED
-        self.cancelled = False
         self.steps: dict[tuple[int, int], StepProgress] = {}
         self.seen_s = now_s
         self.age_s = age_s
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -28,6 +28,7 @@
         jobs: Jobs that are not final, by id.
         fleet: Beliefs about workers.
         directory: Configuration in force.
+        queues: Its queues by name.
         quarantined: Workers that get nothing new because runs fail there.
     """
 
@@ -36,6 +37,7 @@
     jobs: Mapping[str, progress.Job]
     fleet: fleets.Fleet
     directory: directories.Directory
+    queues: Mapping[str, directories.Queue]
     quarantined: frozenset[str]
 
 
@@ -104,7 +106,7 @@
         return used
 
     def _find_priority(self, view: View, job: progress.Job) -> int:
-        queue = view.directory.find_named(job.workload.queue)
+        queue = view.queues.get(job.workload.queue)
         return job.workload.priority if queue is None else queue.priority
 
     def _build_unit(self, view: View, job: progress.Job, occurrence: int,
@@ -117,7 +119,7 @@
             return None
         if step.gang and len(waiting) < step.tasks:
             return None
-        queue = view.directory.find_named(accepted.queue)
+        queue = view.queues.get(accepted.queue)
         begun_s = job.accepted_s
         due_ms = accepted.get_due_ms(occurrence)
         if due_ms:
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -120,9 +120,7 @@
                 member.contacted = False
                 member.doubtful = True
             self._poll(member)
-        for member in self._fleet.drop_gone():
-            _log.info("worker gone", worker=member.worker.worker_id)
-            self._workers.forget(member.worker)
+        self._forget_gone()
 
     def adopt(self, claim: progress.Claim, *, stop: bool) -> None:
         """Takes over a run that an earlier leader claimed."""
@@ -139,6 +137,31 @@
             claim.set_phase(Phase.STOPPING, self._timers.read_clock())
         member.poll_s = float("-inf")
 
+    def _forget_gone(self) -> None:
+        """Forgets workers that are not listed and run nothing."""
+        for member in self._fleet.drop_gone():
+            _log.info("worker gone", worker=member.worker.worker_id)
+            self._workers.forget(member.worker)
+
+    def _take_answer(self, claim: progress.Claim, answer: ports.Answer,
+                     now_s: float) -> fleets.Member | None:
+        """Takes what every answer to an order says.
+
+        Returns:
+            The worker, or None if the answer changes nothing any more.
+        """
+        member = self._fleet.members.get(claim.worker_id)
+        if self._closed or member is None:
+            return None
+        if member.claims.get(claim.key) is not claim:
+            return None
+        if answer.clock_ms is not None:
+            member.note_clock(answer.clock_ms, now_s, self._bounds.max_lease_s)
+        if answer.verdict is Verdict.FENCED:
+            self._on_deposed(f"worker {claim.worker_id} follows another leader")
+            return None
+        return member
+
     # Starts.
 
     def start(self, claims: Sequence[progress.Claim],
@@ -173,18 +196,12 @@
 
     def _take_start(self, claim: progress.Claim, payload: str,
                     answer: ports.Answer) -> None:
-        member = self._fleet.members.get(claim.worker_id)
-        if self._closed or member is None:
-            return
-        if member.claims.get(claim.key) is not claim:
-            return
         now_s = self._timers.read_clock()
-        if answer.clock_ms is not None:
-            member.note_clock(answer.clock_ms, now_s, self._bounds.max_lease_s)
+        member = self._take_answer(claim, answer, now_s)
+        if member is None:
+            return
         verdict = answer.verdict
-        if verdict is Verdict.FENCED:
-            self._on_deposed(f"worker {claim.worker_id} follows another leader")
-        elif verdict is Verdict.DONE:
+        if verdict is Verdict.DONE:
             claim.start_settled = True
             if claim.phase is Phase.STARTING:
                 claim.set_phase(Phase.RUNNING, now_s)
@@ -253,17 +270,11 @@
 
     def _take_stop(self, claim: progress.Claim, life_ms: int,
                    answer: ports.Answer) -> None:
-        member = self._fleet.members.get(claim.worker_id)
-        if self._closed or member is None:
-            return
-        if member.claims.get(claim.key) is not claim:
-            return
         now_s = self._timers.read_clock()
-        if answer.clock_ms is not None:
-            member.note_clock(answer.clock_ms, now_s, self._bounds.max_lease_s)
-        if answer.verdict is Verdict.FENCED:
-            self._on_deposed(f"worker {claim.worker_id} follows another leader")
-        elif answer.verdict in (Verdict.DONE, Verdict.SUPERSEDED):
+        member = self._take_answer(claim, answer, now_s)
+        if member is None:
+            return
+        if answer.verdict in (Verdict.DONE, Verdict.SUPERSEDED):
             if life_ms == member.life_ms:
                 claim.stop_acked_s = min(claim.stop_acked_s, now_s)
                 claim.retry_s = float("inf")
@@ -514,9 +525,7 @@
                 if (claim.phase is Phase.STOPPING and claim.start_sent and
                         claim.retry_s <= now_s):
                     self._send_stop(claim)
-        for member in self._fleet.drop_gone():
-            _log.info("worker gone", worker=member.worker.worker_id)
-            self._workers.forget(member.worker)
+        self._forget_gone()
 
     def _give_up(self, member: fleets.Member) -> None:
         """Resolves the runs of a silent worker whose lease has ended."""
--- a/packages/jobs/src/trefoilroad_jobs/watch.py
+++ b/packages/jobs/src/trefoilroad_jobs/watch.py
@@ -75,8 +75,7 @@
                 wait_s=self._wait_s,
                 on_done=lambda result: self._take(sent_s, result, False))
 
-    def _take(self, sent_s: float,
-              result: ports.Rows | ports.HistoryLost | ports.StoreFailed,
+    def _take(self, sent_s: float, result: ports.RowsResult,
               whole: bool) -> None:
         if self._closed:
             return
--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -87,6 +87,7 @@
                      max_body_bytes=settings.max_body_bytes).register(self)
         for channel in (self._api.channel, acceptor.channel):
             guards.ClosedPeers(channel=channel).register(self)
+        guards.FaultLog().register(self)
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -99,12 +100,6 @@
     def _take_message(self, message: node_links.Message) -> None:
         self._node.take_message(message)
 
-    @circuits.handler("exception", channel="*")
-    def _on_exception(self, _: type[BaseException], error: BaseException,
-                      trace: list[str], **__: Any) -> None:
-        """Logs a fault; the library would also print the data, with tokens."""
-        _log.error("unexpected error", error=repr(error), trace="".join(trace))
-
     @circuits.handler("signal", channel="*", priority=100)
     def _on_signal(self, event: Any, *_: Any) -> None:
         event.stop()
--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -12,6 +12,7 @@
 from circuits.net import events as net_events
 from circuits.web import http as web_http
 from circuits.web import parsers
+import structlog
 
 from trefoilroad_node import timer
 
@@ -22,6 +23,7 @@
 MAX_CONNECTIONS = 2048
 CHECK_INTERVAL_S = 2.0
 
+_log = structlog.get_logger()
 _LENGTH = re.compile(r"[0-9]{1,15}")
 
 
@@ -86,6 +88,15 @@
             event.stop()
 
 
+class FaultLog(circuits.BaseComponent):
+    """Logs faults of handlers; the library would print the data, with keys."""
+
+    @circuits.handler("exception", channel="*")
+    def _on_exception(self, _: type[BaseException], error: BaseException,
+                      trace: list[str], **__: Any) -> None:
+        _log.error("unexpected error", error=repr(error), trace="".join(trace))
+
+
 class Connection:
     """What is known of one open connection."""
 
