Let a leader that restarts lead again at once

A process whose own address stands in the leader row knows that the process before it has ended.

The test fails without the change (no leader after 0.5 s).

--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -119,6 +119,7 @@
         self._reluctance_s = reluctance_s
         self._authority_s = authority_s
         self._vacant_s = float("inf")
+        self._lost_epoch = 0
         self._stopped = False
         self._begun_s = timers.read_clock()
         self._try_s = float("-inf")
@@ -183,6 +184,7 @@
         """Gives up the lead because another node has it."""
         if self.leading:
             self.leading = False
+            self._lost_epoch = self.leader.epoch
             self._heard_s = self._timers.read_clock()
             self._observed = None
             self._on_loss(reason)
@@ -223,13 +225,22 @@
                 on_done=lambda result: self._take_head(now_s, result))
 
     def _is_vacant(self, now_s: float) -> bool:
-        """Tells whether the leader row names nobody, and notes since when."""
-        if self.leader.node_id:
+        """Tells whether nobody leads for certain, and notes since when."""
+        if self.leader.node_id and not self._is_own_past():
             self._vacant_s = float("inf")
             return False
         self._vacant_s = min(self._vacant_s, now_s)
         return True
 
+    def _is_own_past(self) -> bool:
+        """Tells whether the row names an earlier process of this node.
+
+        That one has ended: this process has the address of its links.
+        """
+        return (not self.leading and self.leader.node_id == self._node_id and
+                self.leader.link == self._link and
+                self.leader.epoch > self._lost_epoch)
+
     def _take_head(self, sent_s: float, result: ports.RowsResult) -> None:
         self._reading = False
         now_s = self._timers.read_clock()
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -64,6 +64,38 @@
     assert site.find_faults() == []
 
 
+def test_leader_that_restarts_leads_again_at_once(site):
+    """Guards against the wait for a process that has ended for certain.
+
+    After a loss of power everywhere nobody led for two seconds.
+    """
+    _submit_many(site, 3, tasks=2, run_s=2.0)
+    site.run(1.0)
+    leader = site.find_leader()
+    for name in list(site.nodes):
+        site.kill(name)
+    site.add_node(leader.name)
+    site.run(0.5)
+    assert site.find_leader() is not None
+    site.run(8.0)
+    for number in range(3):
+        assert site.ask_state(f"{number:016x}",
+                              through=leader.name) == "completed"
+    assert site.count("start") == 6
+    assert site.find_faults() == []
+
+
+def test_leader_that_lost_its_place_does_not_take_it_back_at_once(site):
+    """Guards against a process that takes its own row for an earlier one's."""
+    leader = site.find_leader()
+    epoch = leader.node.epoch
+    leader.node._leadership.lose("test")
+    site.run(0.5)
+    assert site.find_leader() is None
+    site.run(4.0)
+    assert site.find_leader().node.epoch > epoch
+
+
 def test_frozen_leader_wakes_up(site):
     """Guards against orders of a leader that slept through its successor."""
     _submit_many(site, 4, tasks=2, run_s=3.0)
