Take over from a silent leader after 1.5 s instead of 2 s

The leader renews its head row every 0.4 s, so that three renewals still fit into the wait, and stops vouching for states after 1.2 s.

--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -14,7 +14,7 @@
 
 # A leader whose head row has not changed for this long, while the store
 # served the observer, may be replaced. Three renewals fit into it.
-LEASE_S = 2.0
+LEASE_S = 1.5
 # Nodes look at the head row once the leader has sent nothing for this long;
 # it sends a beat twice a second.
 SILENCE_S = 1.1
@@ -28,7 +28,7 @@
 SETTLED_S = 20.0
 # A leader that has confirmed nothing for this long does not vouch for the
 # states that it knows.
-VOUCH_S = 1.5
+VOUCH_S = 1.2
 
 _log = structlog.get_logger()
 
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -22,7 +22,7 @@
 # The store takes 1 MB in a call, and values grow by a third on the way.
 MAX_BYTES = 600_000
 # An idle leader shows this often that it is alive.
-RENEW_INTERVAL_S = 0.5
+RENEW_INTERVAL_S = 0.4
 RETRY_BASE_S = 0.05
 RETRY_MAX_S = 0.4
 
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -11,7 +11,7 @@
 
     Attributes:
         lease_s: Lease that every leader gives to a worker. Long enough for a
-            takeover (2 s of silence, then a second to reach all workers),
+            takeover (1.5 s of silence, then a second to reach all workers),
             short enough that work of a lost worker starts again soon.
         max_lease_s: Longest lease that a worker accepts.
         authority_s: A leader that cannot reach the store renews leases for at
