Have the leader write for nodes that the store turns away

Rows that cannot be decoded are now answered 504 with a log line, where the caller got no answer at all.

--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -11,6 +11,7 @@
 from trefoilroad_jobs import progress
 from trefoilroad_jobs import tables
 from trefoilroad_jobs import workload
+from trefoilroad_jobs import writes
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import timer
 
@@ -85,7 +86,7 @@
     def __init__(self, *, store: ports.Store, timers: timer.Timers,
                  metrics: sinks.Metrics, ask_leader: Callable[[str, OnTold],
                                                               None],
-                 read_store_ms: Callable[[], float],
+                 read_store_ms: Callable[[], float], relay: writes.Relay,
                  on_accepted: Callable[[str, bytes], None]):
         """Prepares.
 
@@ -95,6 +96,7 @@
             metrics: Sink of metrics.
             ask_leader: Asks the leader for the state of a job.
             read_store_ms: Returns the store's clock in milliseconds.
+            relay: Has the leader write a row.
             on_accepted: Called with the key and the value of each new row.
         """
         self._store = store
@@ -102,6 +104,7 @@
         self._metrics = metrics
         self._ask_leader = ask_leader
         self._read_store_ms = read_store_ms
+        self._relay = relay
         self._on_accepted = on_accepted
         self._final: dict[str, Ask] = {}
 
@@ -123,11 +126,17 @@
         self._write(item)
 
     def _write(self, item: Submission) -> None:
-        name = tables.name_job(item.job.job_id)
-        self._store.commit(conditions={name: 0},
-                           puts={name: item.value},
-                           removals=[],
-                           on_done=lambda result: self._take(item, result))
+        row = writes.Row(tables.name_job(item.job.job_id),
+                         item.value,
+                         only_new=True)
+        self._write_row(row, lambda result: self._take(item, result))
+
+    def _write_row(self, row: writes.Row, on_done: ports.OnCommit) -> None:
+        writes.Write(store=self._store,
+                     timers=self._timers,
+                     relay=self._relay,
+                     row=row,
+                     on_done=on_done)
 
     def _take(self, item: Submission, result: ports.CommitResult) -> None:
         if isinstance(result, ports.Committed):
@@ -213,6 +222,12 @@
         """Reads the state of a job from the store."""
         accepted: list[workload.Workload] = []
 
+        def give_up(error: ValueError) -> None:
+            _log.error("job state cannot be decoded",
+                       request=job_id,
+                       error=str(error))
+            take(None)
+
         def take_job(result: ports.RowsResult) -> None:
             if not isinstance(result, ports.Rows):
                 _log.warning("job state cannot be read",
@@ -222,18 +237,30 @@
             elif not result.rows or result.rows[0].value is None:
                 take(Ask("", ""))
             else:
-                accepted.append(workload.decode_workload(result.rows[0].value))
+                try:
+                    accepted.append(
+                        workload.decode_workload(result.rows[0].value))
+                except ValueError as error:
+                    give_up(error)
+                    return
                 self._store.read(table=tables.PROGRESS,
                                  key=job_id,
                                  on_done=take_progress)
 
         def take_progress(result: ports.RowsResult) -> None:
             if not isinstance(result, ports.Rows):
+                _log.warning("progress of a job cannot be read",
+                             request=job_id,
+                             reason=getattr(result, "reason", ""))
                 take(None)
                 return
             state = progress.JobState.QUEUED
             if result.rows and result.rows[0].value is not None:
-                state = progress.decode_state(result.rows[0].value)
+                try:
+                    state = progress.decode_state(result.rows[0].value)
+                except ValueError as error:
+                    give_up(error)
+                    return
             told = Ask(str(state), accepted[0].team)
             self._remember(job_id, told)
             take(told)
@@ -284,10 +311,10 @@
                 _log.warning("cancellation not recorded", request=job_id)
                 on_done(Reply(Outcome.UNKNOWN, retry_after_s=RETRY_AFTER_S))
 
-        self._store.commit(conditions={},
-                           puts={tables.name_cancellation(job_id): b"\x01"},
-                           removals=[],
-                           on_done=take)
+        row = writes.Row(tables.name_cancellation(job_id),
+                         b"\x01",
+                         only_new=False)
+        self._write_row(row, take)
 
 
 def _is_foreign(told: Ask, team: str) -> bool:
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -18,6 +18,7 @@
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import tables
 from trefoilroad_jobs import watch
+from trefoilroad_jobs import writes
 from trefoilroad_node import links as node_links
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import timer
@@ -28,6 +29,8 @@
 HELLO_LIMIT_S = 3.0
 # Wait for the leader's answer to a question; then the store is read.
 ASK_TIMEOUT_S = 0.4
+# Wait for the leader to write a row; the store may take a second for it.
+RELAY_TIMEOUT_S = 1.0
 # Waits of the watches. That of the configuration bounds how old it can be
 # without a node knowing; the others only cost calls.
 CONFIG_WAIT_S = 1.0
@@ -120,6 +123,7 @@
         self._pending: dict[str, int] = {}
         self._question_ids = itertools.count(1)
         self._questions: dict[int, intakes.OnTold] = {}
+        self._relayed: dict[int, ports.OnCommit] = {}
         self._followers: dict[str, float] = {}
         self._dispatcher: dispatchers.Dispatcher | None = None
         self._ledger: ledgers.Ledger | None = None
@@ -129,6 +133,7 @@
                                      metrics=metrics,
                                      ask_leader=self._ask_leader,
                                      read_store_ms=self._read_store_ms,
+                                     relay=self._relay,
                                      on_accepted=self._notify_leader)
         self._leadership = leaderships.Leadership(
             node_id=node_id,
@@ -387,6 +392,12 @@
                 ])
         elif kind == "ask":
             self._answer(message)
+        elif kind == "write":
+            self._write_for(message)
+        elif kind == "written":
+            take_commit = self._relayed.pop(int(message["id"]), None)
+            if take_commit is not None:
+                take_commit(_decode_written(message))
         elif kind == "told":
             take = self._questions.pop(int(message["id"]), None)
             if take is not None:
@@ -434,6 +445,51 @@
 
         self._timers.call_later(ASK_TIMEOUT_S, give_up)
 
+    def _relay(self, row: writes.Row, on_done: ports.OnCommit) -> None:
+        """Has the leader write a row that this node could not write."""
+        if self._dispatcher is not None:
+            on_done(ports.StoreFailed("this node leads", maybe=False))
+            return
+        number = next(self._question_ids)
+        sent = self._links.send(
+            self._leadership.leader.link, {
+                "type": "write",
+                "id": number,
+                "table": row.name[0],
+                "key": row.name[1],
+                "value": row.value,
+                "only_new": row.only_new,
+                "link": self._link
+            })
+        if not sent:
+            on_done(ports.StoreFailed("no link to the leader", maybe=False))
+            return
+        self._relayed[number] = on_done
+
+        def give_up() -> None:
+            late = self._relayed.pop(number, None)
+            if late is not None:
+                late(ports.StoreFailed("no answer of the leader", maybe=True))
+
+        self._timers.call_later(RELAY_TIMEOUT_S, give_up)
+
+    def _write_for(self, message: node_links.Message) -> None:
+        """Writes a row for a node that cannot reach the store."""
+        number = int(message["id"])
+        link = str(message["link"])
+        row = writes.Row((str(message["table"]), str(message["key"])),
+                         bytes(message["value"]), bool(message["only_new"]))
+
+        def take(result: ports.CommitResult) -> None:
+            self._links.send(link, _encode_written(number, result))
+
+        if self._dispatcher is None:
+            take(ports.StoreFailed("not the leader", maybe=False))
+        elif row.name[0] != tables.INTAKE:
+            take(ports.StoreFailed("not a row of callers", maybe=False))
+        else:
+            writes.commit_row(self._store, row, take)
+
     def _answer(self, message: node_links.Message) -> None:
         told = self._tell(str(message["job"]))
         if told is None:
@@ -458,3 +514,24 @@
             return None
         team = self._dispatcher.jobs[job_id].workload.team
         return intakes.Ask(str(state), team)
+
+
+def _encode_written(number: int,
+                    result: ports.CommitResult) -> node_links.Message:
+    """Encodes the result of a write for another node."""
+    message: node_links.Message = {"type": "written", "id": number}
+    if isinstance(result, ports.Committed):
+        message |= {"version": result.version, "store_ms": result.store_ms}
+    elif isinstance(result, ports.StoreFailed):
+        message |= {"reason": result.reason, "maybe": result.maybe}
+    return message
+
+
+def _decode_written(message: node_links.Message) -> ports.CommitResult:
+    """Decodes the result of a write; the rows of a conflict are left out."""
+    if "version" in message:
+        return ports.Committed(int(message["version"]),
+                               float(message["store_ms"]))
+    if "reason" in message:
+        return ports.StoreFailed(str(message["reason"]), bool(message["maybe"]))
+    return ports.Conflict({})
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -215,3 +215,10 @@
     site.run(12.5)
     assert site.ask_state("a" * 16, site.find_leader().name) == "completed"
     assert site.find_faults() == []
+
+
+def test_row_that_cannot_be_decoded_is_not_shown_as_absent(site):
+    """Guards against a caller without any answer, or with a wrong one."""
+    site.tables.put("intake", "job/" + "a" * 16, b"\xff\xff")
+    site.run(0.5)
+    assert site.ask_state("a" * 16) == "UNKNOWN"
