Refuse jobs that no registered worker could ever hold

The leader's beat names the capacities that no other worker of the service exceeds, and each node refuses by them at once with 503 and Retry-After, unless the job was accepted before. Without news of the workers every job is admitted.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -7,6 +7,7 @@
 import structlog
 
 from trefoilroad_core import health
+from trefoilroad_jobs import admission
 from trefoilroad_jobs import directory as directories
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet
@@ -228,6 +229,12 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def list_shapes(self) -> admission.Shapes:
+        """Returns the largest capacities of the registered workers."""
+        return admission.list_shapes(member.worker
+                                     for member in self._fleet.members.values()
+                                     if member.listed)
+
     def explain(self, job_id: str) -> str:
         """Tells why a job is where it is, in one sentence."""
         job = self.jobs.get(job_id)
--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from trefoilroad_jobs import admission
 from trefoilroad_jobs import directory as directories
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
@@ -23,6 +24,9 @@
 MAX_REMEMBERED = 2_000
 # When a caller should try again after a failure that passes soon.
 RETRY_AFTER_S = 1
+# A job that no worker can hold is worth another try only once there are other
+# workers.
+IMPOSSIBLE_AFTER_S = 60
 
 _log = structlog.get_logger()
 
@@ -35,6 +39,7 @@
     CANCELLED = "cancelled"
     ABSENT = "no such job"
     NOT_ACCEPTED = "not accepted"
+    IMPOSSIBLE = "no worker can ever run it"
     UNKNOWN = "the store did not answer in time"
 
 
@@ -87,7 +92,8 @@
                  metrics: sinks.Metrics, ask_leader: Callable[[str, OnTold],
                                                               None],
                  read_store_ms: Callable[[], float], relay: writes.Relay,
-                 on_accepted: Callable[[str, bytes], None]):
+                 admit: admission.Admission, on_accepted: Callable[[str, bytes],
+                                                                   None]):
         """Prepares.
 
         Args:
@@ -97,6 +103,7 @@
             ask_leader: Asks the leader for the state of a job.
             read_store_ms: Returns the store's clock in milliseconds.
             relay: Has the leader write a row.
+            admit: Finds jobs that can never run.
             on_accepted: Called with the key and the value of each new row.
         """
         self._store = store
@@ -105,6 +112,7 @@
         self._ask_leader = ask_leader
         self._read_store_ms = read_store_ms
         self._relay = relay
+        self._admit = admit
         self._on_accepted = on_accepted
         self._final: dict[str, Ask] = {}
 
@@ -116,9 +124,35 @@
         Args:
             job: The job.
             on_done: Gets ACCEPTED once the job is durable, NOT_ACCEPTED only
-                if no write of this call can take effect any more, else
+                if no write of this call can take effect any more, IMPOSSIBLE
+                if nothing was written because no worker can run it, else
                 UNKNOWN.
         """
+        fault = self._admit.find_fault(job)
+        if fault:
+            self._refuse_unless_known(job, fault, on_done)
+        else:
+            self._begin(job, on_done)
+
+    def _refuse_unless_known(self, job: workload.Workload, fault: str,
+                             on_done: OnReply) -> None:
+        """Refuses a job; one that was accepted before is not refused now."""
+
+        def take(told: Ask | None) -> None:
+            if told is None or told.state:
+                self._begin(job, on_done)
+                return
+            _log.info("job refused",
+                      request=job.job_id,
+                      queue=job.queue,
+                      team=job.team,
+                      reason=fault)
+            self._metrics.count("intake.impossible")
+            on_done(Reply(Outcome.IMPOSSIBLE, retry_after_s=IMPOSSIBLE_AFTER_S))
+
+        self._find(job.job_id, take)
+
+    def _begin(self, job: workload.Workload, on_done: OnReply) -> None:
         job = job._replace(accepted_ms=self._read_store_ms())
         item = Submission(job=job,
                           on_done=on_done,
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from trefoilroad_jobs import admission
 from trefoilroad_jobs import directory as directories
 from trefoilroad_jobs import dispatcher as dispatchers
 from trefoilroad_jobs import intake as intakes
@@ -18,6 +19,7 @@
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import tables
 from trefoilroad_jobs import watch
+from trefoilroad_jobs import workload
 from trefoilroad_jobs import writes
 from trefoilroad_node import links as node_links
 from trefoilroad_node import metrics as sinks
@@ -128,12 +130,14 @@
         self._dispatcher: dispatchers.Dispatcher | None = None
         self._ledger: ledgers.Ledger | None = None
         self._leader_watches: list[watch.Watch] = []
+        self._admission = admission.Admission(timers=timers)
         self.intake = intakes.Intake(store=store,
                                      timers=timers,
                                      metrics=metrics,
                                      ask_leader=self._ask_leader,
                                      read_store_ms=self._read_store_ms,
                                      relay=self._relay,
+                                     admit=self._admission,
                                      on_accepted=self._notify_leader)
         self._leadership = leaderships.Leadership(
             node_id=node_id,
@@ -365,6 +369,12 @@
         }
         if self._dispatcher.ready:
             beat["pending"] = self._dispatcher.count_pending()
+            shapes = self._dispatcher.list_shapes()
+            beat["shapes"] = {
+                service: [list(shape) for shape in found]
+                for service, found in shapes.items()
+            }
+            self._admission.see_shapes(shapes)
         self._links.broadcast(beat)
 
     def take_message(self, message: node_links.Message) -> None:
@@ -385,6 +395,10 @@
                                   float(message["age_s"]))
             if "pending" in message:
                 self._pending = dict(message["pending"])
+                self._admission.see_shapes({
+                    service: [workload.Demand(*shape) for shape in found]
+                    for service, found in message["shapes"].items()
+                })
         elif kind == "row":
             if self._dispatcher is not None and self._dispatcher.ready:
                 self._dispatcher.see_intake([
