Replace a leader that the store turns away after half a second

Followers counted the silence from the last beat with a young transaction, not from the transaction itself, and waited as long as for a leader that may be frozen. A leader now says in its beats that it is refused, and its place may be taken after 0.5 s; otherwise the age of its last transaction counts.

--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -15,6 +15,8 @@
 # A leader whose head row has not changed for this long, while the store
 # served the observer, may be replaced. Three renewals fit into it.
 LEASE_S = 1.5
+# The wait if the leader itself says that the store turns it away.
+REFUSED_LEASE_S = 0.5
 # Nodes look at the head row once the leader has sent nothing for this long;
 # it sends a beat twice a second.
 SILENCE_S = 1.1
@@ -120,6 +122,7 @@
         self._authority_s = authority_s
         self._vacant_s = float("inf")
         self._lost_epoch = 0
+        self._refused = False
         self._stopped = False
         self._begun_s = timers.read_clock()
         self._try_s = float("-inf")
@@ -150,6 +153,7 @@
                       leader=leader.node_id,
                       row_version=version)
             self._observed = None
+            self._refused = False
         self.leader = leader
         if self.leading and leader.node_id != self._node_id:
             self.lose(f"epoch {leader.epoch} of {leader.node_id!r} began")
@@ -164,21 +168,25 @@
         share = self._rng.uniform(0.5, 1.0) * min(1.0, age_s / SETTLED_S)
         return share * max(JITTER_S, JITTER_DELAYS * self._store_delay_s)
 
-    def hear(self, epoch: int, head_version: int, age_s: float) -> None:
+    def hear(self, epoch: int, head_version: int, age_s: float,
+             refused: bool) -> None:
         """Takes a beat of the leader.
 
         Args:
             epoch: Its epoch.
             head_version: Version of the head row after its last transaction.
             age_s: Time since its last transaction in seconds.
+            refused: Whether the store turns it away.
         """
         if epoch < self.leader.epoch or self.leading:
             return
         now_s = self._timers.read_clock()
-        if age_s <= VOUCH_S:
-            self._heard_s = now_s
+        self._refused = refused
+        self._heard_s = max(self._heard_s, now_s - age_s)
         if self._observed is None or head_version > self._observed.version:
             self._observed = Observation(head_version, now_s)
+        if refused:
+            self._check()
 
     def lose(self, reason: str) -> None:
         """Gives up the lead because another node has it."""
@@ -215,7 +223,7 @@
         if self._is_vacant(now_s):
             if now_s - self._vacant_s < self._reluctance_s:
                 return
-        elif now_s - self._heard_s < SILENCE_S:
+        elif now_s - self._heard_s < SILENCE_S and not self._refused:
             return
         if not self._reading:
             self._reading = True
@@ -254,8 +262,9 @@
             self._observed = Observation(version, now_s)
         since_s = self._observed.since_s
         unchanged_s = now_s - since_s
+        lease_s = REFUSED_LEASE_S if self._refused else LEASE_S
         if self._is_vacant(
-                now_s) or unchanged_s >= LEASE_S + self._reluctance_s:
+                now_s) or unchanged_s >= lease_s + self._reluctance_s:
             self._take(version, since_s)
 
     def _take(self, head_version: int, since_s: float) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -25,6 +25,10 @@
 RENEW_INTERVAL_S = 0.4
 RETRY_BASE_S = 0.05
 RETRY_MAX_S = 0.4
+# A failure that comes within this time is a refusal, not a lost answer.
+PROMPT_S = 0.5
+# A leader that the store has only refused for this long says so.
+REFUSED_LIMIT_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -79,6 +83,7 @@
         self.store_ms = 0.0
         self.store_read_s = self.confirmed_s
         self.suspect = False
+        self._refused_s = float("inf")
         self._store = store
         self._timers = timers
         self._epoch = epoch
@@ -123,6 +128,10 @@
         self.store_ms = store_ms
         self.store_read_s = self._timers.read_clock()
 
+    def is_refused(self) -> bool:
+        """Tells whether the store turns this node away, as far as it knows."""
+        return self._timers.read_clock() - self._refused_s > REFUSED_LIMIT_S
+
     def _plan_flush(self) -> None:
         """Waits for the end of the current event, to write all it changes."""
         if not self._flush_planned and not self._closed:
@@ -188,12 +197,13 @@
         elif isinstance(result, ports.Conflict):
             self._compare(batch, sent_s, result)
         else:
-            self._retry(batch, result)
+            self._retry(batch, sent_s, result)
 
     def _confirm(self, batch: _Batch, sent_s: float, version: int) -> None:
         if self.suspect:
             _log.info("store answers again", tries=batch.tries)
         self.suspect = False
+        self._refused_s = float("inf")
         self.head_version = version
         self.confirmed_s = sent_s
         self._batch = None
@@ -210,7 +220,12 @@
             return
         self._on_deposed("another leader has written the head row")
 
-    def _retry(self, batch: _Batch, result: ports.StoreFailed) -> None:
+    def _retry(self, batch: _Batch, sent_s: float,
+               result: ports.StoreFailed) -> None:
+        now_s = self._timers.read_clock()
+        prompt = now_s - sent_s < PROMPT_S
+        self._refused_s = (min(self._refused_s, sent_s)
+                           if prompt else float("inf"))
         if not self.suspect:
             _log.warning("store does not answer",
                          reason=result.reason,
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -366,6 +366,7 @@
             "epoch": self._dispatcher.epoch,
             "head": self._ledger.head_version,
             "age_s": now_s - self._ledger.confirmed_s,
+            "refused": self._ledger.is_refused(),
         }
         if self._dispatcher.ready:
             beat["pending"] = self._dispatcher.count_pending()
@@ -392,7 +393,8 @@
             self._take_hello(str(message["link"]))
         elif kind == "beat":
             self._leadership.hear(int(message["epoch"]), int(message["head"]),
-                                  float(message["age_s"]))
+                                  float(message["age_s"]),
+                                  bool(message["refused"]))
             if "pending" in message:
                 self._pending = dict(message["pending"])
                 self._admission.see_shapes({
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -222,3 +222,34 @@
     site.tables.put("intake", "job/" + "a" * 16, b"\xff\xff")
     site.run(0.5)
     assert site.ask_state("a" * 16) == "UNKNOWN"
+
+
+def test_leader_that_the_store_turns_away_is_replaced_soon(site):
+    """Guards against seconds without decisions beside a store that works.
+
+    A leader that got 429 for seven seconds was replaced after 2.5 s.
+    """
+    leader = site.find_leader()
+    leader.store.refused = True
+    site.run(1.6)
+    successor = site.find_leader()
+    assert successor is not None
+    assert successor is not leader
+    assert site.find_faults() == []
+
+
+def test_silent_store_of_the_leader_is_noticed_by_its_beats(site):
+    """Guards against beats of a leader that cannot write any more."""
+    leader = site.find_leader()
+    leader.store.cut = True
+    site.run(2.1)
+    assert site.find_leader() not in (None, leader)
+
+
+def test_store_that_turns_all_away_deposes_nobody(site):
+    """Guards against changes of the leader that help nobody."""
+    leader = site.find_leader()
+    for node in site.nodes.values():
+        node.store.refused = True
+    site.run(4.0)
+    assert site.find_leader() is leader
--- a/packages/standins/src/trefoilroad_standins/jobs/tables.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/tables.py
@@ -93,6 +93,7 @@
 
     Attributes:
         cut: Whether no call of this node gets through.
+        refused: Whether the store turns this node away.
         lose: Share of the commits whose answer is lost.
         late_s: A commit whose answer is lost takes effect this much later.
         slow: Factor of all delays.
@@ -100,6 +101,7 @@
 
     def __init__(self, *, tables: Tables, host: clock.Host, rng: random.Random):
         self.cut = False
+        self.refused = False
         self.lose = 0.0
         self.late_s = 0.0
         self.slow = 1.0
@@ -112,6 +114,11 @@
         """Runs a call at the store and delivers its result."""
         ticking = self._host.clock
         failed = ports.StoreFailed("timeout", maybe=maybe)
+        if self.refused:
+            busy = ports.StoreFailed("too many calls", maybe=False)
+            ticking.schedule(DELAY_S,
+                             lambda: self._host.deliver(lambda: on_done(busy)))
+            return
         if self.cut or self._tables.down:
             ticking.schedule(
                 1.0, lambda: self._host.deliver(lambda: on_done(failed)))
@@ -164,7 +171,7 @@
               on_done: ports.OnRows) -> None:
         """See ports.Store.watch."""
         ticking = self._host.clock
-        if self.cut or self._tables.down:
+        if self.cut or self.refused or self._tables.down:
             failed = ports.StoreFailed("timeout", maybe=False)
             ticking.schedule(
                 wait_s, lambda: self._host.deliver(lambda: on_done(failed)))
