Watch the leader's row from the start of a process

Cause: a process that starts waited 1.1 s for a beat before it looked at the head row at all, and only then counted the silence of the leader. The test fails without the change.

--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -130,7 +130,8 @@
         self._on_gain = on_gain
         self._on_loss = on_loss
         self._row_version = 0
-        self._heard_s = timers.read_clock()
+        # A process that starts watches the head row from the beginning.
+        self._heard_s = float("-inf")
         self._observed: Observation | None = None
         self._reading = False
         self._taking = False
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -85,6 +85,16 @@
     assert site.find_faults() == []
 
 
+def test_process_that_starts_watches_a_dead_leader_at_once(site):
+    """Guards against a wait for beats that adds to the wait for the row."""
+    site.kill(site.find_leader().name)
+    for name in list(site.nodes):
+        site.kill(name)
+    site.add_node("m0")
+    site.run(2.0)
+    assert site.find_leader() is not None
+
+
 def test_leader_that_lost_its_place_does_not_take_it_back_at_once(site):
     """Guards against a process that takes its own row for an earlier one's."""
     leader = site.find_leader()
