Repeat a start that gets no answer after 0.4 s

Workers answer within milliseconds; the repeat carries the same run number and may be sent twice now. The test fails with 0.8 s.

--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -18,8 +18,9 @@
             most this long; with the lease that bridges outages of 10 s.
         report_wait_ms: Longest wait of a worker for an end before it reports,
             in milliseconds.
-        start_timeout_s: Wait for the answer to a start; workers answer within
-            milliseconds.
+        start_timeout_s: Wait for the answer to a start or stop. Workers
+            answer within milliseconds, and urgent work of 2.5 s has 1.5 s to
+            spare.
         start_tries: Sends of one start before it is stopped.
         stop_retry_s: Time between two sends of a stop.
         probe_interval_s: Time between two calls to a silent worker.
@@ -39,8 +40,8 @@
     max_lease_s: float = 10.0
     authority_s: float = 6.0
     report_wait_ms: int = 2000
-    start_timeout_s: float = 0.8
-    start_tries: int = 2
+    start_timeout_s: float = 0.4
+    start_tries: int = 3
     stop_retry_s: float = 0.5
     probe_interval_s: float = 0.5
     full_pause_s: float = 0.3
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from trefoilroad_jobs import limits
+from trefoilroad_jobs import ports
 from trefoilroad_standins.jobs import site as sites
 
 
@@ -263,3 +265,29 @@
         node.store.refused = True
     site.run(4.0)
     assert site.find_leader() is leader
+
+
+def test_lost_answer_to_a_start_does_not_hold_up_urgent_work(site):
+    """Guards against a gang that waits for the timeouts of one member.
+
+    Two timeouts of 0.8 s and the stops after them made urgent jobs late.
+    """
+    workers = site.find_leader().workers
+    send = workers.start
+    lost = []
+
+    def start(worker, order, on_done):
+        if not lost:
+            lost.append(order)
+            site.clock.schedule(
+                limits.Limits().start_timeout_s,
+                lambda: on_done(ports.Answer(ports.Verdict.LOST)))
+            return
+        send(worker, order, on_done)
+
+    workers.start = start
+    site.submit("0" * 16, tasks=3, run_s=1.0, queue=sites.URGENT)
+    site.run(1.6)
+    assert lost
+    assert site.ask_state("0" * 16) == "completed"
+    assert site.find_faults() == []
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -6,6 +6,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
 from trefoilroad_jobs import workload
@@ -13,6 +14,7 @@
 
 DELAY_S = 0.001
 STOP_S = 0.1
+ORDER_TIMEOUT_S = limits.Limits().start_timeout_s
 # Unix time at the start of the virtual clock, in milliseconds.
 EPOCH_MS = 1_700_000_000_000
 
@@ -308,13 +310,13 @@
         """See ports.Workers.start."""
         name = self.format_name(order.key)
         self._call(worker, lambda machine: machine.start(order, name), on_done,
-                   0.8)
+                   ORDER_TIMEOUT_S)
 
     def stop(self, worker: ports.Worker, *, name: str, run: int, epoch: int,
              on_done: ports.OnAnswer) -> None:
         """See ports.Workers.stop."""
         self._call(worker, lambda machine: machine.stop(name, run, epoch),
-                   on_done, 0.8)
+                   on_done, ORDER_TIMEOUT_S)
 
     def renew(self, worker: ports.Worker, *, epoch: int, seen: int,
               lease_until_ms: int | None, wait_ms: int,
