Keep room free for urgent work that will come soon

The room that urgent work of the last 8 s would use, and a deviation more, is kept on whole racks; bulk work that is tied to these, or that the others cannot hold, may still use them, and nothing is kept while half of the fleet is idle.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -185,6 +185,7 @@
                 return
         self.jobs[job_id] = job
         self._estimator.note_job(accepted)
+        self._rounds.note_job(job)
         if not job.is_final:
             self._active[job_id] = job
             if self.ready:
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from trefoilroad_jobs import drains
+from trefoilroad_jobs import headroom
 from trefoilroad_jobs import ordering
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import reclaim
@@ -40,10 +41,15 @@
         self._order = order
         self._reserved: dict[units.UnitKey, Reservation] = {}
         self._drains = drains.Drains()
-
-    def plan(self, ready: Sequence[units.Unit], slots: Sequence[placement.Slot],
-             ending: Sequence[units.TaskRoom], victims: Sequence[units.Victim],
-             now_s: float) -> units.Plan:
+        self._kept: frozenset[str] = frozenset()
+
+    def plan(self,
+             ready: Sequence[units.Unit],
+             slots: Sequence[placement.Slot],
+             ending: Sequence[units.TaskRoom],
+             victims: Sequence[units.Victim],
+             now_s: float,
+             kept: float = 0.0) -> units.Plan:
         """Plans a round for one service.
 
         Args:
@@ -52,11 +58,13 @@
             ending: Tasks that are being stopped.
             victims: What may be stopped for more urgent units.
             now_s: The time.
+            kept: Accelerators that only urgent work may use.
 
         Returns:
             The plan.
         """
         by_id = {slot.worker_id: slot for slot in slots}
+        self._kept = headroom.choose_workers(slots, kept)
         self._drop_stale(ready, by_id, now_s)
         state = _Round(slots=by_id,
                        running=reclaim.Running(ending=ending, victims=victims),
@@ -97,11 +105,25 @@
         wish = units.build_wish(unit)
         reservation = self._reserved.get(unit.key)
         if reservation is None:
-            return placement.place(wish, list(slots.values()), spread=False)
+            return self._place_anywhere(unit, wish, list(slots.values()))
         own = [slots[worker] for worker in sorted(set(reservation.workers))]
         placed = placement.place(wish, own, spread=True)
         return placed if len(placed) == wish.tasks else []
 
+    def _place_anywhere(self, unit: units.Unit, wish: placement.Wish,
+                        slots: list[placement.Slot]) -> list[str]:
+        """Places bulk work off the kept workers, urgent work there first."""
+        if not self._kept:
+            return placement.place(wish, slots, spread=False)
+        if unit.priority > 0:
+            others = headroom.exclude_kept(wish, slots, self._kept)
+            return placement.place(wish, others, spread=False)
+        own = [slot for slot in slots if slot.worker_id in self._kept]
+        placed = placement.place(wish, own, spread=False)
+        if len(placed) == wish.tasks:
+            return placed
+        return placement.place(wish, slots, spread=False)
+
     def _make_room(self, unit: units.Unit, state: "_Round") -> None:
         """Stops others for a unit, or has workers emptied for it."""
         drained = self._drains.choose(unit, state.slots, state.now_s)
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -7,6 +7,7 @@
 from trefoilroad_jobs import directory as directories
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet as fleets
+from trefoilroad_jobs import headroom
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
@@ -49,8 +50,20 @@
         self._estimator = estimator
         self._planner = plan
         self._bounds = bounds
+        self._headroom = headroom.Headroom()
         self._reasons: dict[str, str] = {}
 
+    def note_job(self, job: progress.Job) -> None:
+        """Takes a job that was accepted, to foresee urgent work."""
+        accepted = job.workload
+        if accepted.priority != GUARANTEED_PRIORITY:
+            return
+        self._headroom.note_arrival(
+            job.accepted_s,
+            max(step.demand.accelerators * step.tasks
+                for step in accepted.steps),
+            self._estimator.estimate_chain_ms(accepted) / 1000.0)
+
     def explain(self, job_id: str) -> str:
         """Tells why a job was not started by the last round."""
         return self._reasons.get(
@@ -67,8 +80,12 @@
         for service, wanted in ready.items():
             slots = self._build_slots(view, service)
             ending, victims = self._collect_running(view, service)
-            plan = self._planner.plan(wanted, slots, ending, victims,
-                                      view.now_s)
+            plan = self._planner.plan(wanted,
+                                      slots,
+                                      ending,
+                                      victims,
+                                      view.now_s,
+                                      kept=self._headroom.estimate(view.now_s))
             whole.starts.extend(plan.starts)
             whole.stops.extend(plan.stops)
             started = {start.unit.job_id for start in plan.starts}
--- /dev/null
+++ b/packages/jobs/tests/test_headroom.py
@@ -0,0 +1,74 @@
+"""The room that is kept for urgent work."""
+
+import pytest
+
+from trefoilroad_jobs import headroom
+from trefoilroad_jobs import placement
+from trefoilroad_jobs import workload
+
+CAPACITY = workload.Demand(64_000, 256_000, 8)
+
+
+def test_steady_arrivals_keep_their_mean_use_and_some_more():
+    """Guards against room for the mean alone, which is short half the time."""
+    room = headroom.Headroom()
+    for number in range(80):
+        room.note_arrival(number * 0.1, 16.0, 2.5)
+    mean = 10 * 16.0 * 2.5
+    kept = room.estimate(8.0)
+    assert mean < kept < 1.5 * mean
+
+
+def test_room_is_given_back_when_urgent_work_stops_coming():
+    """Guards against room that stays idle after a burst."""
+    room = headroom.Headroom()
+    room.note_arrival(0.0, 16.0, 2.5)
+    assert room.estimate(1.0) > 0.0
+    assert room.estimate(headroom.WINDOW_S + 0.1) == 0.0
+
+
+def test_first_arrival_is_not_taken_for_a_steady_stream():
+    """Guards against the whole fleet being kept at the first urgent job."""
+    room = headroom.Headroom()
+    room.note_arrival(0.0, 16.0, 2.5)
+    assert room.estimate(0.0) <= 16.0 * 2.5 / headroom.MIN_WINDOW_S * 2
+
+
+def _slots(free=0):
+    return [
+        placement.Slot(worker_id=f"w{number}",
+                       rack=f"r{number % 2}",
+                       labels=frozenset({f"r{number % 2}"}),
+                       room=CAPACITY._replace(accelerators=free),
+                       capacity=CAPACITY) for number in range(6)
+    ]
+
+
+def _wish(tasks=1, **fields):
+    step = workload.Step(tasks=tasks, demand=CAPACITY, **fields)
+    return placement.Wish(step=step, tasks=tasks, whole=True, used={})
+
+
+@pytest.mark.parametrize(("wanted", "count"), [(0.0, 0), (1.0, 1), (17.0, 3),
+                                               (999.0, 3)])
+def test_kept_workers_are_whole_racks_in_a_fixed_order(wanted, count):
+    """Guards against kept workers that change, or are more than half."""
+    slots = _slots()
+    chosen = headroom.choose_workers(slots, wanted)
+    assert chosen == frozenset(["w0", "w2", "w4"][:count])
+    assert chosen == headroom.choose_workers(slots[::-1], wanted)
+
+
+def test_nothing_is_kept_while_half_of_the_fleet_is_idle():
+    """Guards against bulk jobs that wait beside idle workers."""
+    assert headroom.choose_workers(_slots(free=5), 24.0) == frozenset()
+    assert headroom.choose_workers(_slots(free=3), 24.0) != frozenset()
+
+
+def test_work_that_is_tied_to_kept_workers_may_use_them():
+    """Guards against jobs that starve, or run far from their data."""
+    kept = frozenset({"w0", "w2", "w4"})
+    slots = _slots()
+    for wish in (_wish(label="r0"), _wish(data_rack="r0"), _wish(tasks=4)):
+        assert len(headroom.exclude_kept(wish, slots, kept)) == 6
+    assert len(headroom.exclude_kept(_wish(), slots, kept)) == 3
--- a/packages/jobs/tests/test_load.py
+++ b/packages/jobs/tests/test_load.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog
 
+from trefoilroad_jobs import headroom
 from trefoilroad_jobs import ordering
 from trefoilroad_jobs import planner
 from trefoilroad_standins.jobs import load
@@ -60,3 +61,14 @@
     dense = _play("large-burst", order=ordering.WorthDensity())
     plain = _play("large-burst", order=ordering.Arrival())
     assert _mean(dense, "worth") >= _mean(plain, "worth") - 0.03
+
+
+def test_room_kept_for_urgent_work_saves_stops(monkeypatch):
+    """Guards against bulk tasks that are started into room needed soon."""
+    kept = _play("urgent-burst")
+    monkeypatch.setattr(headroom, "DEVIATIONS", -99.0)
+    lent = _play("urgent-burst")
+    assert _mean(kept, "stopped") < _mean(lent, "stopped")
+    assert _mean(kept, "worth") > _mean(lent, "worth") - 0.03
+    for one, other in zip(kept, lent, strict=True):
+        assert one.kinds["render"] >= other.kinds["render"] - 0.03
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -221,3 +221,24 @@
     poor = units.Victim((("w0", WHOLE),), 20.0, 2, "poor", density=0.0005)
     assert _plan([unit], _slots(used=8), victims=[alike]).stops == []
     assert len(_plan([unit], _slots(used=8), victims=[poor]).stops) == 1
+
+
+def test_bulk_work_leaves_kept_workers_to_urgent_work():
+    """Guards against bulk tasks that start only to be stopped again."""
+    known = planner.Planner(order=ordering.WorthDensity())
+    bulk = _unit("b",
+                 step=workload.Step(tasks=4, demand=WHOLE),
+                 indexes=(0, 1, 2, 3),
+                 priority=2)
+    urgent = _gang("a", 2, one_rack=True, priority=0)
+    plan = known.plan([bulk, urgent], _slots(), (), (), 0.0, kept=16.0)
+    placed = {start.unit.job_id: set(start.workers) for start in plan.starts}
+    assert placed == {"a": {"w0", "w1"}, "b": {"w2", "w3"}}
+
+
+def test_urgent_work_uses_other_workers_once_the_kept_ones_are_full():
+    """Guards against urgent work that waits although there is room."""
+    known = planner.Planner(order=ordering.WorthDensity())
+    urgent = _gang("a", 3, priority=0)
+    plan = known.plan([urgent], _slots(), (), (), 0.0, kept=16.0)
+    assert len(plan.starts) == 1
