Ask only a leader in touch to write, and answer within the caller's time

A leader that has not written for 1.2 s or says that it is refused is no longer asked, and a call is answered after 2.7 s at the latest. Both tests fail without the change.

--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -16,8 +16,10 @@
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import timer
 
-# Longest time that a call waits for the store; callers wait 3 s.
+# A write is not repeated later than this after the call began.
 STORE_TIMEOUT_S = 2.4
+# A call is answered by then, also while a write is under way; callers wait 3 s.
+ANSWER_LIMIT_S = 2.7
 # Delay before a write without a result is sent again.
 RETRY_S = 0.15
 # Final states that a node remembers, to answer without asking the leader.
@@ -83,6 +85,7 @@
         self.on_done = on_done
         self.begun_s = begun_s
         self.maybe_written = False
+        self.answered = False
 
 
 class Intake:
@@ -157,6 +160,9 @@
         item = Submission(job=job,
                           on_done=on_done,
                           begun_s=self._timers.read_clock())
+        self._timers.call_later(
+            ANSWER_LIMIT_S, lambda: self._conclude(
+                item, Reply(Outcome.UNKNOWN), "a write is still under way"))
         self._write(item)
 
     def _write(self, item: Submission) -> None:
@@ -186,6 +192,8 @@
     def _retry_or_refuse(self, item: Submission,
                          result: ports.StoreFailed) -> None:
         waited_s = self._timers.read_clock() - item.begun_s
+        if item.answered:
+            return
         if waited_s + RETRY_S < STORE_TIMEOUT_S and item.maybe_written:
             self._timers.call_later(RETRY_S, lambda: self._write(item))
         elif item.maybe_written:
@@ -196,6 +204,9 @@
                 result.reason)
 
     def _conclude(self, item: Submission, reply: Reply, why: str) -> None:
+        if item.answered:
+            return
+        item.answered = True
         waited_s = self._timers.read_clock() - item.begun_s
         _log.info("job submitted",
                   request=item.job.job_id,
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -29,7 +29,7 @@
 # has its own restart behind it.
 SETTLED_S = 20.0
 # A leader that has confirmed nothing for this long does not vouch for the
-# states that it knows.
+# states that it knows, and is asked for nothing.
 VOUCH_S = 1.2
 
 _log = structlog.get_logger()
@@ -189,6 +189,11 @@
         if refused:
             self._check()
 
+    def is_leader_in_touch(self) -> bool:
+        """Tells whether another node leads and writes, as far as is known."""
+        silent_s = self._timers.read_clock() - self._heard_s
+        return silent_s <= VOUCH_S and not self._refused and not self.leading
+
     def lose(self, reason: str) -> None:
         """Gives up the lead because another node has it."""
         if self.leading:
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -463,8 +463,8 @@
 
     def _relay(self, row: writes.Row, on_done: ports.OnCommit) -> None:
         """Has the leader write a row that this node could not write."""
-        if self._dispatcher is not None:
-            on_done(ports.StoreFailed("this node leads", maybe=False))
+        if not self._leadership.is_leader_in_touch():
+            on_done(ports.StoreFailed("no leader in touch", maybe=False))
             return
         number = next(self._question_ids)
         sent = self._links.send(
--- a/packages/jobs/tests/test_writes.py
+++ b/packages/jobs/tests/test_writes.py
@@ -49,6 +49,30 @@
     assert site.count("stopped") == 1
 
 
+def test_leader_that_cannot_write_is_not_asked_to(site):
+    """Guards against a caller who waits for a leader that is turned away.
+
+    Its answers were lost once it was replaced: 504 after 3.3 s, past the
+    caller's time, where another node could have taken the job.
+    """
+    leader = site.find_leader()
+    node = _find_follower(site)
+    leader.store.refused = node.store.refused = True
+    site.run(3.0)
+    site.submit("0" * 16, through=node.name)
+    site.run(0.2)
+    assert site.replies["0" * 16].outcome.name == "NOT_ACCEPTED"
+
+
+def test_call_is_answered_within_the_time_of_its_caller(site):
+    """Guards against an answer that nobody waits for any more."""
+    node = _find_follower(site)
+    site.tables.down = True
+    site.submit("0" * 16, through=node.name)
+    site.run(2.75)
+    assert site.replies["0" * 16].outcome.name == "UNKNOWN"
+
+
 def test_store_down_for_all_is_not_called_refused(site):
     """Guards against "not accepted" for a write that may come late."""
     node = _find_follower(site)
--- a/packages/standins/src/trefoilroad_standins/jobs/tables.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/tables.py
@@ -190,7 +190,7 @@
             ended = True
             found: Any = ports.Rows(rows, self._tables.version,
                                     self._tables.now_ms)
-            if self.cut or self._tables.down:
+            if self.cut or self.refused or self._tables.down:
                 found = ports.StoreFailed("timeout", maybe=False)
             ticking.schedule(DELAY_S,
                              lambda: self._host.deliver(lambda: on_done(found)))
