Notice work that stands still after 1.5 s and spare its worker

Workers with urgent work now report every 0.7 s, the limit is 1.5 s or a share of the declared time of long work, members of a gang are judged only once all are there, and the worker gets nothing new for 3 s.

--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -25,7 +25,12 @@
         stop_retry_s: Time between two sends of a stop.
         probe_interval_s: Time between two calls to a silent worker.
         full_pause_s: Nothing new for a worker this long after it had no room.
-        stall_s: A run whose progress stands still for this long is stopped.
+        stall_s: A run whose progress stands still for this long is stopped;
+            a long one only after a share of its declared time.
+        stall_pause_s: Nothing new for a worker this long after a run stood
+            still there.
+        urgent_report_wait_ms: Longest wait of a worker with urgent work
+            before it reports, in milliseconds; progress is seen as often.
         retry_base_s: First delay after a failed run.
         retry_max_s: Longest delay after a failed run.
         checkpoint_interval_s: Work between two checkpoints.
@@ -45,7 +50,9 @@
     stop_retry_s: float = 0.5
     probe_interval_s: float = 0.5
     full_pause_s: float = 0.3
-    stall_s: float = 3.5
+    stall_s: float = 1.5
+    stall_pause_s: float = 3.0
+    urgent_report_wait_ms: int = 700
     retry_base_s: float = 0.2
     retry_max_s: float = 2.0
     checkpoint_interval_s: float = 1.0
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -31,6 +31,12 @@
 RECORD_WAIT_S = 0.05
 # A worker that drains loses what would end this much later than it leaves.
 DRAIN_MARGIN = 1.2
+# Share of the declared run time for which progress may stand still. Progress
+# comes in whole percents, workers may be several times slow, and declarations
+# are off by a factor of two.
+STALL_SHARE = 0.15
+# Priority of work whose progress is watched more closely.
+URGENT_PRIORITY = 0
 # Progress below this is too coarse to extrapolate from, in percent.
 MIN_PERCENT = 5
 
@@ -321,7 +327,7 @@
             seen = member.recorded
             lease_ms = member.compute_lease_ms(self._bounds.lease_s, now_s)
             if member.processed == member.recorded and member.claims:
-                wait_ms = self._bounds.report_wait_ms
+                wait_ms = self._find_report_wait_ms(member)
             if any(claim.phase is Phase.STOPPING
                    for claim in member.claims.values()):
                 wait_ms = min(wait_ms, SHORT_WAIT_MS)
@@ -333,6 +339,14 @@
             wait_ms=wait_ms,
             on_done=lambda report: self._take_report(member, now_s, report))
 
+    def _find_report_wait_ms(self, member: fleets.Member) -> int:
+        """Returns how long a worker may wait for an end before it reports."""
+        for claim in member.claims.values():
+            job = self._find_job(claim.key.job_id)
+            if job is not None and job.workload.priority == URGENT_PRIORITY:
+                return self._bounds.urgent_report_wait_ms
+        return self._bounds.report_wait_ms
+
     def _take_report(self, member: fleets.Member, sent_s: float,
                      report: ports.Report | ports.Answer) -> None:
         member.polling = False
@@ -452,7 +466,8 @@
         step = job.workload.steps[claim.key.step]
         if step.lasting:
             return
-        if now_s - claim.percent_s > self._bounds.stall_s:
+        if self._stands_still(job, claim, now_s):
+            member.full_until_s = now_s + self._bounds.stall_pause_s
             _log.info("run stalls",
                       request=claim.key.job_id,
                       worker=claim.worker_id,
@@ -466,6 +481,22 @@
             if step.checkpoints and left_s > leaves_s * DRAIN_MARGIN:
                 self.stop(claim, "its worker leaves before it can end")
 
+    def _stands_still(self, job: progress.Job, claim: progress.Claim,
+                      now_s: float) -> bool:
+        """Tells whether a run makes no progress although it could."""
+        step = job.workload.steps[claim.key.step]
+        since_s = claim.percent_s
+        if step.gang:
+            # Members make no progress before all of them are present.
+            state = job.get_step(claim.key.occurrence, claim.key.step)
+            others = state.claims.values()
+            if any(other.phase is not Phase.RUNNING for other in others):
+                return False
+            since_s = max(since_s, *(other.since_s for other in others))
+        limit_s = max(self._bounds.stall_s,
+                      STALL_SHARE * step.estimate_ms / 1000.0)
+        return now_s - since_s > limit_s
+
     def _take_absence(self, member: fleets.Member, claim: progress.Claim,
                       report: ports.Report, sent_s: float) -> None:
         """Judges a run that a report lists neither as running nor ended."""
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -291,3 +291,67 @@
     assert lost
     assert site.ask_state("0" * 16) == "completed"
     assert site.find_faults() == []
+
+
+def test_work_on_a_hanging_worker_goes_elsewhere_soon(site):
+    """Guards against urgent work that hangs, and hangs there again.
+
+    Workers that hang were noticed after 3.5 s and got new work at once.
+    """
+    for number in range(4):
+        site.submit(f"{number:016x}",
+                    tasks=2,
+                    run_s=2.0,
+                    demand=sites.SMALL._replace(accelerators=4),
+                    queue=sites.URGENT)
+    site.run(0.5)
+    bad = max(site.machines.values(), key=lambda machine: len(machine.runs))
+    hung = len(bad.runs)
+    assert hung
+    bad.hangs = True
+    site.run(3.0)
+    assert site.count("stopped") == hung
+    assert bad.runs == {}
+    site.run(3.0)
+    for number in range(4):
+        assert site.ask_state(f"{number:016x}") == "completed"
+
+
+def test_slow_long_work_is_not_taken_for_hanging(site):
+    """Guards against stops of work that reports a percent every few seconds."""
+    site.submit("0" * 16, run_s=300.0)
+    site.run(40.0)
+    assert site.count("stopped") == 0
+
+
+def test_gang_is_not_stopped_while_a_member_is_being_started(site):
+    """Guards against members that are taken for hanging while they wait."""
+    workers = site.find_leader().workers
+    send = workers.start
+    lost = []
+
+    def start(worker, order, on_done):
+        if order.key.task == 0 and len(lost) < 2:
+            lost.append(order)
+            site.clock.schedule(
+                limits.Limits().start_timeout_s,
+                lambda: on_done(ports.Answer(ports.Verdict.LOST)))
+            return
+        send(worker, order, on_done)
+
+    workers.start = start
+    site.submit("0" * 16,
+                tasks=2,
+                run_s=4.0,
+                gang=True,
+                demand=sites.SMALL._replace(accelerators=8),
+                queue=sites.URGENT)
+    for machine in site.machines.values():
+        machine.hangs = True
+    site.run(1.6)
+    for machine in site.machines.values():
+        machine.hangs = False
+    site.run(5.0)
+    assert len(lost) == 2
+    assert site.count("stopped") == 0
+    assert site.ask_state("0" * 16) == "completed"
