Drop lines of single runs before those of jobs

Lines of single runs now leave 500 lines of the allowance to all others. The test fails without the change.

--- a/packages/node/src/trefoilroad_node/logstream.py
+++ b/packages/node/src/trefoilroad_node/logstream.py
@@ -1,6 +1,7 @@
 """A log output that is bounded and never blocks."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import os
 
@@ -8,6 +9,9 @@
 # some hundred requests a second; more lines would only cost processor time.
 LINES_PER_S = 300.0
 BURST_LINES = 1500.0
+# Lines at once that frequent events leave to all others. Without them the ends
+# of jobs were lost among the ends of their runs.
+RESERVED_LINES = 500.0
 
 
 class LogStream:
@@ -17,17 +21,24 @@
         dropped: Lines dropped since the last line that was written.
     """
 
-    def __init__(self, *, descriptor: int, read_clock: Callable[[], float]):
+    def __init__(self,
+                 *,
+                 descriptor: int,
+                 read_clock: Callable[[], float],
+                 frequent_events: Sequence[str] = ()):
         """Takes over the descriptor.
 
         Args:
             descriptor: File descriptor, made non-blocking.
             read_clock: Returns a steady time in seconds.
+            frequent_events: Events whose lines are dropped first.
         """
         os.set_blocking(descriptor, False)
         self.dropped = 0
         self._descriptor = descriptor
         self._read_clock = read_clock
+        self._frequent = tuple(
+            f'"event": {json.dumps(event)}' for event in frequent_events)
         self._allowance = BURST_LINES
         self._filled_s = read_clock()
 
@@ -45,7 +56,8 @@
         gained = (now_s - self._filled_s) * LINES_PER_S
         self._filled_s = now_s
         self._allowance = min(BURST_LINES, self._allowance + gained)
-        if self._allowance < 1.0:
+        frequent = any(mark in line for mark in self._frequent)
+        if self._allowance < 1.0 + RESERVED_LINES * frequent:
             self.dropped += 1
             return
         self._allowance -= 1.0
--- a/packages/node/tests/test_logstream.py
+++ b/packages/node/tests/test_logstream.py
@@ -37,3 +37,16 @@
     for _ in range(20):
         stream.write("x" * 8000 + "\n")
     assert stream.dropped > 0
+
+
+def test_frequent_events_leave_lines_to_others():
+    """Guards against a job whose end is not logged, only those of its runs."""
+    _, writer = os.pipe()
+    stream = logstream.LogStream(descriptor=writer,
+                                 read_clock=_Clock().read,
+                                 frequent_events=["run ended"])
+    for _ in range(int(logstream.BURST_LINES)):
+        stream.write('{"task": "1", "event": "run ended"}\n')
+    assert stream.dropped == logstream.RESERVED_LINES
+    stream.write('{"state": "completed", "event": "job ended"}\n')
+    assert stream.dropped == 0
