--- a/packages/standins/src/trefoilroad_standins/jobs/tables.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 import random
 from typing import Any
 
@@ -74,10 +75,10 @@
 
     def list_changes(self, table: str, after: int) -> list[ports.Row]:
         """Returns the changes of a table after a version."""
-        return [
-            row for name, row in self.changes
-            if name == table and row.version > after
-        ]
+        newer = itertools.takewhile(lambda change: change[1].version > after,
+                                    reversed(self.changes))
+        found = [row for name, row in newer if name == table]
+        return found[::-1]
 
     def drop_history(self) -> None:
         """Forgets all changes; who asks for them must read anew."""
