Compute what does not change in a round once

The worth of a job for a core-second was computed for each of its runs, and whether a wish could fit was counted over all workers.

--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -108,8 +108,12 @@
 
 def could_fit(wish: Wish, slots: Sequence[Slot]) -> bool:
     """Tells whether the wish would fit if all slots were idle."""
-    total = sum(_count_slot(wish, slot, slot.capacity) for slot in slots)
-    return total >= wish.tasks
+    total = 0
+    for slot in slots:
+        total += _count_slot(wish, slot, slot.capacity)
+        if total >= wish.tasks:
+            return True
+    return False
 
 
 def group_by_rack(slots: Sequence[Slot]) -> dict[str, list[Slot]]:
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -52,6 +52,7 @@
         self._bounds = bounds
         self._headroom = headroom.Headroom()
         self._reasons: dict[str, str] = {}
+        self._densities: dict[str, float] = {}
 
     def note_job(self, job: progress.Job) -> None:
         """Takes a job that was accepted, to foresee urgent work."""
@@ -73,6 +74,7 @@
     def run(self, view: View) -> units.Plan:
         """Plans for all services."""
         self._reasons = {}
+        self._densities = {}
         ready: dict[str, list[units.Unit]] = collections.defaultdict(list)
         for unit in self._collect_units(view):
             ready[unit.service].append(unit)
@@ -269,9 +271,14 @@
 
     def _compute_density(self, view: View, job: progress.Job) -> float:
         """Returns the worth of a job for each core-second of its work."""
-        worth = units.compute_worth(self._find_priority(view, job),
-                                    self._estimator.compare_size(job.workload))
-        return worth / max(1.0, self._estimator.compute_work(job.workload))
+        density = self._densities.get(job.job_id)
+        if density is None:
+            accepted = job.workload
+            worth = units.compute_worth(self._find_priority(view, job),
+                                        self._estimator.compare_size(accepted))
+            density = worth / max(1.0, self._estimator.compute_work(accepted))
+            self._densities[job.job_id] = density
+        return density
 
 
 def _count_used(state: progress.StepProgress) -> dict[str, int]:
