--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -37,6 +37,7 @@
 STALL_SHARE = 0.15
 # Priority of work whose progress is watched more closely.
 URGENT_PRIORITY = 0
+DONE_PERCENT = 100
 # Progress below this is too coarse to extrapolate from, in percent.
 MIN_PERCENT = 5
 
@@ -484,6 +485,9 @@
     def _stands_still(self, job: progress.Job, claim: progress.Claim,
                       now_s: float) -> bool:
         """Tells whether a run makes no progress although it could."""
+        if claim.percent >= DONE_PERCENT:
+            # A member of a gang may wait for slower ones.
+            return False
         step = job.workload.steps[claim.key.step]
         since_s = claim.percent_s
         if step.gang:
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -73,6 +73,7 @@
         reachable: Whether calls get through.
         fails: Whether all runs fail soon after their start.
         hangs: Whether runs make no progress.
+        percent: Progress that all runs report, or None for their own.
     """
 
     def __init__(self, *, worker_id: str, rack: str, ticking: clock.Clock,
@@ -85,6 +86,7 @@
         self.alive = True
         self.fails = False
         self.hangs = False
+        self.percent: int | None = None
         self.draining = False
         self._ticking = ticking
         self._history = history
@@ -221,6 +223,8 @@
                                                self.clock_ms + 10_000))
 
     def _get_percent(self, run: _Run) -> int:
+        if self.percent is not None:
+            return self.percent
         if self.hangs:
             return 0
         whole_s = max(0.01, run.ends_s - run.begun_s)
