Spare workers that fail at once; let retries avoid failing workers

A worker gets nothing new for 5 s after a failure that comes at once, unless the job has failed elsewhere too, or after failures of two jobs, and a step that has failed avoids workers with failures of the last 10 s.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -328,6 +328,7 @@
                       claim: progress.Claim, now_s: float) -> None:
         spec = job.workload.steps[claim.key.step]
         self._note_health(job, claim, failed=True, now_s=now_s)
+        self._suspect_worker(job, claim, now_s)
         index = 0 if spec.gang else claim.key.task
         failures = step.failures.get(index, 0) + 1
         step.failures[index] = failures
@@ -342,6 +343,23 @@
             self._finish(job, progress.JobState.FAILED,
                          f"a task failed {failures} times")
 
+    def _suspect_worker(self, job: progress.Job, claim: progress.Claim,
+                        now_s: float) -> None:
+        """Spares a worker on which runs fail, unless the job is at fault."""
+        member = self._fleet.members.get(claim.worker_id)
+        if member is None:
+            return
+        failed = self._health.find_failed_workers(job.job_id)
+        if member.note_failure(job.job_id,
+                               ran_s=now_s - claim.started_s,
+                               elsewhere=bool(failed - {claim.worker_id}),
+                               now_s=now_s):
+            _log.info("worker suspected",
+                      worker=claim.worker_id,
+                      request=job.job_id,
+                      failures=len(member.failures),
+                      ran_s=round(now_s - claim.started_s, 3))
+
     def _take_break(self, job: progress.Job, step: progress.StepProgress,
                     claim: progress.Claim, now_s: float) -> None:
         if job.workload.steps[claim.key.step].gang and not job.is_final:
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -5,6 +5,13 @@
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
 
+# A worker on which runs fail gets nothing new for this long, in seconds; the
+# users' workers that fail everything do so for about six.
+SUSPECT_S = 5.0
+# A retry avoids workers with a failure in this time, in seconds.
+MEMORY_S = 10.0
+# A run that fails sooner than this has hardly begun, in seconds.
+FAST_FAILURE_S = 0.5
 # Workers' steady clocks may be this much slow.
 CLOCK_DRIFT = 0.02
 # Added to a computed end of a lease, for the resolution of clocks.
@@ -33,8 +40,9 @@
         silent_s: Leader's time since which it has not answered, or infinity.
         polling: Whether a report has been asked for and has not come.
         poll_s: When the next report is due.
-        full_until_s: It rejected a start for want of room; nothing new before
-            this time.
+        full_until_s: It rejected a start for want of room, or runs fail or
+            stand still there; nothing new before this time.
+        failures: Job and time of the failures of the last seconds.
     """
 
     def __init__(self, *, worker: ports.Worker):
@@ -53,6 +61,7 @@
         self.polling = False
         self.poll_s = float("-inf")
         self.full_until_s = float("-inf")
+        self.failures: list[tuple[str, float]] = []
 
     def note_clock(self, clock_ms: float, now_s: float,
                    max_lease_s: float) -> None:
@@ -100,10 +109,39 @@
         return self.clock_ms + elapsed_s * (1 - CLOCK_DRIFT) * 1000.0 > (
             self.lease_ms)
 
+    def note_failure(self, job_id: str, *, ran_s: float, elsewhere: bool,
+                     now_s: float) -> bool:
+        """Takes a failed run; the worker may get nothing new for a while.
+
+        Args:
+            job_id: Job of the run.
+            ran_s: How long it ran.
+            elsewhere: Whether the job has also failed on another worker.
+            now_s: Leader's time.
+
+        Returns:
+            Whether the worker is suspected.
+        """
+        self.failures = [
+            item for item in self.failures if now_s - item[1] < MEMORY_S
+        ]
+        others = any(other != job_id and now_s - at_s < SUSPECT_S
+                     for other, at_s in self.failures)
+        self.failures.append((job_id, now_s))
+        suspected = others or (ran_s < FAST_FAILURE_S and not elsewhere)
+        if suspected:
+            self.full_until_s = max(self.full_until_s, now_s + SUSPECT_S)
+        return suspected
+
+    def has_failed(self, now_s: float) -> bool:
+        """Tells whether a run has failed there in the last seconds."""
+        return bool(self.failures) and now_s - self.failures[-1][1] < MEMORY_S
+
     def begin_life(self, life_ms: int) -> None:
         """Forgets what held only for an earlier life."""
         self.life_ms = life_ms
         self.contacted = True
+        self.failures = []
         self.recorded = 0
         self.processed = 0
 
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -21,17 +21,25 @@
         labels: Its labels.
         room: What is free.
         capacity: What it has in all.
+        failing: Whether runs have failed there of late.
     """
 
-    __slots__ = ("capacity", "labels", "rack", "room", "worker_id")
+    __slots__ = ("capacity", "failing", "labels", "rack", "room", "worker_id")
 
-    def __init__(self, *, worker_id: str, rack: str, labels: frozenset[str],
-                 room: Demand, capacity: Demand):
+    def __init__(self,
+                 *,
+                 worker_id: str,
+                 rack: str,
+                 labels: frozenset[str],
+                 room: Demand,
+                 capacity: Demand,
+                 failing: bool = False):
         self.worker_id = worker_id
         self.rack = rack
         self.labels = labels
         self.room = room
         self.capacity = capacity
+        self.failing = failing
 
     def add_room(self, demand: Demand) -> "Slot":
         """Returns the slot as it is with more room."""
@@ -39,7 +47,8 @@
                     rack=self.rack,
                     labels=self.labels,
                     room=self.room.plus(demand),
-                    capacity=self.capacity)
+                    capacity=self.capacity,
+                    failing=self.failing)
 
 
 class Wish(NamedTuple):
@@ -51,12 +60,20 @@
         whole: Whether all must be placed or none.
         used: Tasks of the step on each worker already, where their number is
             limited.
+        careful: Whether workers on which runs fail are avoided.
     """
 
     step: workload.Step
     tasks: int
     whole: bool
     used: dict[str, int]
+    careful: bool = False
+
+    def allows(self, slot: Slot) -> bool:
+        """Tells whether a worker may be used, whatever its room."""
+        if self.careful and slot.failing:
+            return False
+        return not self.step.label or self.step.label in slot.labels
 
 
 def count_fitting(demand: Demand, room: Demand) -> int:
@@ -75,7 +92,7 @@
 
 
 def _count_slot(wish: Wish, slot: Slot, room: Demand) -> int:
-    if wish.step.label and wish.step.label not in slot.labels:
+    if not wish.allows(slot):
         return 0
     count = count_fitting(wish.step.occupied, room)
     if wish.step.max_per_worker:
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -141,7 +141,7 @@
         """Offers a place for the next task, if the worker has one."""
         self._versions[worker_id] += 1
         step = self._wish.step
-        if step.label and step.label not in self._slots[worker_id].labels:
+        if not self._wish.allows(self._slots[worker_id]):
             return
         if (step.max_per_worker and
                 self._counts[worker_id] >= step.max_per_worker):
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -166,7 +166,9 @@
             size_ratio=self._estimator.compare_size(accepted),
             guaranteed=False,
             reclaim_s=self._compute_reclaim_s(begun_s, slack, chain_s,
-                                              extra_ms / 1000.0))
+                                              extra_ms / 1000.0),
+            retry=any(index in state.failures
+                      for index in ((0,) if step.gang else waiting)))
 
     def _compute_reclaim_s(self, begun_s: float, slack: float, chain_s: float,
                            extra_s: float) -> float:
@@ -223,7 +225,8 @@
                                rack=worker.rack,
                                labels=worker.labels,
                                room=room,
-                               capacity=worker.capacity))
+                               capacity=worker.capacity,
+                               failing=member.has_failed(view.now_s)))
         return slots
 
     # What may be stopped.
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -49,6 +49,7 @@
         guaranteed: Whether the team's guarantee covers it.
         reclaim_s: Time from which others are stopped for a guaranteed unit;
             until then room may become free by itself.
+        retry: Whether a run of it has failed before.
     """
 
     job_id: str
@@ -67,6 +68,7 @@
     size_ratio: float
     guaranteed: bool
     reclaim_s: float = 0.0
+    retry: bool = False
 
     @property
     def key(self) -> UnitKey:
@@ -126,7 +128,8 @@
     return placement.Wish(step=unit.step,
                           tasks=len(unit.indexes),
                           whole=unit.step.gang or unit.guaranteed,
-                          used=unit.used)
+                          used=unit.used,
+                          careful=unit.retry)
 
 
 def compute_worth(priority: int, size_ratio: float) -> float:
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -355,3 +355,46 @@
     assert len(lost) == 2
     assert site.count("stopped") == 0
     assert site.ask_state("0" * 16) == "completed"
+
+
+def test_finished_member_of_a_gang_is_not_taken_for_hanging(site):
+    """Guards against gangs that are stopped when they are nearly done.
+
+    A member that has reached 100% waits for the slower ones.
+    """
+    site.submit("0" * 16, tasks=2, run_s=10.0, gang=True)
+    site.run(0.5)
+    for machine in site.machines.values():
+        machine.percent = 100
+    site.run(8.0)
+    assert site.count("stopped") == 0
+
+
+def test_worker_that_fails_at_once_gets_nothing_new(site):
+    """Guards against a worker that attracts all work by failing it fast."""
+    bad = site.machines["w00"]
+    bad.fails = True
+    for number in range(12):
+        site.submit(f"{number:016x}",
+                    run_s=0.5,
+                    demand=sites.SMALL._replace(accelerators=8))
+    site.run(6.0)
+    failed = [event for event in site.history if event.kind == "failed"]
+    assert len(failed) <= 2
+    for number in range(12):
+        assert site.ask_state(f"{number:016x}") == "completed"
+
+
+def test_retry_avoids_workers_with_recent_failures(site):
+    """Guards against a job that fails for good on two bad workers."""
+    for name in ("w00", "w01"):
+        site.machines[name].fails = True
+    queue = sites.QUEUE._replace(max_failures=2)
+    for number in range(4):
+        site.submit(f"{number:016x}",
+                    run_s=0.5,
+                    demand=sites.SMALL._replace(accelerators=8),
+                    queue=queue)
+    site.run(6.0)
+    for number in range(4):
+        assert site.ask_state(f"{number:016x}") == "completed"
