Spare suspected workers only while they are few, and retries only briefly

Cause, found by reading: many jobs that can never succeed would have put all workers of a small fleet under suspicion for 5 s, and a retry would have waited up to 10 s for a worker without failures, beside idle ones. Beyond a quarter of the workers none is spared, and a retry is careful for 1.5 s. The first test fails without the change, the second guards the other case.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -8,6 +8,9 @@
 # A worker on which runs fail gets nothing new for this long, in seconds; the
 # users' workers that fail everything do so for about six.
 SUSPECT_S = 5.0
+# If more than one worker in so many is suspected, the cause is more likely
+# outside the workers, and none is spared.
+MAX_SUSPECTS = 4
 # A retry avoids workers with a failure in this time, in seconds.
 MEMORY_S = 10.0
 # A run that fails sooner than this has hardly begun, in seconds.
@@ -40,8 +43,10 @@
         silent_s: Leader's time since which it has not answered, or infinity.
         polling: Whether a report has been asked for and has not come.
         poll_s: When the next report is due.
-        full_until_s: It rejected a start for want of room, or runs fail or
-            stand still there; nothing new before this time.
+        full_until_s: It rejected a start for want of room; nothing new before
+            this time.
+        suspect_until_s: Runs fail or stand still there; nothing new before
+            this time unless many workers are suspected.
         failures: Job and time of the failures of the last seconds.
     """
 
@@ -61,6 +66,7 @@
         self.polling = False
         self.poll_s = float("-inf")
         self.full_until_s = float("-inf")
+        self.suspect_until_s = float("-inf")
         self.failures: list[tuple[str, float]] = []
 
     def note_clock(self, clock_ms: float, now_s: float,
@@ -130,9 +136,13 @@
         self.failures.append((job_id, now_s))
         suspected = others or (ran_s < FAST_FAILURE_S and not elsewhere)
         if suspected:
-            self.full_until_s = max(self.full_until_s, now_s + SUSPECT_S)
+            self.suspect(now_s + SUSPECT_S)
         return suspected
 
+    def suspect(self, until_s: float) -> None:
+        """Notes that the worker may be bad."""
+        self.suspect_until_s = max(self.suspect_until_s, until_s)
+
     def has_failed(self, now_s: float) -> bool:
         """Tells whether a run has failed there in the last seconds."""
         return bool(self.failures) and now_s - self.failures[-1][1] < MEMORY_S
@@ -184,6 +194,16 @@
             del self.members[member.worker.worker_id]
         return gone
 
+    def find_suspects(self, service: str, now_s: float) -> frozenset[str]:
+        """Returns the workers of a service that get nothing new."""
+        members = [item for item in self.list_members(service) if item.listed]
+        found = frozenset(item.worker.worker_id
+                          for item in members
+                          if item.suspect_until_s > now_s)
+        if len(found) * MAX_SUSPECTS > len(members):
+            return frozenset()
+        return found
+
     def list_members(self, service: str) -> Iterator[Member]:
         """Yields the members of a service."""
         for member in self.members.values():
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -18,6 +18,9 @@
 
 # Priority of the jobs that a team's guarantee covers.
 GUARANTEED_PRIORITY = 0
+# A retry waits at most this long for workers on which nothing has failed; a job
+# may not stand still for 3 s beside idle workers.
+CAREFUL_S = 1.5
 
 
 class View(NamedTuple):
@@ -167,8 +170,9 @@
             guaranteed=False,
             reclaim_s=self._compute_reclaim_s(begun_s, slack, chain_s,
                                               extra_ms / 1000.0),
-            retry=any(index in state.failures
-                      for index in ((0,) if step.gang else waiting)))
+            retry=(view.now_s < state.not_before_s + CAREFUL_S and
+                   any(index in state.failures
+                       for index in ((0,) if step.gang else waiting))))
 
     def _compute_reclaim_s(self, begun_s: float, slack: float, chain_s: float,
                            extra_s: float) -> float:
@@ -210,12 +214,14 @@
 
     def _build_slots(self, view: View, service: str) -> list[placement.Slot]:
         slots = []
+        suspects = view.fleet.find_suspects(service, view.now_s)
         for member in view.fleet.list_members(service):
             worker = member.worker
             if (not member.listed or worker.draining or not member.contacted or
                     member.silent_s < float("inf") or
                     member.full_until_s > view.now_s or
-                    worker.worker_id in view.quarantined):
+                    worker.worker_id in view.quarantined or
+                    worker.worker_id in suspects):
                 continue
             room = worker.capacity
             for claim in member.claims.values():
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -468,7 +468,7 @@
         if step.lasting:
             return
         if self._stands_still(job, claim, now_s):
-            member.full_until_s = now_s + self._bounds.stall_pause_s
+            member.suspect(now_s + self._bounds.stall_pause_s)
             _log.info("run stalls",
                       request=claim.key.job_id,
                       worker=claim.worker_id,
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -398,3 +398,32 @@
     site.run(6.0)
     for number in range(4):
         assert site.ask_state(f"{number:016x}") == "completed"
+
+
+def test_jobs_that_always_fail_do_not_stop_the_fleet(site):
+    """Guards against sound jobs that wait because all workers are suspected."""
+    for number in range(16):
+        site.submit(f"{number:016x}",
+                    tasks=2,
+                    run_s=0.1,
+                    demand=sites.SMALL._replace(accelerators=4),
+                    fails=True)
+    site.run(1.5)
+    site.submit("f" * 16, run_s=0.5)
+    site.run(2.0)
+    assert site.count("done", "f" * 16) == 1
+
+
+def test_retry_does_not_wait_long_for_workers_without_failures(site):
+    """Guards against a retry that stands still beside idle workers."""
+    for machine in site.machines.values():
+        machine.fails = True
+    queue = sites.QUEUE._replace(max_failures=9)
+    for number in range(4):
+        site.submit(f"{number:016x}", tasks=4, run_s=0.5, queue=queue)
+    site.run(1.0)
+    for machine in site.machines.values():
+        machine.fails = False
+    site.run(4.0)
+    for number in range(4):
+        assert site.ask_state(f"{number:016x}") == "completed"
