Estimate the room for urgent work by service, without old arrivals

Cause, found by reading: a new leader takes the jobs of the last minutes in the order of their names, and the window was emptied from its front only, so old arrivals counted until the newest before them had left: half of the fleet would have been kept for up to 8 s after a takeover. Urgent work of one service also kept workers of another. The test fails without the change.

--- a/packages/jobs/src/trefoilroad_jobs/headroom.py
+++ b/packages/jobs/src/trefoilroad_jobs/headroom.py
@@ -5,7 +5,6 @@
 and these begin again, to be stopped by the next one.
 """
 
-import collections
 from collections.abc import Sequence
 import math
 
@@ -27,9 +26,8 @@
     """Estimates the accelerators that urgent work will use at the same time."""
 
     def __init__(self) -> None:
-        self._arrivals: collections.deque[tuple[float, float,
-                                                float]] = (collections.deque())
-        self._begun_s: float | None = None
+        self._arrivals: list[tuple[float, float, float]] = []
+        self._begun_s = float("inf")
 
     def note_arrival(self, at_s: float, accelerators: float,
                      run_s: float) -> None:
@@ -40,8 +38,7 @@
             accelerators: Accelerators that it uses at the same time.
             run_s: Expected run time in seconds.
         """
-        if self._begun_s is None:
-            self._begun_s = at_s
+        self._begun_s = min(self._begun_s, at_s)
         self._arrivals.append((at_s, accelerators, run_s))
 
     def estimate(self, now_s: float) -> float:
@@ -51,10 +48,10 @@
         of rate x use x run time, and the variance of rate x use squared x run
         time.
         """
-        while self._arrivals and self._arrivals[0][0] < now_s - WINDOW_S:
-            self._arrivals.popleft()
-        if self._begun_s is None:
-            return 0.0
+        # A new leader takes the jobs of its predecessor in no order.
+        self._arrivals = [
+            item for item in self._arrivals if item[0] >= now_s - WINDOW_S
+        ]
         window_s = min(WINDOW_S, max(MIN_WINDOW_S, now_s - self._begun_s))
         mean = sum(use * run_s for _, use, run_s in self._arrivals) / window_s
         variance = sum(
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -53,7 +53,9 @@
         self._estimator = estimator
         self._planner = plan
         self._bounds = bounds
-        self._headroom = headroom.Headroom()
+        self._headrooms: dict[str,
+                              headroom.Headroom] = (collections.defaultdict(
+                                  headroom.Headroom))
         self._reasons: dict[str, str] = {}
         self._densities: dict[str, float] = {}
 
@@ -62,7 +64,7 @@
         accepted = job.workload
         if accepted.priority != GUARANTEED_PRIORITY:
             return
-        self._headroom.note_arrival(
+        self._headrooms[accepted.service].note_arrival(
             job.accepted_s,
             max(step.demand.accelerators * step.tasks
                 for step in accepted.steps),
@@ -85,12 +87,13 @@
         for service, wanted in ready.items():
             slots = self._build_slots(view, service)
             ending, victims = self._collect_running(view, service)
+            kept = self._headrooms[service].estimate(view.now_s)
             plan = self._planner.plan(wanted,
                                       slots,
                                       ending,
                                       victims,
                                       view.now_s,
-                                      kept=self._headroom.estimate(view.now_s))
+                                      kept=kept)
             whole.starts.extend(plan.starts)
             whole.stops.extend(plan.stops)
             started = {start.unit.job_id for start in plan.starts}
--- a/packages/jobs/tests/test_headroom.py
+++ b/packages/jobs/tests/test_headroom.py
@@ -72,3 +72,24 @@
     for wish in (_wish(label="r0"), _wish(data_rack="r0"), _wish(tasks=4)):
         assert len(headroom.exclude_kept(wish, slots, kept)) == 6
     assert len(headroom.exclude_kept(_wish(), slots, kept)) == 3
+
+
+def test_old_arrivals_do_not_count_in_any_order():
+    """Guards against half of a fleet kept after a change of the leader.
+
+    The new leader reads the jobs of the last minutes in the order of their
+    names.
+    """
+    room = headroom.Headroom()
+    room.note_arrival(100.0, 16.0, 2.5)
+    for number in range(50):
+        room.note_arrival(float(number), 16.0, 2.5)
+    alone = headroom.Headroom()
+    alone.note_arrival(0.0, 0.0, 1.0)
+    alone.note_arrival(100.0, 16.0, 2.5)
+    assert room.estimate(101.0) == alone.estimate(101.0)
+
+
+def test_nothing_is_kept_before_the_first_urgent_job():
+    """Guards against workers that stay idle for work that never comes."""
+    assert headroom.Headroom().estimate(5.0) == 0.0
