Send requests to the leader in one place; name the urgent priority once

Questions and relayed writes kept a number, a table of waiting replies and a timeout each, and the urgent priority had two names.

--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -40,6 +40,8 @@
 INTAKE_WAIT_S = 2.0
 WORKERS_WAIT_S = 2.0
 
+OnReply = Callable[[node_links.Message | None], None]
+
 _log = structlog.get_logger()
 
 
@@ -123,9 +125,8 @@
         self._store_ms = 0.0
         self._store_read_s = timers.read_clock()
         self._pending: dict[str, int] = {}
-        self._question_ids = itertools.count(1)
-        self._questions: dict[int, intakes.OnTold] = {}
-        self._relayed: dict[int, ports.OnCommit] = {}
+        self._request_ids = itertools.count(1)
+        self._requests: dict[int, OnReply] = {}
         self._followers: dict[str, float] = {}
         self._dispatcher: dispatchers.Dispatcher | None = None
         self._ledger: ledgers.Ledger | None = None
@@ -410,14 +411,10 @@
             self._answer(message)
         elif kind == "write":
             self._write_for(message)
-        elif kind == "written":
-            take_commit = self._relayed.pop(int(message["id"]), None)
-            if take_commit is not None:
-                take_commit(_decode_written(message))
-        elif kind == "told":
-            take = self._questions.pop(int(message["id"]), None)
+        elif kind in ("told", "written"):
+            take = self._requests.pop(int(message["id"]), None)
             if take is not None:
-                take(intakes.Ask(str(message["state"]), str(message["team"])))
+                take(message)
 
     def _take_hello(self, link: str) -> None:
         if self._dispatcher is None:
@@ -438,56 +435,74 @@
             "value": value
         })
 
+    def _request(self, message: node_links.Message, timeout_s: float,
+                 take: OnReply) -> bool:
+        """Sends a request to the leader.
+
+        Args:
+            message: The request, without its number and the sender's link.
+            timeout_s: Longest wait for the reply, in seconds.
+            take: Gets the reply, or None if there is none in time.
+
+        Returns:
+            False if the link is down; nothing is called then.
+        """
+        number = next(self._request_ids)
+        link = self._leadership.leader.link
+        if not self._links.send(link, message | {
+                "id": number,
+                "link": self._link
+        }):
+            return False
+        self._requests[number] = take
+
+        def give_up() -> None:
+            late = self._requests.pop(number, None)
+            if late is not None:
+                late(None)
+
+        self._timers.call_later(timeout_s, give_up)
+        return True
+
     def _ask_leader(self, job_id: str, take: intakes.OnTold) -> None:
         if self._dispatcher is not None:
             take(self._tell(job_id))
             return
-        number = next(self._question_ids)
-        sent = self._links.send(self._leadership.leader.link, {
-            "type": "ask",
-            "id": number,
-            "job": job_id,
-            "link": self._link
-        })
-        if not sent:
-            take(None)
-            return
-        self._questions[number] = take
 
-        def give_up() -> None:
-            late = self._questions.pop(number, None)
-            if late is not None:
-                late(None)
+        def take_reply(reply: node_links.Message | None) -> None:
+            if reply is None:
+                take(None)
+            else:
+                take(intakes.Ask(str(reply["state"]), str(reply["team"])))
 
-        self._timers.call_later(ASK_TIMEOUT_S, give_up)
+        if not self._request({
+                "type": "ask",
+                "job": job_id
+        }, ASK_TIMEOUT_S, take_reply):
+            take(None)
 
     def _relay(self, row: writes.Row, on_done: ports.OnCommit) -> None:
         """Has the leader write a row that this node could not write."""
         if not self._leadership.is_leader_in_touch():
             on_done(ports.StoreFailed("no leader in touch", maybe=False))
             return
-        number = next(self._question_ids)
-        sent = self._links.send(
-            self._leadership.leader.link, {
-                "type": "write",
-                "id": number,
-                "table": row.name[0],
-                "key": row.name[1],
-                "value": row.value,
-                "only_new": row.only_new,
-                "link": self._link
-            })
-        if not sent:
-            on_done(ports.StoreFailed("no link to the leader", maybe=False))
-            return
-        self._relayed[number] = on_done
 
-        def give_up() -> None:
-            late = self._relayed.pop(number, None)
-            if late is not None:
-                late(ports.StoreFailed("no answer of the leader", maybe=True))
-
-        self._timers.call_later(RELAY_TIMEOUT_S, give_up)
+        def take_reply(reply: node_links.Message | None) -> None:
+            if reply is None:
+                on_done(ports.StoreFailed("no answer of the leader",
+                                          maybe=True))
+            else:
+                on_done(_decode_written(reply))
+
+        message: node_links.Message = {
+            "type": "write",
+            "table": row.name[0],
+            "key": row.name[1],
+            "value": row.value,
+            "only_new": row.only_new
+        }
+        if not self._request(message, RELAY_TIMEOUT_S, take_reply):
+            on_done(ports.StoreFailed("no link to the leader", maybe=False))
 
     def _write_for(self, message: node_links.Message) -> None:
         """Writes a row for a node that cannot reach the store."""
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -13,11 +13,10 @@
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import progress
 from trefoilroad_jobs import units
+from trefoilroad_jobs import workload
 
 Phase = progress.Phase
 
-# Priority of the jobs that a team's guarantee covers.
-GUARANTEED_PRIORITY = 0
 # A retry waits at most this long for workers on which nothing has failed; a job
 # may not stand still for 3 s beside idle workers.
 CAREFUL_S = 1.5
@@ -62,7 +61,7 @@
     def note_job(self, job: progress.Job) -> None:
         """Takes a job that was accepted, to foresee urgent work."""
         accepted = job.workload
-        if accepted.priority != GUARANTEED_PRIORITY:
+        if accepted.priority != workload.URGENT_PRIORITY:
             return
         self._headrooms[accepted.service].note_arrival(
             job.accepted_s,
@@ -114,7 +113,7 @@
                 unit = self._build_unit(view, job, occurrence, number)
                 if unit is None:
                     continue
-                if unit.priority == GUARANTEED_PRIORITY:
+                if unit.priority == workload.URGENT_PRIORITY:
                     unit = _claim_guarantee(view, unit, used)
                 found.append(unit)
         return found
@@ -123,7 +122,7 @@
         """Returns the accelerators that urgent jobs of each team use."""
         used: dict[str, int] = collections.Counter()
         for job in view.jobs.values():
-            if self._find_priority(view, job) != GUARANTEED_PRIORITY:
+            if self._find_priority(view, job) != workload.URGENT_PRIORITY:
                 continue
             for claim in job.list_claims():
                 step = job.workload.steps[claim.key.step]
@@ -254,8 +253,8 @@
                     ending.append((claim.worker_id, claim.demand))
                     continue
                 job = view.jobs.get(claim.key.job_id)
-                if (job is None or
-                        self._find_priority(view, job) == GUARANTEED_PRIORITY or
+                if (job is None or self._find_priority(
+                        view, job) == workload.URGENT_PRIORITY or
                         claim.phase is not Phase.RUNNING):
                     continue
                 step = job.workload.steps[claim.key.step]
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -35,8 +35,6 @@
 # comes in whole percents, workers may be several times slow, and declarations
 # are off by a factor of two.
 STALL_SHARE = 0.15
-# Priority of work whose progress is watched more closely.
-URGENT_PRIORITY = 0
 DONE_PERCENT = 100
 # Progress below this is too coarse to extrapolate from, in percent.
 MIN_PERCENT = 5
@@ -344,7 +342,9 @@
         """Returns how long a worker may wait for an end before it reports."""
         for claim in member.claims.values():
             job = self._find_job(claim.key.job_id)
-            if job is not None and job.workload.priority == URGENT_PRIORITY:
+            if job is None:
+                continue
+            if job.workload.priority == workload.URGENT_PRIORITY:
                 return self._bounds.urgent_report_wait_ms
         return self._bounds.report_wait_ms
 
--- a/packages/jobs/src/trefoilroad_jobs/workload.py
+++ b/packages/jobs/src/trefoilroad_jobs/workload.py
@@ -8,6 +8,8 @@
 # Largest number of tasks of all steps of one occurrence.
 MAX_TASKS = 10_000
 MAX_STEPS = 100
+# Priority of the jobs that a team's guarantee covers.
+URGENT_PRIORITY = 0
 
 
 class Demand(NamedTuple):
