Plan rounds of a full fleet without a search of each worker

Cause: on the large site each round built a victim of every running task, summed the claims of every worker and tried each waiting unit on each of 270 workers, although a full fleet has room for none; the leader spent most of its processor there. Change: what a worker's claims occupy is kept up to date; a unit that the free accelerators cannot hold is not tried; running tasks are listed only when some unit needs room; racks are searched in the order of the least they can lose, until no other can lose less.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -475,7 +475,7 @@
                 checkpoint=checkpoint or
                 (step.checkpoints.get(index, "") if not unit.step.gang else ""))
             step.claims[index] = claim
-            tracked.claims[claim.key] = claim
+            tracked.add_claim(claim)
             claims.append(claim)
         if job.state is progress.JobState.QUEUED:
             job.state = progress.JobState.RUNNING
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -4,7 +4,9 @@
 
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
+from trefoilroad_jobs import workload
 
+NO_DEMAND = workload.Demand(0, 0, 0)
 # How long a worker on which runs fail gets no new runs. The users' workers that
 # fail all runs do so for about six seconds.
 SUSPICION_S = 5.0
@@ -78,7 +80,9 @@
     Attributes:
         worker: The worker as it registered itself.
         registered: Whether its registration exists.
-        claims: Runs that may be alive there, by task.
+        claims: Runs that may be alive there, by task; changed only by
+            `add_claim` and `remove_claim`.
+        occupied: Resources that these runs use.
         boot_ms: Process start of the worker that answered last, in Unix
             milliseconds; 0 before the first answer.
         contacted: Whether it has answered this leader since that start.
@@ -107,6 +111,7 @@
         self.worker = worker
         self.registered = True
         self.claims: dict[progress.TaskKey, progress.Claim] = {}
+        self.occupied = NO_DEMAND
         self.boot_ms = 0
         self.contacted = False
         self.maybe_restarted = True
@@ -123,6 +128,18 @@
         self.failures: list[tuple[str, float]] = []
         self.reply_time = ReplyTime()
 
+    def add_claim(self, claim: progress.Claim) -> None:
+        """Adds a run; it replaces an earlier one of the same task."""
+        self.remove_claim(self.claims.get(claim.key))
+        self.claims[claim.key] = claim
+        self.occupied = self.occupied.plus(claim.demand)
+
+    def remove_claim(self, claim: progress.Claim | None) -> None:
+        """Removes a run, unless another one of its task has replaced it."""
+        if claim is not None and self.claims.get(claim.key) is claim:
+            del self.claims[claim.key]
+            self.occupied = self.occupied.minus(claim.demand)
+
     def update_clock(self, clock_ms: float, now_s: float,
                      max_lease_s: float) -> None:
         """Records a reading of the worker's clock.
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -4,7 +4,9 @@
 the holds and gang reservations of earlier rounds.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
+import functools
 from typing import NamedTuple
 
 from trefoilroad_jobs import gang_reservations
@@ -54,8 +56,7 @@
     def plan(self,
              ready: Sequence[units.Unit],
              candidates: Sequence[placement.Candidate],
-             ending: Sequence[units.TaskDemand],
-             victims: Sequence[units.Victim],
+             list_running: Callable[[], reclaim.RunningTasks],
              now_s: float,
              headroom_accelerators: float = 0.0) -> units.Plan:
         """Plans a round for one service.
@@ -64,8 +65,9 @@
             ready: Units that may start.
             candidates: Workers that may be used; their free resources are
                 reduced by what the plan uses.
-            ending: Tasks that are already being stopped.
-            victims: Running tasks that may be preempted.
+            list_running: Returns the tasks that are being stopped and those
+                that may be preempted. Called only if some unit needs room, as
+                most rounds of a large fleet place everything or nothing.
             now_s: Current time in seconds.
             headroom_accelerators: Number of accelerators to keep for urgent
                 work.
@@ -78,11 +80,10 @@
             candidates, headroom_accelerators)
         self._drop_stale_holds(ready, by_id, now_s)
         round_state = _RoundState(candidates=by_id,
-                                  running=reclaim.RunningTasks(ending=ending,
-                                                               victims=victims),
+                                  list_running=list_running,
                                   now_s=now_s)
         for unit in sorted(ready, key=lambda unit: self._rank(unit, now_s)):
-            workers = self._place(unit, by_id)
+            workers = self._place(unit, round_state)
             if workers:
                 round_state.plan.starts.append(units.Start(
                     unit, tuple(workers)))
@@ -117,20 +118,22 @@
                     any(worker not in candidates for worker in hold.workers)):
                 del self._holds[key]
 
-    def _place(self, unit: units.Unit,
-               candidates: dict[str, placement.Candidate]) -> list[str]:
+    def _place(self, unit: units.Unit, round_state: "_RoundState") -> list[str]:
         """Places a unit, only on the workers held for it if there are any.
 
         Returns:
             The worker of each placed task; empty if the unit does not fit.
         """
         request = units.build_placement_request(unit)
+        if not round_state.may_fit(request):
+            return []
         hold = self._holds.get(unit.key)
         if hold is None:
             return self._place_anywhere(unit, request,
-                                        list(candidates.values()))
+                                        list(round_state.candidates.values()))
         held_candidates = [
-            candidates[worker] for worker in sorted(set(hold.workers))
+            round_state.candidates[worker]
+            for worker in sorted(set(hold.workers))
         ]
         placed = placement.place(request, held_candidates, spread=True)
         return placed if len(placed) == request.tasks else []
@@ -186,7 +189,6 @@
 
     Attributes:
         candidates: Workers that may be used, with what is still free, by id.
-        running: Tasks that are being stopped or may be preempted.
         now_s: Current time in seconds.
         plan: Decisions so far.
         considered_units: Units without a guarantee for which preemption or
@@ -194,12 +196,38 @@
     """
 
     def __init__(self, *, candidates: dict[str, placement.Candidate],
-                 running: reclaim.RunningTasks, now_s: float):
+                 list_running: Callable[[],
+                                        reclaim.RunningTasks], now_s: float):
         self.candidates = candidates
-        self.running = running
+        self._list_running = list_running
         self.now_s = now_s
         self.plan = units.Plan([], [])
         self.considered_units = 0
+        self._task_limits: dict[int, int] = {}
+
+    def may_fit(self, request: placement.PlacementRequest) -> bool:
+        """Returns whether the free accelerators could hold a request.
+
+        In a full fleet most waiting units fail here, without a look at each
+        worker. Free resources only shrink in a round, so the number of tasks
+        that fitted at its start remains an upper limit.
+        """
+        accelerators = request.step.demand.accelerators
+        if not accelerators:
+            return True
+        limit = self._task_limits.get(accelerators)
+        if limit is None:
+            limit = sum([
+                max(0, candidate.room.accelerators) // accelerators
+                for candidate in self.candidates.values()
+            ])
+            self._task_limits[accelerators] = limit
+        return limit >= (request.tasks if request.all_or_nothing else 1)
+
+    @functools.cached_property
+    def running(self) -> reclaim.RunningTasks:
+        """Tasks that are being stopped or may be preempted."""
+        return self._list_running()
 
     def may_preempt(self, unit: units.Unit) -> bool:
         """Returns whether preemption may be considered for a unit.
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -28,6 +28,23 @@
     workers: list[str]
 
 
+class Offer(NamedTuple):
+    """What the stop of a victim would free on one worker.
+
+    Attributes:
+        victim: The victim.
+        demand: Resources that it frees on this worker.
+        weighted_loss: Core-seconds that the stop loses, weighted by priority.
+        unit_loss: Weighted loss for each accelerator that the stop frees on all
+            workers together.
+    """
+
+    victim: units.Victim
+    demand: workload.Demand
+    weighted_loss: float
+    unit_loss: float
+
+
 class RunningTasks:
     """Tasks that are ending and tasks that may be preempted, by worker."""
 
@@ -40,13 +57,16 @@
             victims: Tasks that may be preempted.
         """
         self._ending: dict[str, workload.Demand] = {}
-        self._victims: dict[str, list[units.Victim]] = (
-            collections.defaultdict(list))
+        self._offers: dict[str, list[Offer]] = (collections.defaultdict(list))
+        self._sorted_workers: set[str] = set()
         for worker_id, demand in ending:
             self._add_ending(worker_id, demand)
-        for victim in sorted(victims, key=_compute_loss_per_accelerator):
-            for worker_id in _list_workers(victim):
-                self._victims[worker_id].append(victim)
+        for victim in victims:
+            weighted_loss = _compute_weighted_loss(victim)
+            unit_loss = weighted_loss / max(1, victim.accelerators)
+            for worker_id, demand in _sum_by_worker(victim).items():
+                self._offers[worker_id].append(
+                    Offer(victim, demand, weighted_loss, unit_loss))
 
     def _add_ending(self, worker_id: str, demand: workload.Demand) -> None:
         previous = self._ending.get(worker_id, NO_DEMAND)
@@ -56,20 +76,74 @@
         """Returns the resources that the ending tasks of a worker release."""
         return self._ending.get(worker_id, NO_DEMAND)
 
-    def list_victims(self, worker_id: str) -> Sequence[units.Victim]:
+    def list_offers(self, worker_id: str) -> Sequence[Offer]:
         """Returns the possible victims on a worker, in order of their loss.
 
         The smallest loss for each freed accelerator comes first.
         """
-        return self._victims.get(worker_id, ())
+        offers = self._offers.get(worker_id)
+        if offers is None:
+            return ()
+        if worker_id not in self._sorted_workers:
+            # Sorted on demand: a round asks for the victims of few workers.
+            offers.sort(key=lambda offer: offer.unit_loss)
+            self._sorted_workers.add(worker_id)
+        return offers
 
     def mark_stopping(self, victims: Iterable[units.Victim]) -> None:
         """Moves victims to the tasks that are ending."""
         for victim in victims:
-            for worker_id, demand in victim.tasks:
+            for worker_id, demand in _sum_by_worker(victim).items():
                 self._add_ending(worker_id, demand)
-            for worker_id in _list_workers(victim):
-                self._victims[worker_id].remove(victim)
+                self._offers[worker_id] = [
+                    offer for offer in self._offers[worker_id]
+                    if offer.victim is not victim
+                ]
+
+
+class _Supply(NamedTuple):
+    """Accelerators that a group of workers could give to a unit.
+
+    Attributes:
+        released: Accelerators that are free or that ending tasks release.
+        preemptible: Accelerators that the possible victims release.
+        least_loss: Smallest weighted loss for each accelerator of a victim.
+    """
+
+    released: int
+    preemptible: int
+    least_loss: float
+
+    def estimate_cost(self, accelerators: int) -> float:
+        """Returns a lower bound of the loss that frees enough accelerators.
+
+        Returns:
+            The bound; infinite if the group can never free them.
+        """
+        missing = accelerators - self.released
+        if missing <= 0:
+            return 0.0
+        if missing > self.preemptible:
+            return float("inf")
+        return missing * self.least_loss
+
+
+def _sum_supply(candidates: Sequence[placement.Candidate],
+                running: RunningTasks, priority: int) -> _Supply:
+    """Sums what workers could give to a unit of a priority."""
+    released, preemptible, least_loss = 0, 0, float("inf")
+    for candidate in candidates:
+        worker_id = candidate.worker_id
+        # A worker that holds more than it reports gives nothing, and its
+        # deficit must not count against the other workers.
+        released += max(
+            0, candidate.room.accelerators +
+            running.get_ending_demand(worker_id).accelerators)
+        for offer in running.list_offers(worker_id):
+            if offer.victim.priority > priority:
+                preemptible += offer.demand.accelerators
+                least_loss = min(least_loss, offer.unit_loss)
+    return _Supply(released, preemptible, least_loss)
 
 
 class _TaskOption(NamedTuple):
@@ -84,14 +158,14 @@
         worker_id: The worker.
         version: Version of the worker's state that the option was built for;
             an option of an older version is discarded.
-        victims: Tasks that have to be stopped.
+        offers: Victims that have to be stopped.
     """
 
     cost: float
     free: int
     worker_id: str
     version: int
-    victims: list[units.Victim]
+    offers: list[Offer]
 
 
 class _GroupPlacement:
@@ -111,6 +185,7 @@
         self.cost = 0.0
         self.workers: list[str] = []
         self.victims: list[units.Victim] = []
+        self._victim_ids: set[int] = set()
         self._request = request
         self._running = running
         self._priority = priority
@@ -152,9 +227,10 @@
         self.workers.append(option.worker_id)
         self._counts[option.worker_id] += 1
         changed = {option.worker_id}
-        for victim in option.victims:
-            self.victims.append(victim)
-            for worker_id, demand in victim.tasks:
+        for offer in option.offers:
+            self.victims.append(offer.victim)
+            self._victim_ids.add(id(offer.victim))
+            for worker_id, demand in offer.victim.tasks:
                 if worker_id in self._rooms:
                     self._rooms[worker_id] = self._rooms[worker_id].plus(demand)
                     changed.add(worker_id)
@@ -175,21 +251,20 @@
         if (step.max_per_worker and
                 self._counts[worker_id] >= step.max_per_worker):
             return
-        victims = self._choose_victims(worker_id)
-        if victims is None:
+        offers = self._choose_offers(worker_id)
+        if offers is None:
             return
         room = self._rooms[worker_id]
         free = room.accelerators - step.occupied.accelerators
         heapq.heappush(
             self._options,
-            _TaskOption(cost=sum(
-                _compute_weighted_loss(victim) for victim in victims),
+            _TaskOption(cost=sum(offer.weighted_loss for offer in offers),
                         free=free,
                         worker_id=worker_id,
                         version=self._versions[worker_id],
-                        victims=victims))
+                        offers=offers))
 
-    def _choose_victims(self, worker_id: str) -> list[units.Victim] | None:
+    def _choose_offers(self, worker_id: str) -> list[Offer] | None:
         """Returns the victims for one more task on a worker.
 
         Returns:
@@ -198,29 +273,26 @@
         """
         demand = self._request.step.occupied
         room = self._rooms[worker_id]
-        chosen: list[tuple[units.Victim, workload.Demand]] = []
+        chosen: list[Offer] = []
         if demand.fits(room):
             return []
-        for victim in self._running.list_victims(worker_id):
-            if victim.priority <= self._priority or victim in self.victims:
+        for offer in self._running.list_offers(worker_id):
+            if (offer.victim.priority <= self._priority or
+                    id(offer.victim) in self._victim_ids):
                 continue
-            freed = _sum_demand_on_worker(victim, worker_id)
-            room = room.plus(freed)
-            chosen.append((victim, freed))
+            room = room.plus(offer.demand)
+            chosen.append(offer)
             if demand.fits(room):
                 break
         else:
             return None
         # The last victim may free enough to spare some of those before it.
-        for victim_and_freed in sorted(
-                chosen,
-                key=lambda victim_and_freed: -_compute_weighted_loss(
-                    victim_and_freed[0])):
-            reduced_room = room.minus(victim_and_freed[1])
+        for offer in sorted(chosen, key=lambda offer: -offer.weighted_loss):
+            reduced_room = room.minus(offer.demand)
             if demand.fits(reduced_room):
                 room = reduced_room
-                chosen.remove(victim_and_freed)
-        return [victim for victim, _ in chosen]
+                chosen = [other for other in chosen if other is not offer]
+        return chosen
 
 
 def choose_preemption(unit: units.Unit,
@@ -240,8 +312,18 @@
         The preemption, or None if no preemption makes enough room.
     """
     request = units.build_placement_request(unit)
+    accelerators = request.step.occupied.accelerators * request.tasks
+    groups = [
+        (_sum_supply(group_candidates, running,
+                     unit.priority).estimate_cost(accelerators),
+         group_candidates)
+        for group_candidates in _list_candidate_groups(request, candidates)
+    ]
     best: _GroupPlacement | None = None
-    for group_candidates in _list_candidate_groups(request, candidates):
+    for cost, group_candidates in sorted(groups, key=lambda group: group[0]):
+        if cost >= (best.cost if best else float("inf")):
+            # Neither this group nor any further one can lose less.
+            break
         group = _GroupPlacement(request=request,
                                 candidates=group_candidates,
                                 running=running,
@@ -303,21 +385,10 @@
     return victim.lost_core_s * units.WORTH_BY_PRIORITY[level]
 
 
-def _compute_loss_per_accelerator(victim: units.Victim) -> float:
-    """Returns the weighted loss for each accelerator that a stop frees."""
-    return _compute_weighted_loss(victim) / max(1, victim.accelerators)
-
-
-def _list_workers(victim: units.Victim) -> list[str]:
-    """Returns the distinct workers of a victim."""
-    return list(dict.fromkeys(worker_id for worker_id, _ in victim.tasks))
-
-
-def _sum_demand_on_worker(victim: units.Victim,
-                          worker_id: str) -> workload.Demand:
-    """Returns the resources that a victim's end frees on one worker."""
-    freed = NO_DEMAND
-    for name, demand in victim.tasks:
-        if name == worker_id:
-            freed = freed.plus(demand)
+def _sum_by_worker(victim: units.Victim) -> dict[str, workload.Demand]:
+    """Returns the resources that a victim's end frees, by worker."""
+    freed: dict[str, workload.Demand] = {}
+    for worker_id, demand in victim.tasks:
+        earlier = freed.get(worker_id)
+        freed[worker_id] = demand if earlier is None else earlier.plus(demand)
     return freed
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Mapping
+import functools
 from typing import NamedTuple
 
 from trefoilroad_jobs import configuration as configurations
@@ -16,6 +17,7 @@
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import progress
+from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import units
 from trefoilroad_jobs import workload
 
@@ -88,14 +90,12 @@
         combined_plan = units.Plan([], [])
         for service, service_units in ready.items():
             candidates = self._build_candidates(inputs, service)
-            ending, victims = self._collect_running(inputs, service)
             headroom_accelerators = self._headroom_estimators[service].estimate(
                 inputs.now_s)
             plan = self._planner.plan(
                 service_units,
                 candidates,
-                ending,
-                victims,
+                functools.partial(self._collect_running, inputs, service),
                 inputs.now_s,
                 headroom_accelerators=headroom_accelerators)
             combined_plan.starts.extend(plan.starts)
@@ -238,61 +238,60 @@
                     worker.worker_id in inputs.quarantined or
                     worker.worker_id in suspected):
                 continue
-            room = worker.capacity
-            for claim in tracked.claims.values():
-                room = room.minus(claim.demand)
             candidates.append(
                 placement.Candidate(worker_id=worker.worker_id,
                                     rack=worker.rack,
                                     labels=worker.labels,
-                                    room=room,
+                                    room=worker.capacity.minus(
+                                        tracked.occupied),
                                     capacity=worker.capacity,
                                     failing=tracked.has_failed(inputs.now_s)))
         return candidates
 
     # Possible victims.
 
-    def _collect_running(
-            self, inputs: RoundInput,
-            service: str) -> tuple[list[units.TaskDemand], list[units.Victim]]:
+    def _collect_running(self, inputs: RoundInput,
+                         service: str) -> reclaim.RunningTasks:
         """Returns the tasks that are being stopped and the possible victims."""
-        ending: list[units.TaskDemand] = []
+        ending = [(claim.worker_id, claim.demand)
+                  for tracked in inputs.fleet.list_tracked_workers(service)
+                  for claim in tracked.claims.values()
+                  if claim.phase is Phase.STOPPING]
         victims: list[units.Victim] = []
-        gangs: dict[tuple[str, int, int],
-                    list[progress.Claim]] = (collections.defaultdict(list))
-        for tracked in inputs.fleet.list_tracked_workers(service):
-            for claim in tracked.claims.values():
-                if claim.phase is Phase.STOPPING:
-                    ending.append((claim.worker_id, claim.demand))
-                    continue
-                job = inputs.jobs.get(claim.key.job_id)
-                if (job is None or self._find_priority(
-                        inputs, job) == workload.URGENT_PRIORITY or
-                        claim.phase is not Phase.RUNNING):
+        for job in inputs.jobs.values():
+            queue = inputs.queues.get(job.workload.queue)
+            priority = self._find_priority(inputs, job)
+            job_service = (job.workload.service
+                           if queue is None else queue.service)
+            if priority == workload.URGENT_PRIORITY or job_service != service:
+                continue
+            for (_, number), state in job.steps.items():
+                claims = [
+                    claim for claim in state.claims.values()
+                    if claim.phase is Phase.RUNNING
+                ]
+                step = job.workload.steps[number]
+                if not claims or step.long_running:
                     continue
-                step = job.workload.steps[claim.key.step]
-                if step.gang:
-                    gangs[claim.key[:3]].append(claim)
-                elif not step.long_running:
-                    victims.append(self._build_victim(inputs, job, [claim]))
-        for (job_id, _, _), claims in gangs.items():
-            victims.append(
-                self._build_victim(inputs, inputs.jobs[job_id], claims))
-        return ending, victims
-
-    def _build_victim(self, inputs: RoundInput, job: progress.Job,
+                density = self._compute_density(inputs, job)
+                groups = [claims] if step.gang else [[claim] for claim in claims
+                                                    ]
+                victims.extend(
+                    self._build_victim(inputs, step, priority, density, group)
+                    for group in groups)
+        return reclaim.RunningTasks(ending=ending, victims=victims)
+
+    def _build_victim(self, inputs: RoundInput, step: workload.Step,
+                      priority: int, density: float,
                       claims: list[progress.Claim]) -> units.Victim:
-        step = job.workload.steps[claims[0].key.step]
-        lost_core_s = sum(
+        lost_core_s = sum([
             units.compute_lost_core_s(step, inputs.now_s - claim.started_s,
                                       self._bounds.checkpoint_interval_s)
-            for claim in claims)
-        return units.Victim(tasks=tuple(
-            (claim.worker_id, claim.demand) for claim in claims),
-                            lost_core_s=lost_core_s,
-                            priority=self._find_priority(inputs, job),
-                            handle=claims,
-                            density=self._compute_density(inputs, job))
+            for claim in claims
+        ])
+        return units.Victim(
+            tuple([(claim.worker_id, claim.demand) for claim in claims]),
+            lost_core_s, priority, claims, density)
 
     def _compute_density(self, inputs: RoundInput, job: progress.Job) -> float:
         """Returns the worth of a job for each core-second of it."""
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -155,7 +155,7 @@
             tracked.registered = False
             tracked.silent_since_s = self._timers.read_clock()
             self._fleet.tracked_workers[claim.worker_id] = tracked
-        tracked.claims[claim.key] = claim
+        tracked.add_claim(claim)
         self._keys_by_name[self._workers.format_name(claim.key)] = claim.key
         if stop:
             claim.why = "its job has ended"
@@ -335,8 +335,7 @@
                  why: str) -> None:
         """Removes the claim of a run that has provably ended and reports it."""
         tracked = self._fleet.tracked_workers[claim.worker_id]
-        if tracked.claims.get(claim.key) is claim:
-            del tracked.claims[claim.key]
+        tracked.remove_claim(claim)
         self._on_end(claim, end_state, why)
 
     # Reports.
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -3,6 +3,7 @@
 from trefoilroad_jobs import ordering
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
+from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import units
 from trefoilroad_jobs import workload
 
@@ -58,7 +59,9 @@
           round_planner=None):
     round_planner = round_planner or planner.Planner(
         order=ordering.WorthDensityOrder())
-    return round_planner.plan(units, candidates, ending, victims, now_s)
+    return round_planner.plan(
+        units, candidates,
+        lambda: reclaim.RunningTasks(ending=ending, victims=victims), now_s)
 
 
 def test_gang_is_placed_whole_or_not_at_all():
@@ -259,10 +262,12 @@
                  indexes=(0, 1, 2, 3),
                  priority=2)
     urgent = _gang("a", 2, one_rack=True, priority=0)
-    plan = round_planner.plan([bulk, urgent],
-                              _candidates(), (), (),
-                              0.0,
-                              headroom_accelerators=16.0)
+    plan = round_planner.plan(
+        [bulk, urgent],
+        _candidates(),
+        lambda: reclaim.RunningTasks(ending=(), victims=()),
+        0.0,
+        headroom_accelerators=16.0)
     placed = {start.unit.job_id: set(start.workers) for start in plan.starts}
     assert placed == {"a": {"w0", "w1"}, "b": {"w2", "w3"}}
 
@@ -271,8 +276,42 @@
     """Guards against urgent units that wait although workers are free."""
     round_planner = planner.Planner(order=ordering.WorthDensityOrder())
     urgent = _gang("a", 3, priority=0)
-    plan = round_planner.plan([urgent],
-                              _candidates(), (), (),
-                              0.0,
-                              headroom_accelerators=16.0)
+    plan = round_planner.plan(
+        [urgent],
+        _candidates(),
+        lambda: reclaim.RunningTasks(ending=(), victims=()),
+        0.0,
+        headroom_accelerators=16.0)
+    assert len(plan.starts) == 1
+
+
+def _fail_to_list():
+    raise AssertionError("the running tasks are not needed")
+
+
+def test_running_tasks_are_listed_only_if_a_unit_needs_room():
+    """Guards against rounds that look at each run of a large fleet."""
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    plan = round_planner.plan([_gang("a", 2, priority=0)], _candidates(),
+                              _fail_to_list, 0.0)
+    assert len(plan.starts) == 1
+
+
+def test_unit_is_not_tried_on_each_worker_of_a_full_fleet(monkeypatch):
+    """Guards against a search of all workers for each of many waiting units."""
+    tried = []
+    monkeypatch.setattr(placement, "place",
+                        lambda request, *_, **__: tried.append(request))
+    waiting = [
+        _gang(f"{number}", 2, priority=2, demand=ONE) for number in range(20)
+    ]
+    plan = _plan(waiting, _candidates(used=8))
+    assert not plan.starts
+    assert not tried
+
+
+def test_unit_without_accelerators_is_placed_in_a_full_fleet():
+    """Guards against work that waits for accelerators that it does not use."""
+    demand = workload.Demand(1000, 1000, 0)
+    plan = _plan([_gang("a", 2, demand=demand)], _candidates(used=8))
     assert len(plan.starts) == 1
--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -173,7 +173,23 @@
                                     initial_jobs=27,
                                     tasks=(30.0, 180),
                                     run_s=(6.1, 0.3, 11.0)))
+# A load of 270 workers with many teams and wide gangs in racks of 8.
+LARGE_SITE_KINDS = (DETECT._replace(rate_per_s=1.37,
+                                    initial_jobs=27,
+                                    tasks=(13.0, 76),
+                                    run_s=(11.0, 0.3, 11.0)),
+                    RENDER._replace(rate_per_s=8.6, tasks=(5.3, 32)),
+                    INDEX._replace(rate_per_s=1.69,
+                                   initial_jobs=31,
+                                   tasks=(38.0, 230),
+                                   run_s=(7.6, 0.3, 11.0)))
 PATTERNS = {
+    "large":
+        LoadPattern(LARGE_SITE_KINDS,
+                    (Burst(1, 0.8, 6.0, 1.9), Burst(2, 2.3, 5.4, 2.1)),
+                    1.1,
+                    worker_count=270,
+                    team_count=24),
     "grown":
         LoadPattern(LARGE_FLEET_KINDS,
                     (Burst(1, 4.0, 6.0, 2.0), Burst(
