Plan fewer rounds at the leader of a large fleet

Cause: each of 270 workers rewrites its registration every second or two, and each rewrite led to a round; with a round of some milliseconds the leader planned all the time, while reports and commands waited behind its rounds. Change: only a registration that differs leads to a round, and only the rewritten rows are decoded; a list without changes still counts as current. A round starts so late after the last one that rounds take at most two fifths of the leader's time.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -27,6 +27,9 @@
 TICK_INTERVAL_S = 0.1
 # Delay of a round after an event, so that one round serves several events.
 ROUND_DELAY_S = 0.004
+# Largest share of the leader's time that rounds may take: it must also read
+# reports and send commands, and a round that starts later sees more of them.
+MAX_ROUND_SHARE = 0.4
 # Longest time between two rounds: work can become ready without any event.
 ROUND_INTERVAL_S = 0.5
 CLEANUP_INTERVAL_S = 10.0
@@ -102,6 +105,7 @@
             on_newer_leader=on_newer_leader)
         self._round_planned = False
         self._last_round_s = float("-inf")
+        self._round_duration_s = 0.0
         self._timer_handles = [
             timers.call_every(TICK_INTERVAL_S, self._tick),
             timers.call_every(CLEANUP_INTERVAL_S, self._remove_expired_jobs),
@@ -212,6 +216,10 @@
         self._runs.update_workers(workers)
         self._request_round()
 
+    def confirm_workers(self) -> None:
+        """Records that the list of registered workers is still current."""
+        self._runs.confirm_list()
+
     def update_configuration(
             self, configuration: configurations.Configuration) -> None:
         """Replaces the configuration in force."""
@@ -417,7 +425,11 @@
     def _request_round(self) -> None:
         if not self._round_planned and not self._closed:
             self._round_planned = True
-            self._timers.call_later(ROUND_DELAY_S, self._run_round)
+            next_round_s = (self._last_round_s +
+                            self._round_duration_s / MAX_ROUND_SHARE)
+            self._timers.call_later(
+                max(ROUND_DELAY_S, next_round_s - self._timers.read_clock()),
+                self._run_round)
 
     def _tick(self) -> None:
         now_s = self._timers.read_clock()
@@ -447,7 +459,8 @@
             self._start_unit(start, started_s)
         for victim in plan.stops:
             self._preempt(victim)
-        self._metrics.time("round", self._timers.read_clock() - started_s)
+        self._round_duration_s = self._timers.read_clock() - started_s
+        self._metrics.time("round", self._round_duration_s)
 
     def _start_unit(self, start: units.Start, now_s: float) -> None:
         unit = start.unit
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -325,21 +325,40 @@
                               on_rows))
 
     def _follow_workers(self, dispatcher: dispatchers.Dispatcher) -> None:
-        content: dict[str, bytes] = {}
+        workers: dict[str, ports.Worker] = {}
 
-        def on_snapshot(rows: ports.Rows) -> None:
-            content.clear()
-            on_change(rows)
+        def decode(row: ports.Row) -> ports.Worker | None:
+            if row.value is None:
+                return None
+            return self._platform_tables.decode_worker(row.key, row.value)
 
-        def on_change(rows: ports.Rows) -> None:
-            watch.merge_rows(content, rows.rows)
-            workers = {}
-            for key, value in content.items():
-                worker = self._platform_tables.decode_worker(key, value)
+        def on_snapshot(rows: ports.Rows) -> None:
+            workers.clear()
+            for row in rows.rows:
+                worker = decode(row)
                 if worker is not None:
-                    workers[key] = worker
+                    workers[row.key] = worker
             dispatcher.update_workers(workers)
 
+        def on_change(rows: ports.Rows) -> None:
+            # Each worker rewrites its row every second or two, mostly without
+            # a change of interest. Only the rewritten rows are decoded, and
+            # only a change leads to a round.
+            changed = False
+            for row in rows.rows:
+                worker = decode(row)
+                if worker == workers.get(row.key):
+                    continue
+                changed = True
+                if worker is None:
+                    del workers[row.key]
+                else:
+                    workers[row.key] = worker
+            if changed:
+                dispatcher.update_workers(workers)
+            else:
+                dispatcher.confirm_workers()
+
         self._leader_watches.append(
             self._start_watch(self._platform_tables.workers_table,
                               WORKERS_WATCH_WAIT_S, on_snapshot, on_change))
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -117,9 +117,13 @@
         self._closed = True
 
     def read_list_age_s(self) -> float:
-        """Returns the seconds since the list of workers was last updated."""
+        """Returns the seconds since the list of workers was last current."""
         return self._timers.read_clock() - self._list_updated_s
 
+    def confirm_list(self) -> None:
+        """Records that the list of workers is current."""
+        self._list_updated_s = self._timers.read_clock()
+
     # Worker registrations.
 
     def update_workers(self, workers: dict[str, ports.Worker]) -> None:
