Take a worker for silent only after two lost replies in a row

Cause: after one lost reply to a start or stop a worker got no new runs until its next answer, and the timeout doubled at once. With half of the commands lost, most workers of the fleet were left out although their reports arrived. Change: the first lost reply only leads to a report request; the second in a row makes the worker silent. The timeout doubles after each second lost reply.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -25,8 +25,13 @@
 REPLY_MEAN_SMOOTHING = 1 / 8
 REPLY_DEVIATION_SMOOTHING = 1 / 4
 REPLY_TIMEOUT_DEVIATIONS = 4
-# Number of lost replies after which the timeout doubles no further.
-MAX_TIMEOUT_DOUBLINGS = 8
+# Lost replies in a row after which the timeout doubles. A single one is more
+# often lost than late.
+LOSSES_PER_DOUBLING = 2
+# Number of lost replies in a row after which the timeout doubles no further.
+MAX_COUNTED_LOSSES = 16
+# Number of lost replies in a row after which a worker counts as silent.
+LOSSES_OF_SILENT_WORKER = 2
 # A clock that is further behind than this belongs to a restarted worker.
 BOOT_CLOCK_SLACK_MS = 200.0
 
@@ -45,9 +50,14 @@
         self._known = False
         self._losses = 0
 
-    def record_loss(self) -> None:
-        """Records that there was no reply within the timeout."""
-        self._losses = min(self._losses + 1, MAX_TIMEOUT_DOUBLINGS)
+    def record_loss(self) -> int:
+        """Records that there was no reply within the timeout.
+
+        Returns:
+            Number of lost replies in a row.
+        """
+        self._losses = min(self._losses + 1, MAX_COUNTED_LOSSES)
+        return self._losses
 
     def record(self, reply_s: float) -> None:
         """Records the reply time of a command, in seconds."""
@@ -71,7 +81,8 @@
         if not self._known:
             return max_s
         timeout_s = self._mean_s + REPLY_TIMEOUT_DEVIATIONS * self._deviation_s
-        return min(max_s, max(min_s, timeout_s) * 2**self._losses)
+        doublings = self._losses // LOSSES_PER_DOUBLING
+        return min(max_s, max(min_s, timeout_s) * 2**doublings)
 
 
 class TrackedWorker:
@@ -165,6 +176,16 @@
         self.clock_s = now_s
         self.silent_since_s = float("inf")
 
+    def record_lost_command(self, now_s: float) -> None:
+        """Records that a start or stop got no reply.
+
+        After a single lost reply the worker still gets new runs: if it has
+        failed, the next reply is lost too.
+        """
+        self.maybe_restarted = True
+        if self.reply_time.record_loss() >= LOSSES_OF_SILENT_WORKER:
+            self.record_silence(now_s)
+
     def record_silence(self, now_s: float) -> None:
         """Records that a call got no answer."""
         self.maybe_restarted = True
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -251,8 +251,7 @@
         elif verdict in REFUSAL_VERDICTS:
             self._handle_refusal(tracked, claim, reply, now_s)
         else:
-            tracked.record_silence(now_s)
-            tracked.reply_time.record_loss()
+            tracked.record_lost_command(now_s)
             if claim.phase is not Phase.STARTING:
                 return
             if now_s - claim.since_s < self._bounds.start_patience_s:
@@ -325,8 +324,7 @@
                 claim.retry_s = float("inf")
             self._poll_now(tracked, now_s)
         elif reply.verdict in (Verdict.LOST, Verdict.NOT_SENT):
-            tracked.record_silence(now_s)
-            tracked.reply_time.record_loss()
+            tracked.record_lost_command(now_s)
             # After a lost reply the stop is repeated at once; a worker that
             # stays silent is called less and less often.
             doublings = min(claim.tries - 2, MAX_STOP_RETRY_DOUBLINGS)
