Wait for the leases that a restarted worker got before it registered

Cause: a worker restarted and a start of this leader reached its new process before the new registration was read. The leader then counted the worker as never contacted, with only the leases of earlier leaders to wait for; the next lost report ended the run in its books, and a second run of the task started beside the first. Change: the leader also remembers when the longest lease that it may have sent has expired, whichever process got it.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -104,6 +104,8 @@
         clock_s: Time of that answer on the leader's clock.
         lease_end_ms: Latest end of a lease that this leader has sent, on the
             worker's clock.
+        sent_leases_end_s: Time at which the leases that this leader has sent
+            have expired, whichever process of the worker got them.
         recorded_end: Highest number of an end that is recorded durably.
         processed_end: Highest number of an end that has been processed.
         silent_since_s: Time since which it has not answered, or infinity.
@@ -129,6 +131,7 @@
         self.clock_ms = 0.0
         self.clock_s = 0.0
         self.lease_end_ms = 0
+        self.sent_leases_end_s = float("-inf")
         self.recorded_end = 0
         self.processed_end = 0
         self.silent_since_s = float("inf")
@@ -192,13 +195,19 @@
         if self.silent_since_s == float("inf"):
             self.silent_since_s = now_s
 
-    def compute_lease_ms(self, lease_s: float, now_s: float) -> int:
+    def compute_lease_ms(self, lease_s: float, now_s: float,
+                         max_lease_s: float) -> int:
         """Returns the end of a new lease on the worker's clock.
 
         Args:
             lease_s: Length of the lease in seconds.
             now_s: Current time on the leader's clock.
+            max_lease_s: Longest lease that a worker accepts, in seconds.
         """
+        # A worker that has restarted takes the end for one on its new clock and
+        # shortens the lease to the longest one.
+        self.sent_leases_end_s = (now_s + max_lease_s / (1 - MAX_CLOCK_DRIFT) +
+                                  LEASE_SLACK_S)
         elapsed_s = now_s - self.clock_s
         until = int(self.clock_ms + (elapsed_s + lease_s) * 1000.0)
         self.lease_end_ms = max(self.lease_end_ms, until)
@@ -215,7 +224,7 @@
                 gave have expired; used if the worker has not answered yet.
         """
         if not self.contacted:
-            return now_s >= prior_leases_end_s
+            return now_s >= max(prior_leases_end_s, self.sent_leases_end_s)
         elapsed_s = max(0.0, now_s - self.clock_s - LEASE_SLACK_S)
         return self.clock_ms + elapsed_s * (1 - MAX_CLOCK_DRIFT) * 1000.0 > (
             self.lease_end_ms)
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -220,8 +220,8 @@
         command = ports.StartCommand(key=claim.key,
                                      run=claim.run,
                                      payload=payload,
-                                     lease_until_ms=tracked.compute_lease_ms(
-                                         self._bounds.lease_s, now_s),
+                                     lease_until_ms=self._compute_lease_ms(
+                                         tracked, now_s),
                                      epoch=self._epoch,
                                      checkpoint=claim.checkpoint)
         self._workers.start(tracked.worker,
@@ -230,6 +230,11 @@
                             on_done=lambda reply: self._handle_start_reply(
                                 claim, payload, now_s, reply))
 
+    def _compute_lease_ms(self, tracked: fleets.TrackedWorker,
+                          now_s: float) -> int:
+        return tracked.compute_lease_ms(self._bounds.lease_s, now_s,
+                                        self._bounds.max_lease_s)
+
     def _compute_timeout_s(self, tracked: fleets.TrackedWorker) -> float:
         return tracked.reply_time.compute_timeout_s(
             self._bounds.min_command_timeout_s,
@@ -367,7 +372,7 @@
         acknowledged_end = 0
         if tracked.contacted and not tracked.maybe_restarted:
             acknowledged_end = tracked.recorded_end
-            lease_ms = tracked.compute_lease_ms(self._bounds.lease_s, now_s)
+            lease_ms = self._compute_lease_ms(tracked, now_s)
             if tracked.processed_end == tracked.recorded_end and tracked.claims:
                 wait_ms = self._find_report_wait_ms(tracked)
             if any(claim.phase is Phase.STOPPING
--- a/packages/jobs/tests/test_fleet.py
+++ b/packages/jobs/tests/test_fleet.py
@@ -77,3 +77,20 @@
     assert tracked.silent_since_s == float("inf")
     tracked.record_lost_command(3.0)
     assert tracked.silent_since_s == 3.0
+
+
+def test_lease_sent_to_a_restarted_worker_is_waited_for():
+    """Guards against a run that starts twice around a restart of its worker.
+
+    A start reached the new process before its registration did. The worker then
+    counted as one that has never been contacted, without a lease of this
+    leader, and its next lost report ended the run in the leader's books.
+    """
+    tracked = fleet.TrackedWorker(worker=WORKER)
+    tracked.record_boot(1)
+    tracked.update_clock(100_000.0, 50.0, max_lease_s=10.0)
+    tracked.compute_lease_ms(6.0, 50.0, max_lease_s=10.0)
+    tracked.contacted = False
+    assert not tracked.is_lease_expired(51.0, prior_leases_end_s=20.0)
+    assert not tracked.is_lease_expired(60.0, prior_leases_end_s=20.0)
+    assert tracked.is_lease_expired(60.5, prior_leases_end_s=20.0)
