Keep holds through a short silence of their workers

Cause: a hold was dropped as soon as one of its workers was no candidate, which a lost reply to a stop is enough for. The next round then stopped tasks on other workers for the same gang, while the first victims were ending. Change: a hold outlives up to 0.6 s of silence and a refusal for lack of room. Once the preempted tasks should have ended, the unit may also use room that has become free elsewhere.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -32,6 +32,8 @@
 MAX_COUNTED_LOSSES = 16
 # Number of lost replies in a row after which a worker counts as silent.
 LOSSES_OF_SILENT_WORKER = 2
+# A worker that has been silent for longer is not expected to answer soon.
+MAX_REST_S = 0.6
 # A clock that is further behind than this belongs to a restarted worker.
 BOOT_CLOCK_SLACK_MS = 200.0
 
@@ -195,6 +197,15 @@
         if self.silent_since_s == float("inf"):
             self.silent_since_s = now_s
 
+    def is_resting(self, now_s: float) -> bool:
+        """Returns whether it gets no runs for a moment only.
+
+        It has refused a run, or its replies have been missing for a short time.
+        """
+        silent_s = now_s - self.silent_since_s
+        return (self.registered and not self.worker.draining and
+                (0.0 <= silent_s < MAX_REST_S or self.paused_until_s > now_s))
+
     def compute_lease_ms(self, lease_s: float, now_s: float,
                          max_lease_s: float) -> int:
         """Returns the end of a new lease on the worker's clock.
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Sequence
 import functools
 from typing import NamedTuple
@@ -16,9 +17,10 @@
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import units
 
-# How long preempted resources are held for the unit; a stop takes at most half
-# a second.
+# How long preempted resources are held for the unit.
 HOLD_S = 1.2
+# Time from a preemption until the tasks have ended, if no reply is lost.
+STOP_S = 0.5
 # Number of units without a guarantee after which a round considers no further
 # preemption. Units with reserved workers count, but are considered in any case.
 MAX_UNGUARANTEED_PREEMPTIONS = 3
@@ -32,10 +34,12 @@
 
     Attributes:
         workers: Worker of each task.
+        overdue_s: When the preempted tasks should have ended.
         until_s: When the hold expires.
     """
 
     workers: tuple[str, ...]
+    overdue_s: float
     until_s: float
 
 
@@ -53,12 +57,15 @@
         self._gang_reservations = gang_reservations.GangReservations()
         self._headroom_workers: frozenset[str] = frozenset()
 
-    def plan(self,
-             ready: Sequence[units.Unit],
-             candidates: Sequence[placement.Candidate],
-             list_running: Callable[[], reclaim.RunningTasks],
-             now_s: float,
-             headroom_accelerators: float = 0.0) -> units.Plan:
+    def plan(
+        self,
+        ready: Sequence[units.Unit],
+        candidates: Sequence[placement.Candidate],
+        list_running: Callable[[], reclaim.RunningTasks],
+        now_s: float,
+        headroom_accelerators: float = 0.0,
+        resting: Container[str] = ()
+    ) -> units.Plan:
         """Plans a round for one service.
 
         Args:
@@ -71,6 +78,8 @@
             now_s: Current time in seconds.
             headroom_accelerators: Number of accelerators to keep for urgent
                 work.
+            resting: Ids of workers that are not candidates now but may soon be
+                again. Holds on them are kept.
 
         Returns:
             The plan.
@@ -78,7 +87,7 @@
         by_id = {candidate.worker_id: candidate for candidate in candidates}
         self._headroom_workers = headroom.choose_workers(
             candidates, headroom_accelerators)
-        self._drop_stale_holds(ready, by_id, now_s)
+        self._drop_stale_holds(ready, by_id, resting, now_s)
         round_state = _RoundState(candidates=by_id,
                                   list_running=list_running,
                                   now_s=now_s)
@@ -109,17 +118,18 @@
 
     def _drop_stale_holds(self, ready: Sequence[units.Unit],
                           candidates: dict[str, placement.Candidate],
-                          now_s: float) -> None:
+                          resting: Container[str], now_s: float) -> None:
         """Drops holds and reservations of units or workers that are gone."""
         waiting = {unit.key for unit in ready}
         self._gang_reservations.retain(waiting)
         for key, hold in list(self._holds.items()):
             if (key not in waiting or hold.until_s <= now_s or
-                    any(worker not in candidates for worker in hold.workers)):
+                    any(worker not in candidates and worker not in resting
+                        for worker in hold.workers)):
                 del self._holds[key]
 
     def _place(self, unit: units.Unit, round_state: "_RoundState") -> list[str]:
-        """Places a unit, only on the workers held for it if there are any.
+        """Places a unit, first on the workers held for it if there are any.
 
         Returns:
             The worker of each placed task; empty if the unit does not fit.
@@ -134,8 +144,14 @@
         held_candidates = [
             round_state.candidates[worker]
             for worker in sorted(set(hold.workers))
+            if worker in round_state.candidates
         ]
         placed = placement.place(request, held_candidates, spread=True)
+        if (len(placed) < request.tasks and
+                round_state.now_s >= hold.overdue_s):
+            # Stops get no reply, and there may be enough room elsewhere by now.
+            placed = self._place_anywhere(unit, request,
+                                          list(round_state.candidates.values()))
         return placed if len(placed) == request.tasks else []
 
     def _place_anywhere(self, unit: units.Unit,
@@ -177,8 +193,10 @@
         if preemption is not None and (unit.guaranteed or reclaim.is_worthwhile(
                 unit, preemption.victims, round_state.now_s)):
             round_state.mark_stopping(preemption.victims)
-            self._holds[unit.key] = CapacityHold(tuple(preemption.workers),
-                                                 round_state.now_s + HOLD_S)
+            self._holds[unit.key] = CapacityHold(
+                workers=tuple(preemption.workers),
+                overdue_s=round_state.now_s + STOP_S,
+                until_s=round_state.now_s + HOLD_S)
             _allocate(round_state.candidates, unit, preemption.workers)
         elif reserved_workers:
             gang_reservations.block_room(unit, reserved_candidates)
@@ -245,6 +263,8 @@
 
 def _allocate(candidates: dict[str, placement.Candidate], unit: units.Unit,
               workers: Sequence[str]) -> None:
+    """Subtracts what a unit uses; held workers may be absent for a moment."""
     for worker_id in workers:
-        candidate = candidates[worker_id]
-        candidate.room = candidate.room.minus(unit.step.occupied)
+        candidate = candidates.get(worker_id)
+        if candidate is not None:
+            candidate.room = candidate.room.minus(unit.step.occupied)
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -97,7 +97,8 @@
                 candidates,
                 functools.partial(self._collect_running, inputs, service),
                 inputs.now_s,
-                headroom_accelerators=headroom_accelerators)
+                headroom_accelerators=headroom_accelerators,
+                resting=_find_resting(inputs, service))
             combined_plan.starts.extend(plan.starts)
             combined_plan.stops.extend(plan.stops)
             started = {start.unit.job_id for start in plan.starts}
@@ -307,6 +308,13 @@
         return density
 
 
+def _find_resting(inputs: RoundInput, service: str) -> frozenset[str]:
+    """Returns the ids of workers that get no runs for a moment only."""
+    return frozenset(tracked.worker.worker_id
+                     for tracked in inputs.fleet.list_tracked_workers(service)
+                     if tracked.is_resting(inputs.now_s))
+
+
 def _count_by_worker(state: progress.StepProgress) -> dict[str, int]:
     return collections.Counter(
         claim.worker_id for claim in state.claims.values())
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -285,6 +285,63 @@
     assert len(plan.starts) == 1
 
 
+def _preempt_for_gang(round_planner):
+    """Plans the preemption of tasks for an urgent gang of two workers."""
+    gang = _gang("a", 2, priority=0)
+    running = [
+        units.Victim(tasks=((f"w{number}", WHOLE),),
+                     lost_core_s=1.0 + number,
+                     priority=2,
+                     handle=f"w{number}") for number in range(4)
+    ]
+    plan = _plan([gang],
+                 _candidates(used=8),
+                 victims=running,
+                 round_planner=round_planner)
+    assert [victim.handle for victim in plan.stops] == ["w0", "w1"]
+    return gang, running[2:]
+
+
+def test_nothing_more_is_preempted_while_a_held_worker_is_silent_for_a_moment():
+    """Guards against a second set of victims after each lost reply to a stop.
+
+    With half of the replies lost, the first lost reply dropped the hold, and
+    the next round stopped tasks on other workers for the same gang.
+    """
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    gang, others = _preempt_for_gang(round_planner)
+
+    def plan(resting, now_s):
+        return round_planner.plan([gang],
+                                  _candidates(used=8)[1:],
+                                  lambda: reclaim.RunningTasks(
+                                      ending=[("w1", WHOLE)], victims=others),
+                                  now_s,
+                                  resting=resting)
+
+    assert not plan({"w0"}, 0.2).stops
+    assert plan((), 0.4).stops
+
+
+def test_unit_with_a_hold_uses_room_that_becomes_free_elsewhere():
+    """Guards against a wait for slow stops while other workers are free."""
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    gang, others = _preempt_for_gang(round_planner)
+
+    def plan(now_s):
+        return _plan([gang],
+                     _candidates(used=8)[:2] + _candidates()[2:],
+                     ending=[("w0", WHOLE), ("w1", WHOLE)],
+                     victims=others,
+                     now_s=now_s,
+                     round_planner=round_planner)
+
+    assert not plan(planner.STOP_S / 2).starts
+    late = plan(planner.STOP_S)
+    assert [start.workers for start in late.starts] == [("w2", "w3")]
+    assert not late.stops
+
+
 def _fail_to_list():
     raise AssertionError("the running tasks are not needed")
 
