Notice lost reports as soon as lost replies to commands

Cause: the loss of a report was noticed 0.8 s after the up to 2 s for which a worker may delay it, and the next one was asked for 0.5 s later; meanwhile no end was heard of, the worker was left out of rounds and its lease could expire. After any lost command the next request carried no lease either. Change: the wait beyond the delay follows the worker's reply times (0.2 to 0.8 s); after a single lost report the next is asked for at once; for 3 s after a loss workers may delay their reports by 0.2 s only. Leases are renewed until a worker is silent; the lease of a silent worker must be able to expire, which a test guards.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -61,6 +61,10 @@
         self._losses = min(self._losses + 1, MAX_COUNTED_LOSSES)
         return self._losses
 
+    def record_reply(self) -> None:
+        """Records a reply whose time says nothing, as it may be delayed."""
+        self._losses = 0
+
     def record(self, reply_s: float) -> None:
         """Records the reply time of a command, in seconds."""
         self._losses = 0
@@ -120,6 +124,7 @@
             stall there, unless many workers are suspected.
         failures: Job id and time of its recent failures.
         reply_time: How long it takes to reply to commands.
+        last_loss_s: When a call last got no reply.
     """
 
     def __init__(self, *, worker: ports.Worker):
@@ -143,6 +148,7 @@
         self.suspect_until_s = float("-inf")
         self.failures: list[tuple[str, float]] = []
         self.reply_time = ReplyTime()
+        self.last_loss_s = float("-inf")
 
     def add_claim(self, claim: progress.Claim) -> None:
         """Adds a run; it replaces an earlier one of the same task."""
@@ -181,13 +187,14 @@
         self.clock_s = now_s
         self.silent_since_s = float("inf")
 
-    def record_lost_command(self, now_s: float) -> None:
-        """Records that a start or stop got no reply.
+    def record_loss(self, now_s: float) -> None:
+        """Records that a call got no reply within its timeout.
 
         After a single lost reply the worker still gets new runs: if it has
         failed, the next reply is lost too.
         """
         self.maybe_restarted = True
+        self.last_loss_s = now_s
         if self.reply_time.record_loss() >= LOSSES_OF_SILENT_WORKER:
             self.record_silence(now_s)
 
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -24,6 +24,9 @@
             of 2.5 s has 1.5 s to spare.
         min_command_timeout_s: Shortest wait for such a reply. Workers reply
             within milliseconds; the rest is for a leader that is busy.
+        max_report_delay_s: Longest wait for a report after the time for which
+            the worker may delay it.
+        min_report_delay_s: Shortest such wait.
         start_patience_s: A start without a reply is repeated for this long,
             then the run is stopped. The other tasks of a gang wait meanwhile.
         max_stop_retry_s: Longest time between two attempts to send a stop.
@@ -54,6 +57,8 @@
     report_wait_ms: int = 2000
     max_command_timeout_s: float = 0.4
     min_command_timeout_s: float = 0.1
+    max_report_delay_s: float = 0.8
+    min_report_delay_s: float = 0.2
     start_patience_s: float = 2.0
     max_stop_retry_s: float = 0.3
     probe_interval_s: float = 0.5
--- a/packages/jobs/src/trefoilroad_jobs/ports.py
+++ b/packages/jobs/src/trefoilroad_jobs/ports.py
@@ -312,7 +312,7 @@
 
     @abc.abstractmethod
     def renew(self, worker: Worker, *, epoch: int, acknowledged_end: int,
-              lease_until_ms: int | None, wait_ms: int,
+              lease_until_ms: int | None, wait_ms: int, timeout_s: float,
               on_done: OnReport) -> None:
         """Renews the lease and asks for a report.
 
@@ -324,6 +324,7 @@
                 to leave the lease as it is.
             wait_ms: Longest time that the worker delays the report while no
                 run ends, in milliseconds.
+            timeout_s: Longest wait for the report, in seconds.
             on_done: Gets the report, or a reply that says why there is none.
         """
 
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -37,6 +37,9 @@
 # A run with checkpoints on a draining worker is stopped early if it needs more
 # than this multiple of the time until the worker leaves.
 DRAIN_TIME_FACTOR = 1.2
+# For how long after a lost reply reports are requested more often, so that the
+# loss of one of them delays the news of an end only a little.
+LOSS_MEMORY_S = 3.0
 # Share of the declared run time for which progress may stay unchanged. Progress
 # is reported in whole percents, workers may be several times slower than usual,
 # and declarations are wrong by a factor of two.
@@ -256,7 +259,7 @@
         elif verdict in REFUSAL_VERDICTS:
             self._handle_refusal(tracked, claim, reply, now_s)
         else:
-            tracked.record_lost_command(now_s)
+            tracked.record_loss(now_s)
             if claim.phase is not Phase.STARTING:
                 return
             if now_s - claim.since_s < self._bounds.start_patience_s:
@@ -329,7 +332,10 @@
                 claim.retry_s = float("inf")
             self._poll_now(tracked, now_s)
         elif reply.verdict in (Verdict.LOST, Verdict.NOT_SENT):
-            tracked.record_lost_command(now_s)
+            if reply.verdict is Verdict.LOST:
+                tracked.record_loss(now_s)
+            else:
+                tracked.record_silence(now_s)
             # After a lost reply the stop is repeated at once; a worker that
             # stays silent is called less and less often.
             doublings = min(claim.tries - 2, MAX_STOP_RETRY_DOUBLINGS)
@@ -370,20 +376,27 @@
         lease_ms = None
         wait_ms = 0
         acknowledged_end = 0
+        if tracked.contacted and tracked.silent_since_s == float("inf"):
+            # The lease of a silent worker must be able to expire.
+            lease_ms = self._compute_lease_ms(tracked, now_s)
         if tracked.contacted and not tracked.maybe_restarted:
             acknowledged_end = tracked.recorded_end
-            lease_ms = self._compute_lease_ms(tracked, now_s)
             if tracked.processed_end == tracked.recorded_end and tracked.claims:
                 wait_ms = self._find_report_wait_ms(tracked)
             if any(claim.phase is Phase.STOPPING
                    for claim in tracked.claims.values()):
                 wait_ms = min(wait_ms, STOPPING_REPORT_WAIT_MS)
+            if now_s - tracked.last_loss_s < LOSS_MEMORY_S:
+                wait_ms = min(wait_ms, STOPPING_REPORT_WAIT_MS)
+        delay_s = tracked.reply_time.compute_timeout_s(
+            self._bounds.min_report_delay_s, self._bounds.max_report_delay_s)
         self._workers.renew(
             tracked.worker,
             epoch=self._epoch,
             acknowledged_end=acknowledged_end,
             lease_until_ms=lease_ms,
             wait_ms=wait_ms,
+            timeout_s=wait_ms / 1000.0 + delay_s,
             on_done=lambda report: self._handle_report(tracked, now_s, report))
 
     def _find_report_wait_ms(self, tracked: fleets.TrackedWorker) -> int:
@@ -417,6 +430,7 @@
             self._on_change()
         tracked.maybe_restarted = False
         tracked.update_clock(report.clock_ms, now_s, self._bounds.max_lease_s)
+        tracked.reply_time.record_reply()
         newly_ended = self._process_ends(tracked, report)
         present = self._process_running(tracked, report, now_s)
         for claim in list(tracked.claims.values()):
@@ -437,13 +451,20 @@
             self._on_newer_leader(
                 f"worker {tracked.worker.worker_id} follows another leader")
             return
+        was_silent = tracked.silent_since_s < float("inf")
+        if reply.verdict is Verdict.LOST:
+            tracked.record_loss(now_s)
+        else:
+            tracked.record_silence(now_s)
         if tracked.silent_since_s == float("inf"):
+            self._poll_now(tracked, now_s)
+            return
+        if not was_silent:
             _log.warning("worker does not answer",
                          worker=tracked.worker.worker_id,
                          verdict=reply.verdict.name,
                          detail=reply.detail,
                          claims=len(tracked.claims))
-        tracked.record_silence(now_s)
         tracked.next_poll_s = now_s + self._bounds.probe_interval_s
 
     def _process_ends(self, tracked: fleets.TrackedWorker,
--- a/packages/jobs/tests/test_fleet.py
+++ b/packages/jobs/tests/test_fleet.py
@@ -69,13 +69,13 @@
     Each worker with a single lost reply got no new runs until its next answer.
     """
     tracked = fleet.TrackedWorker(worker=WORKER)
-    tracked.record_lost_command(1.0)
+    tracked.record_loss(1.0)
     assert tracked.silent_since_s == float("inf")
     assert tracked.maybe_restarted
     tracked.reply_time.record(0.002)
-    tracked.record_lost_command(2.0)
+    tracked.record_loss(2.0)
     assert tracked.silent_since_s == float("inf")
-    tracked.record_lost_command(3.0)
+    tracked.record_loss(3.0)
     assert tracked.silent_since_s == 3.0
 
 
--- a/packages/jobs/tests/test_load.py
+++ b/packages/jobs/tests/test_load.py
@@ -98,3 +98,17 @@
     assert _mean(with_repeats, "worth") > _mean(without_repeats, "worth") + 0.05
     for one, other in zip(with_repeats, without_repeats, strict=True):
         assert one.kinds["render"] > other.kinds["render"]
+
+
+def test_lost_reports_are_noticed_soon():
+    """Guards against room that stays taken while the news of its end is lost.
+
+    Half of the reports are lost too. A fixed wait of 0.8 s beyond the time for
+    which a worker may delay its report let leases expire and urgent work wait.
+    """
+    losses = {"command_loss": 0.5, "report_loss": 0.5}
+    prompt = _play("urgent-burst", **losses)
+    slow = _play("urgent-burst",
+                 bounds=limits.Limits(min_report_delay_s=0.8),
+                 **losses)
+    assert _mean(prompt, "worth") > _mean(slow, "worth") + 0.05
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -432,3 +432,45 @@
     site.run(4.0)
     for number in range(4):
         assert site.ask_state(f"{number:016x}") == "completed"
+
+
+def test_single_lost_report_does_not_exclude_a_worker(site):
+    """Guards against a worker that is left out while its answers arrive.
+
+    The wait for the next report was half a second, in which half of a fleet got
+    no new runs when half of the reports were lost.
+    """
+    site.submit("0" * 16, tasks=2, run_s=6.0)
+    site.run(0.5)
+    workers = site.find_leader().workers
+    send_renewal = workers.renew
+    lost = []
+
+    def renew(worker, *, timeout_s, on_done, **fields):
+        if worker.worker_id not in lost:
+            lost.append(worker.worker_id)
+            site.clock.schedule(
+                timeout_s,
+                lambda: on_done(ports.CommandReply(ports.Verdict.LOST)))
+            return
+        send_renewal(worker, timeout_s=timeout_s, on_done=on_done, **fields)
+
+    workers.renew = renew
+    tracked_workers = site.find_leader(
+    ).node._dispatcher._fleet.tracked_workers.values()
+    for _ in range(40):
+        site.run(0.1)
+        assert not any(tracked.silent_since_s < float("inf")
+                       for tracked in tracked_workers)
+    assert lost
+
+
+def test_lease_of_a_silent_worker_is_not_prolonged(site):
+    """Guards against runs of a lost worker that are never started elsewhere."""
+    site.submit("0" * 16, tasks=1, run_s=3.0)
+    site.run(0.5)
+    worker_id = next(event.worker_id for event in site.history)
+    site.worker_states[worker_id].reachable = False
+    site.run(14.0)
+    assert site.ask_state("0" * 16) == "completed"
+    assert site.find_violations() == []
--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -353,7 +353,8 @@
              *,
              order: ordering.UnitOrder | None = None,
              bounds: limits.Limits | None = None,
-             command_loss: float = 0.0) -> Result:
+             command_loss: float = 0.0,
+             report_loss: float = 0.0) -> Result:
     """Simulates a load on a site with one node.
 
     Args:
@@ -364,6 +365,7 @@
         bounds: Time limits of the node, or None for the defaults.
         command_loss: Share of the starts and stops that get no reply and are
             carried out LATE_EXECUTION_S later.
+        report_loss: The same for requests of reports.
     """
     jobs = generate_jobs(pattern, seed)
     guaranteed_total = pattern.worker_count * 8 * pattern.guaranteed_share
@@ -383,6 +385,7 @@
                       bounds=bounds)
     for site_node in site.nodes.values():
         site_node.workers.command_loss_probability = command_loss
+        site_node.workers.report_loss_probability = report_loss
         site_node.workers.lost_call_delay_s = LATE_EXECUTION_S
     for job in jobs:
         site.clock.schedule(
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -306,6 +306,7 @@
     Attributes:
         loss_probability: Probability that a call gets no answer.
         command_loss_probability: The same for starts and stops alone.
+        report_loss_probability: The same for report requests alone.
         lost_call_delay_s: Delay in seconds after which a worker executes a
             call that gets no answer.
         cut: Identifiers of the workers that this node cannot reach.
@@ -315,6 +316,7 @@
                  host: clock.Host, rng: random.Random):
         self.loss_probability = 0.0
         self.command_loss_probability = 0.0
+        self.report_loss_probability = 0.0
         self.lost_call_delay_s = 0.0
         self.cut: set[str] = set()
         self._worker_states = worker_states
@@ -375,7 +377,7 @@
                    on_done, timeout_s, self.command_loss_probability)
 
     def renew(self, worker: ports.Worker, *, epoch: int, acknowledged_end: int,
-              lease_until_ms: int | None, wait_ms: int,
+              lease_until_ms: int | None, wait_ms: int, timeout_s: float,
               on_done: ports.OnReport) -> None:
         """See ports.Workers.renew."""
         virtual_clock = self._host.clock
@@ -425,8 +427,9 @@
             self._host.deliver(
                 lambda: finish_if_lost(ports.CommandReply(ports.Verdict.LOST)))
 
-        virtual_clock.schedule(wait_ms / 1000.0 + 0.8, time_out)
-        self._call(worker, wait_for_end, finish_if_lost, wait_ms / 1000.0 + 0.8)
+        virtual_clock.schedule(timeout_s, time_out)
+        self._call(worker, wait_for_end, finish_if_lost, timeout_s,
+                   self.report_loss_probability)
 
     def forget(self, worker: ports.Worker) -> None:
         """See ports.Workers.forget."""
