Have a failed watch ask for an answer at once

Cause: after an outage of the store, each watch went on with a call that the store answers after up to a second (or two, or five) unless something changes. Each node went on refusing callers with 503 for that time, as it could not know whether its configuration was still in force. Change: the first calls after a failure carry no wait.

--- a/packages/jobs/src/trefoilroad_jobs/watch.py
+++ b/packages/jobs/src/trefoilroad_jobs/watch.py
@@ -70,9 +70,12 @@
                                  on_done=lambda result: self._handle_result(
                                      sent_s, result, True))
         else:
+            # A store that is back answers at once, so that the node soon knows
+            # that its copy is current, even if nothing has changed.
+            wait_s = 0.0 if self._failures else self._wait_s
             self._store.watch(table=self._table,
                               after=self._version,
-                              wait_s=self._wait_s,
+                              wait_s=wait_s,
                               on_done=lambda result: self._handle_result(
                                   sent_s, result, False))
 
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -4,6 +4,7 @@
 
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
+from trefoilroad_jobs import watch
 from trefoilroad_standins.jobs import site as sites
 
 
@@ -474,3 +475,21 @@
     site.run(14.0)
     assert site.ask_state("0" * 16) == "completed"
     assert site.find_violations() == []
+
+
+def test_configuration_is_current_soon_after_an_outage_of_the_store(site):
+    """Guards against calls that are refused although the store is back.
+
+    A watch that had failed went on with a call that the store answers after a
+    second unless something changes. Each node refused callers meanwhile, as it
+    could not know whether its configuration was current.
+    """
+    site.run(2.0)
+    site.tables.down = True
+    site.run(5.0)
+    site.tables.down = False
+    site.run(watch.WATCH_RETRY_MAX_S + 0.1)
+    for site_node in site.nodes.values():
+        age_s = site_node.node._timers.read_clock(
+        ) - site_node.node.config_fresh_s
+        assert age_s < watch.WATCH_RETRY_MAX_S + 0.1
