Give each service a planner of its own

Cause: one planner planned the rounds of all services in turn and kept holds and reservations of waiting units only; the units of the other services did not wait in its view, so their holds were dropped in each round and tasks were preempted anew. Change: the round scheduler keeps one planner for each service. Measured: no deployment at hand has two services with workers; the test plans two rounds of two services (2 stops in the second round before, none after).

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -57,6 +57,10 @@
         self._gang_reservations = gang_reservations.GangReservations()
         self._headroom_workers: frozenset[str] = frozenset()
 
+    def create_empty(self) -> "Planner":
+        """Returns a planner of the same order, without holds."""
+        return Planner(order=self._order)
+
     def plan(
         self,
         ready: Sequence[units.Unit],
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -55,8 +55,16 @@
 
     def __init__(self, *, estimator: estimate.Estimator,
                  round_planner: planner.Planner, bounds: limits.Limits):
+        """Creates a scheduler without holds.
+
+        Args:
+            estimator: Estimates run times and sizes of jobs.
+            round_planner: Its order is used for the planner of each service.
+            bounds: Time limits of the leader.
+        """
         self._estimator = estimator
-        self._planner = round_planner
+        self._new_planner = round_planner.create_empty
+        self._planners: dict[str, planner.Planner] = {}
         self._bounds = bounds
         self._headroom_estimators: dict[str, headroom.HeadroomEstimator] = (
             collections.defaultdict(headroom.HeadroomEstimator))
@@ -92,7 +100,9 @@
             candidates = self._build_candidates(inputs, service)
             headroom_accelerators = self._headroom_estimators[service].estimate(
                 inputs.now_s)
-            plan = self._planner.plan(
+            if service not in self._planners:
+                self._planners[service] = self._new_planner()
+            plan = self._planners[service].plan(
                 service_units,
                 candidates,
                 functools.partial(self._collect_running, inputs, service),
