--- a/packages/jobs/tests/test_load.py
+++ b/packages/jobs/tests/test_load.py
@@ -11,6 +11,7 @@
 from trefoilroad_jobs import headroom
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ordering
+from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
 from trefoilroad_standins.jobs import load
 
@@ -114,3 +115,27 @@
                  **losses)
     assert _mean(prompt, "worth") > _mean(slow, "worth")
     assert _mean(prompt, "windows") > _mean(slow, "windows")
+
+
+def test_full_large_fleet_is_not_searched_for_each_unit(monkeypatch):
+    """Guards against rounds that try each waiting unit on 270 full workers.
+
+    What is decided must be the same with and without the search.
+    """
+    monkeypatch.setattr(load, "TRAFFIC_PHASE_S", 5.0)
+    monkeypatch.setattr(load, "COMPLETION_PHASE_S", 2.0)
+    searches = []
+    place = placement.place
+
+    def count_search(request, candidates, *, spread):
+        searches.append(len(candidates))
+        return place(request, candidates, spread=spread)
+
+    monkeypatch.setattr(placement, "place", count_search)
+    results = _play("large", (1,))
+    workers_searched = sum(searches)
+    searches.clear()
+    monkeypatch.setattr(planner._RoundState, "may_fit",
+                        lambda round_state, request: True)
+    assert _play("large", (1,)) == results
+    assert workers_searched < sum(searches)
