Wait for the claim at the store before the owner is frozen in a test

Cause: test_frozen_owner_steps_down froze the owner when the first worker had recorded a reservation; the owner sends the claim only after all replies, so that a prompt freeze kept the claim from being written and the test waited for it in vain. Change: the stand-in counts received commits by row, and the test freezes the owner once the claim has arrived there, which is the window that it guards. Its other checks are as before.

--- a/packages/standins/src/trefoilroad_standins/platform.py
+++ b/packages/standins/src/trefoilroad_standins/platform.py
@@ -1,5 +1,7 @@
 """Stand-in process of the platform: table service, objects and VM list."""
 
+import collections
+from collections.abc import Iterable
 import hashlib
 import json
 import pathlib
@@ -76,6 +78,7 @@
     def __init__(self) -> None:
         self._total: dict[str, OperationCount] = {}
         self._nodes: dict[str, dict[str, OperationCount]] = {}
+        self._commits: dict[str, collections.Counter[str]] = {}
 
     def add(self, kind: str, access: Literal["reads", "writes"],
             node: str) -> None:
@@ -90,12 +93,28 @@
             count = counts.setdefault(kind, OperationCount(reads=0, writes=0))
             count[access] += 1
 
+    def add_commit(self, node: str, keys: Iterable[str]) -> None:
+        """Counts a commit that has been received, by each key that it writes.
+
+        Args:
+            node: Value of the X-Node header.
+            keys: Keys of the rows.
+        """
+        self._commits.setdefault(node, collections.Counter()).update(keys)
+
     def describe(self) -> dict[str, Any]:
         """Returns all counts as the document of `/control/counters`."""
         zero = {
             kind: OperationCount(reads=0, writes=0) for kind in COUNTED_KINDS
         }
-        return {"kinds": {**zero, **self._total}, "nodes": self._nodes}
+        return {
+            "kinds": {
+                **zero,
+                **self._total
+            },
+            "nodes": self._nodes,
+            "commits": self._commits
+        }
 
 
 class PlatformService(http_service.Service):
@@ -126,6 +145,12 @@
             return http_service.build_error(404, "not_found", http_request.path)
         kind, access = OPERATIONS[route]
         self._counters.add(kind, access, http_request.node)
+        if route.path == "/v1/commit":
+            body = fields.parse_object(http_request.body)
+            self._counters.add_commit(http_request.node, [
+                fields.read_field(write, "key", str)
+                for write in fields.read_objects(body, "writes")
+            ])
         rule = self._faults.select_rule(
             FAULT_KIND_BY_OPERATION.get((kind, access), kind),
             http_request.node)
--- a/packages/standins/src/trefoilroad_standins/processes.py
+++ b/packages/standins/src/trefoilroad_standins/processes.py
@@ -269,13 +269,24 @@
 
     def count_writes(self, node_id: str) -> int:
         """Returns how many commits of a node the table service received."""
+        counts = self._read_counters()["nodes"].get(node_id, {})
+        return int(counts.get("table", {}).get("writes", 0))
+
+    def count_received(self, node_id: str, key: str) -> int:
+        """Returns how many commits of a node to a row have been received.
+
+        A commit that is delayed by a fault counts from its arrival.
+        """
+        return int(self._read_counters()["commits"].get(node_id,
+                                                        {}).get(key, 0))
+
+    def _read_counters(self) -> dict[str, Any]:
         reply = httpx.get(
             f"http://{LOOPBACK_HOST}:{self.port}/control/counters",
             timeout=CONTROL_TIMEOUT_S,
             trust_env=False)
         reply.raise_for_status()
-        counts = reply.json()["nodes"].get(node_id, {})
-        return int(counts.get("table", {}).get("writes", 0))
+        return dict(reply.json())
 
     def read_rows(self, prefix: str) -> dict[str, Any]:
         """Returns the values of all rows whose keys have a prefix, by key."""
--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -154,14 +154,15 @@
                                          "donor-notice",
                                          *others,
                                          run_s=0.5)
+    # An owner that is frozen after its reservations has not sent the claim yet.
+    row = f"request/{caller_request.request_id}"
     processes.wait_until(
-        lambda: any(entry["event"] == "reserve"
-                    for entry in cluster.workers.read_history()),
+        lambda: cluster.platform.count_received(owner, row) > 0,
         timeout_s=5.0,
-        condition="the owner reserves")
+        condition="the claim arrives at the store")
     cluster.nodes[owner].freeze()
-    processes.wait_until(lambda: cluster.platform.read_rows("request/")[
-        f"request/{caller_request.request_id}"]["state"] == "claimed",
+    processes.wait_until(lambda: cluster.platform.read_rows("request/")[row][
+        "state"] == "claimed",
                          timeout_s=5.0,
                          condition="the claim is recorded")
     successor = cluster.find_owner(*others)
