Close the link that a malformed record arrives on

Cause: the handler of link messages did not catch RecordError, so a malformed `submitted` message raised out of the event handler; it was logged as a fault of the node and the link stayed open. Found by reading. Change: RecordError closes the link like the other malformed messages.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -233,7 +233,8 @@
         try:
             message = decode_message(bytes(frame.data))
             self._on_message(message)
-        except (errors.ProtocolError, KeyError, TypeError, ValueError) as error:
+        except (errors.ProtocolError, errors.RecordError, KeyError, TypeError,
+                ValueError) as error:
             _log.warning("malformed link message", error=repr(error))
             link.fail(frames.CloseCode.INVALID_DATA, "malformed message")
 
