Count an age of zero when the youngest task is looked for

Cause: `youngest_s or age_s` took an age of 0.0 for none, so that the age of an older task set the interval of the syncs. Found by reading. Change: the least of all ages.

--- a/packages/core/src/trefoilroad_core/syncs.py
+++ b/packages/core/src/trefoilroad_core/syncs.py
@@ -27,18 +27,17 @@
         """Asks a worker for its tasks and renews their leases."""
         worker_id = tracked.worker.worker_id
         renew = []
-        youngest_s: float | None = None
+        ages_s = []
         for _, attempt in self._ctx.list_attempts(worker_id):
             if attempt.phase in (Phase.STARTING, Phase.RUNNING):
                 renew.append(attempt.attempt_id)
-                age_s = self._ctx.now_s - attempt.started_s
-                youngest_s = min(age_s, youngest_s or age_s)
+                ages_s.append(self._ctx.now_s - attempt.started_s)
                 attempt.members[worker_id].reference_s = (
                     self._ctx.tracked_workers.get_reference_s(
                         worker_id, self._ctx.now_s))
-        tracked.next_sync_s = (
-            self._ctx.now_s +
-            self._ctx.tracked_workers.get_sync_interval(youngest_s))
+        tracked.next_sync_s = (self._ctx.now_s +
+                               self._ctx.tracked_workers.get_sync_interval(
+                                   min(ages_s, default=None)))
         tracked.sync_command_id = self._ctx.send(
             worker_id, "/v1/sync", {
                 "lease_s": self._ctx.bounds.lease_s,
