Say of publishes and drains whether they have happened

Cause: a publish whose tries were all refused unsent was answered "may have taken effect"; a drain that lost five conflicts got 409 and told its caller to correct the call; refusals of publishes carried the scope of a submission. Found by reading. Change: such a publish gets 503 with outcome not_run and the scope "this publish", such a drain 503 with "this drain" and the advice to repeat it.

--- a/packages/node/src/trefoilroad_node/api.py
+++ b/packages/node/src/trefoilroad_node/api.py
@@ -128,8 +128,7 @@
             respond(
                 Response(
                     503,
-                    edges.describe_refusal(
-                        "this node has read no configuration yet")))
+                    edges.describe_refusal("no configuration is known yet")))
             return
         if identity is None:
             respond(Response(401, {"error": "missing or unknown token"}))
--- a/packages/node/src/trefoilroad_node/edge.py
+++ b/packages/node/src/trefoilroad_node/edge.py
@@ -55,18 +55,14 @@
     }
 
 
-def describe_refusal(reason: str) -> dict[str, Any]:
+def describe_refusal(reason: str,
+                     scope: str = "this submission") -> dict[str, Any]:
     """Describes a call, mostly a submission, that certainly had no effect.
 
     This does not hold for an earlier submission with the same key that got no
     response: only a cancellation settles whether that one was recorded.
     """
-    return {
-        "outcome": "not_run",
-        "scope": "this submission",
-        "ran": "no",
-        "error": reason
-    }
+    return {"outcome": "not_run", "scope": scope, "ran": "no", "error": reason}
 
 
 def describe_unknown(request_id: str) -> dict[str, Any]:
@@ -76,9 +72,7 @@
         "outcome": "unknown",
         "final": False,
         "ran": "maybe",
-        "error":
-            "the store did not answer; repeat the call, a submission with the "
-            "same key"
+        "error": "the store did not answer; ask again with the same key"
     }
 
 
--- a/packages/node/src/trefoilroad_node/operations.py
+++ b/packages/node/src/trefoilroad_node/operations.py
@@ -25,6 +25,8 @@
 # Tries of a drain that conflicts with other publishes.
 MAX_DRAIN_TRIES = 5
 AUDIT_PREFIX = "audit/"
+# What a refusal of a publish says has not been done.
+PUBLISH_SCOPE = "this publish"
 _VERSION_PATTERN = re.compile(r"[0-9]{1,15}")
 
 AskForExplanation = Callable[[str, Callable[[str], None]], None]
@@ -133,8 +135,8 @@
             respond(
                 Response(
                     503,
-                    edges.describe_refusal(
-                        "this node has read no VM list yet")))
+                    edges.describe_refusal("this node knows no workers yet",
+                                           scope=PUBLISH_SCOPE)))
             return
         self._publication.publish(
             documents=body["documents"],
@@ -170,10 +172,18 @@
                                              frozenset(drained_ids))
 
         def handle_result(result: Any) -> None:
-            if isinstance(result, publications.PublishConflict) and tries > 1:
+            if not isinstance(result, publications.PublishConflict):
+                respond(_build_publish_response(result))
+            elif tries > 1:
                 self._try_drain(who, worker_id, drained, respond, tries - 1)
             else:
-                respond(_build_publish_response(result))
+                respond(
+                    Response(
+                        503,
+                        edges.describe_refusal(
+                            "not recorded: other publishes came before each of "
+                            f"{MAX_DRAIN_TRIES} tries; repeat the call",
+                            scope="this drain")))
 
         self._publication.publish(documents=documents,
                                   base_version=current.configuration.version,
@@ -238,13 +248,18 @@
     if isinstance(result, publications.PublishConflict):
         return Response(
             409, {
-                "error": "another version has been published meanwhile",
+                "error": "somebody else has published meanwhile",
                 "version": result.version,
                 "keys": result.keys
             })
     if isinstance(result, errors.InvalidDocuments):
         findings = [finding._asdict() for finding in result.findings]
         return Response(422, {"findings": findings})
+    if isinstance(result, errors.StoreRefused):
+        return Response(
+            503,
+            edges.describe_refusal("the store does not answer",
+                                   scope=PUBLISH_SCOPE))
     return Response(
         503, {
             "error": "the store did not answer; the publish may have taken "
--- a/packages/node/src/trefoilroad_node/publication.py
+++ b/packages/node/src/trefoilroad_node/publication.py
@@ -140,7 +140,8 @@
             workers: Fleet that must have room for all guarantees if the new
                 version changes any.
             on_done: Called with a PublishedConfiguration, PublishConflict,
-                InvalidDocuments or StoreError.
+                InvalidDocuments or StoreError; with StoreRefused only if no
+                try can have taken effect.
             action: Action of the operator, for the audit trail.
         """
         self.refresh(lambda: self._publish(documents, base_version, who,
@@ -203,11 +204,17 @@
         if isinstance(result, int):
             self.apply_if_newer(pending.value, result)
             pending.on_done(self.current)
-        elif isinstance(result, errors.CommitConflict):
+            return
+        if isinstance(result, errors.CommitConflict):
             self._resolve_conflict(pending)
-        elif pending.tries < MAX_PUBLISH_TRIES:
+            return
+        if not isinstance(result, errors.StoreRefused):
+            pending.maybe_written = True
+        if pending.tries < MAX_PUBLISH_TRIES:
             # The repeat is idempotent: it has the same conditions and token.
             self._send(pending)
+        elif pending.maybe_written:
+            pending.on_done(errors.StoreUnavailable(str(result)))
         else:
             pending.on_done(result)
 
@@ -258,7 +265,11 @@
 
 
 class _PendingPublish:
-    """A publish in progress: the rows to write and the tries so far."""
+    """A publish in progress: the rows to write and the tries so far.
+
+    Attributes:
+        maybe_written: Whether a try without a result may have taken effect.
+    """
 
     def __init__(self, *, value: dict[str, Any], audit: dict[str, Any],
                  base_version: int, base_row_version: int,
@@ -269,3 +280,4 @@
         self.base_row_version = base_row_version
         self.on_done = on_done
         self.tries = 0
+        self.maybe_written = False
--- a/packages/standins/tests/test_virtual_cluster.py
+++ b/packages/standins/tests/test_virtual_cluster.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from trefoilroad_node import publication
 from trefoilroad_standins import soak
 from trefoilroad_standins import virtual_cluster
 
@@ -51,3 +52,20 @@
         cluster,
         lambda operations, respond: operations.publish("op", body, respond))
     assert response.status == 422
+
+
+def test_drain_that_loses_every_conflict_can_be_repeated(cluster, monkeypatch):
+    """Guards against a drain that tells its caller to correct the call.
+
+    Other publishes came before each of its tries; the caller can only repeat
+    it, and it has not been recorded.
+    """
+    conflict = publication.PublishConflict(version=7, keys=[])
+    monkeypatch.setattr(publication.Publication, "publish",
+                        lambda self, *, on_done, **_: on_done(conflict))
+    response = run_operation(
+        cluster, lambda operations, respond: operations.drain(
+            "op", "w000", True, respond))
+    assert response.status == 503
+    assert response.body["outcome"] == "not_run"
+    assert response.body["scope"] == "this drain"
