Store when a run was started

The estimates of its queue became too short, a run of many seconds seemed to lose little when it was stopped, and the log line `run ended` was wrong. Change: a claim's row has the time of the claim by the store's clock. Rows of the older release are read and count from the takeover; a node of the older release cannot read the new rows, so all nodes have to be replaced before it is gone back from.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -185,7 +185,8 @@
         state = states.get(job_id)
         if state is not None:
             try:
-                progress.decode_progress(job, state, now_s)
+                progress.decode_progress(job, state, now_s,
+                                         self._ledger.read_store_ms())
             except ValueError as error:
                 _log.error("progress row cannot be read",
                            job=job_id,
@@ -469,6 +470,7 @@
         indexes = unit.indexes[:len(start.workers)]
         run = max(step.last_runs) + 1 if unit.step.gang else 0
         claims = []
+        started_ms = round(self._ledger.read_store_ms())
         checkpoint = ""
         if unit.step.gang and unit.step.checkpoints:
             checkpoint = _pick_checkpoint(step)
@@ -485,6 +487,7 @@
                 phase=progress.Phase.CLAIMING,
                 now_s=now_s,
                 demand=unit.step.occupied,
+                started_ms=started_ms,
                 checkpoint=checkpoint or
                 (step.checkpoints.get(index, "") if not unit.step.gang else ""))
             step.claims[index] = claim
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -66,9 +66,10 @@
             take effect.
         stop_acked_s: When the worker confirmed a stop, or infinity.
         since_s: When the phase began.
-        started_s: When the start was first sent, in seconds; before that, the
-            time of the claim, and for a run that an earlier leader claimed,
-            when this leader read the claim.
+        started_s: When the start was first sent, in seconds; before that, and
+            for a run that an earlier leader claimed, the time of the claim.
+        started_ms: Time of the claim in the store's milliseconds, 0 if it is
+            not known.
         retry_s: When the next command is due.
         tries: Number of start or stop commands sent in this phase.
         percent: Progress that the worker reported last.
@@ -80,8 +81,8 @@
 
     __slots__ = ("boot_ms", "checkpoint", "demand", "key", "percent",
                  "percent_s", "phase", "retry_s", "run", "since_s",
-                 "start_sent", "start_settled", "started_s", "stop_acked_s",
-                 "tries", "why", "worker_id")
+                 "start_sent", "start_settled", "started_ms", "started_s",
+                 "stop_acked_s", "tries", "why", "worker_id")
 
     def __init__(self,
                  *,
@@ -92,6 +93,7 @@
                  phase: Phase,
                  now_s: float,
                  demand: workloads.Demand,
+                 started_ms: int = 0,
                  checkpoint: str = ""):
         self.key = key
         self.demand = demand
@@ -104,6 +106,7 @@
         self.stop_acked_s = float("inf")
         self.since_s = now_s
         self.started_s = now_s
+        self.started_ms = started_ms
         self.retry_s = now_s
         self.tries = 0
         self.percent = 0
@@ -271,8 +274,8 @@
     """Encodes the progress of a job for the store."""
     steps = []
     for (occurrence, number), step in job.steps.items():
-        claims = [(index, claim.run, claim.worker_id, claim.boot_ms)
-                  for index, claim in step.claims.items()]
+        claims = [(index, claim.run, claim.worker_id, claim.boot_ms,
+                   claim.started_ms) for index, claim in step.claims.items()]
         runs: Any = step.last_runs
         if len(set(runs)) == 1:
             runs = runs[0]
@@ -296,9 +299,16 @@
         raise ValueError(f"invalid progress row: {error!r}") from error
 
 
-def decode_progress(job: Job, data: bytes, now_s: float) -> None:
+def decode_progress(job: Job, data: bytes, now_s: float,
+                    store_ms: float) -> None:
     """Sets the progress of a job from the store.
 
+    Args:
+        job: A job without progress.
+        data: Row of its progress.
+        now_s: Current time in seconds.
+        store_ms: Current time of the store's clock, in milliseconds.
+
     Raises:
         ValueError: If the data is not an encoded progress of this job.
     """
@@ -313,16 +323,22 @@
             step.done = set(range(tasks)) if done is True else set(done)
             step.failures = failures
             step.checkpoints = checkpoints
-            for index, run, worker_id, boot_ms in claims:
-                step.claims[index] = Claim(
-                    key=TaskKey(job.job_id, occurrence, number, index),
-                    run=run,
-                    worker_id=worker_id,
-                    boot_ms=boot_ms,
-                    phase=Phase.RECOVERING,
-                    now_s=now_s,
-                    demand=job.workload.steps[number].occupied,
-                    checkpoint=checkpoints.get(index, ""))
+            for index, run, worker_id, boot_ms, *started in claims:
+                # Rows of release 0.2.0 have no start time.
+                started_ms = started[0] if started else 0
+                claim = Claim(key=TaskKey(job.job_id, occurrence, number,
+                                          index),
+                              run=run,
+                              worker_id=worker_id,
+                              boot_ms=boot_ms,
+                              phase=Phase.RECOVERING,
+                              now_s=now_s,
+                              demand=job.workload.steps[number].occupied,
+                              started_ms=started_ms,
+                              checkpoint=checkpoints.get(index, ""))
+                if started_ms:
+                    claim.started_s -= max(0.0, store_ms - started_ms) / 1000.0
+                step.claims[index] = claim
     except (cbor2.CBORError, TypeError, IndexError, EOFError) as error:
         raise ValueError(
             f"invalid progress row of {job.job_id}: {error!r}") from error
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from trefoilroad_jobs import estimate
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import watch
@@ -495,6 +496,24 @@
         assert age_s < watch.WATCH_RETRY_MAX_S + 0.1
 
 
+def test_adopted_run_counts_from_its_start(site, monkeypatch):
+    """Guards against wrong estimates after a takeover.
+
+    The run times of adopted runs counted from the takeover, so that the
+    estimates of a queue became too short, and a run of minutes that had just
+    been adopted was taken for one that loses little when it is stopped.
+    """
+    ran_s = []
+    monkeypatch.setattr(estimate.Estimator, "record_run",
+                        lambda self, queue, seconds: ran_s.append(seconds))
+    _submit_many(site, 2, tasks=1, run_s=4.0)
+    site.run(2.0)
+    site.kill(site.find_leader().name)
+    site.run(8.0)
+    assert len(ran_s) == 2
+    assert ran_s == [pytest.approx(4.0, abs=0.5)] * 2
+
+
 def test_other_tasks_start_while_one_waits_for_its_retry(site):
     """Guards against a whole step that waits for the retry of one task."""
     job_id = "0" * 16
