--- a/packages/jobs/src/trefoilroad_jobs/configuration.py
+++ b/packages/jobs/src/trefoilroad_jobs/configuration.py
@@ -52,7 +52,8 @@
         version: Number of the version; 0 before the first one.
         queues: All queues.
         teams: Teams by name.
-        max_body_bytes: Largest request body in bytes.
+        max_body_bytes: Largest body of a submission in bytes, 0 if the
+            operator sets no limit.
     """
 
     version: int
