--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -261,19 +261,6 @@
             for tracked in self._fleet.tracked_workers.values()
             if tracked.registered)
 
-    def explain(self, job_id: str) -> str:
-        """Returns a short text on the state of a job or why it waits."""
-        job = self.jobs.get(job_id)
-        if job is None:
-            return "is not known"
-        claims = list(job.list_claims())
-        if claims:
-            phases = sorted({claim.phase.value for claim in claims})
-            return f"{len(claims)} tasks are {', '.join(phases)}"
-        if job.is_final:
-            return f"is {job.state}"
-        return self._rounds.explain(job_id)
-
     # Job state changes.
 
     def _cancel(self, job_id: str) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/ordering.py
+++ b/packages/jobs/src/trefoilroad_jobs/ordering.py
@@ -21,14 +21,6 @@
         return (unit.priority, unit.accepted_s)
 
 
-class LeastSlackOrder(UnitOrder):
-    """By priority, then by the latest start that meets the objective."""
-
-    def rank(self, unit: units.Unit, now_s: float) -> tuple[float, ...]:
-        """See UnitOrder.rank."""
-        return (unit.priority, unit.objective_s - unit.remaining_s)
-
-
 class WorthDensityOrder(UnitOrder):
     """By the worth earned for each core-second if the unit starts now."""
 
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -41,15 +41,6 @@
         self.capacity = capacity
         self.failing = failing
 
-    def add_room(self, demand: Demand) -> "Candidate":
-        """Returns a copy with more free resources."""
-        return Candidate(worker_id=self.worker_id,
-                         rack=self.rack,
-                         labels=self.labels,
-                         room=self.room.plus(demand),
-                         capacity=self.capacity,
-                         failing=self.failing)
-
 
 class PlacementRequest(NamedTuple):
     """Tasks of one step that are to be placed.
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -68,7 +68,6 @@
         self._bounds = bounds
         self._headroom_estimators: dict[str, headroom.HeadroomEstimator] = (
             collections.defaultdict(headroom.HeadroomEstimator))
-        self._waiting_reasons: dict[str, str] = {}
         self._densities: dict[str, float] = {}
 
     def record_job(self, job: progress.Job) -> None:
@@ -82,15 +81,8 @@
                 for step in job_workload.steps),
             self._estimator.estimate_critical_path_ms(job_workload) / 1000.0)
 
-    def explain(self, job_id: str) -> str:
-        """Returns why the last round did not start a job."""
-        return self._waiting_reasons.get(
-            job_id, "waits for the steps before it, "
-            "for its time or for its retry delay")
-
     def run(self, inputs: RoundInput) -> units.Plan:
         """Plans one round for each service and joins the plans."""
-        self._waiting_reasons = {}
         self._densities = {}
         ready: dict[str, list[units.Unit]] = collections.defaultdict(list)
         for unit in self._collect_ready_units(inputs):
@@ -111,12 +103,6 @@
                 resting=_find_resting(inputs, service))
             combined_plan.starts.extend(plan.starts)
             combined_plan.stops.extend(plan.stops)
-            started = {start.unit.job_id for start in plan.starts}
-            for unit in service_units:
-                if unit.job_id not in started:
-                    self._waiting_reasons[unit.job_id] = (
-                        f"waits for room for {len(unit.indexes)} tasks among "
-                        f"{len(candidates)} workers that take work")
         return combined_plan
 
     # Ready units.
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -128,7 +128,6 @@
         """
         self.name = name
         self.proxy = proxies.Proxy(target_port=store_port)
-        self.paused = False
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
         self._ports = allocate_ports(4)
@@ -178,7 +177,6 @@
                 env=os.environ | {"TREFOILROAD_BOOT": str(self._settings)},
                 stdout=log,
                 stderr=log)
-        self.paused = False
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to this process, if it runs."""
