Take a refused repeat of a start for no proof that it never ran

Cause: a worker refuses a run that has ended there as it refuses one that was stopped. When the reply to a start was lost and the run ended before the start was repeated, the refusal of the repeat ended the run as "never ran", and the task was started on another worker. Also, attempts were counted anew when a run was being stopped, so that the refusal of a second start passed for that of the only one. Change: only the refusal of the sole start ever sent proves that a run has not begun. After any other, the run is stopped, and a report after the stop tells whether it has ended, and how. The simulated workers no longer answer reports that they are said to lose, which had hidden the fault.

--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -61,7 +61,8 @@
         worker_id: Worker that runs it or is to run it.
         boot_ms: Start of the worker process, in Unix milliseconds.
         phase: Phase of the run.
-        start_sent: Whether a start command may have been sent.
+        starts_sent: Number of start commands that may have been sent; 1 for a
+            run that an earlier leader claimed.
         start_settled: Whether a start command was answered or can no longer
             take effect.
         stop_acked_s: When the worker confirmed a stop, or infinity.
@@ -81,7 +82,7 @@
 
     __slots__ = ("boot_ms", "checkpoint", "demand", "key", "percent",
                  "percent_s", "phase", "retry_s", "run", "since_s",
-                 "start_sent", "start_settled", "started_ms", "started_s",
+                 "start_settled", "started_ms", "started_s", "starts_sent",
                  "stop_acked_s", "tries", "why", "worker_id")
 
     def __init__(self,
@@ -101,7 +102,7 @@
         self.worker_id = worker_id
         self.boot_ms = boot_ms
         self.phase = phase
-        self.start_sent = phase is Phase.RECOVERING
+        self.starts_sent = int(phase is Phase.RECOVERING)
         self.start_settled = False
         self.stop_acked_s = float("inf")
         self.since_s = now_s
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -2,8 +2,7 @@
 
 A claimed run counts as alive until there is proof that it has ended:
 - its worker reports its end, or
-- no start of it was sent, or its worker refused the start and no earlier
-  attempt can take effect later, or
+- no start of it was sent, or its worker refused the only one, or
 - its worker confirmed a stop (after which it also refuses a delayed start) and
   a complete report requested after that does not list the run, or
 - it was known to run, and a complete report requested after that omits it, or
@@ -218,7 +217,7 @@
         tracked = self._fleet.tracked_workers[claim.worker_id]
         now_s = self._timers.read_clock()
         claim.tries += 1
-        claim.start_sent = True
+        claim.starts_sent += 1
         claim.retry_s = float("inf")
         command = ports.StartCommand(key=claim.key,
                                      run=claim.run,
@@ -275,7 +274,7 @@
                   request=claim.key.job_id,
                   worker=claim.worker_id,
                   run=claim.run,
-                  tries=claim.tries,
+                  tries=claim.starts_sent,
                   verdict=verdict.name,
                   detail=reply.detail)
         if verdict is Verdict.NO_ROOM:
@@ -284,9 +283,10 @@
             tracked.paused_until_s = now_s + self._bounds.probe_interval_s
             if verdict is Verdict.NOT_SENT:
                 tracked.record_silence(now_s)
-        # An earlier attempt that got no reply may still take effect, unless
-        # the worker refuses this run permanently.
-        if claim.tries == 1 or verdict is Verdict.SUPERSEDED:
+        # An earlier start that got no reply may still take effect, or the run
+        # has ended already: the worker refuses that too. A stop and a report
+        # after it tell.
+        if claim.starts_sent == 1:
             self._end_run(claim, None, verdict.value)
         else:
             self.stop(claim, verdict.value)
@@ -298,7 +298,7 @@
         if claim.phase is Phase.STOPPING:
             return
         claim.why = why
-        was_sent = claim.start_sent
+        was_sent = claim.starts_sent > 0
         claim.set_phase(Phase.STOPPING, self._timers.read_clock())
         if was_sent:
             self._send_stop(claim)
@@ -651,7 +651,7 @@
                 self._resolve_lost_worker(tracked)
                 continue
             for claim in list(tracked.claims.values()):
-                if (claim.phase is Phase.STOPPING and claim.start_sent and
+                if (claim.phase is Phase.STOPPING and claim.starts_sent and
                         claim.retry_s <= now_s):
                     self._send_stop(claim)
         self._remove_gone_workers()
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -7,6 +7,7 @@
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import watch
 from trefoilroad_standins.jobs import site as sites
+from trefoilroad_standins.jobs import workers as worker_module
 
 
 @pytest.fixture
@@ -524,3 +525,75 @@
     step.retry_at_s[35] = float("inf")
     site.run(3.0)
     assert len(step.done) == 35
+
+
+def _lose_first_start_replies(site, monkeypatch, count):
+    """Loses the replies to the first starts; the workers carry them out."""
+    start = worker_module.NodeWorkers.start
+    lost = []
+
+    def start_with_loss(self, worker, command, *, timeout_s, on_done):
+        if len(lost) >= count:
+            start(self, worker, command, timeout_s=timeout_s, on_done=on_done)
+            return
+        lost.append(command)
+        start(self,
+              worker,
+              command,
+              timeout_s=timeout_s,
+              on_done=lambda _: site.clock.schedule(
+                  timeout_s, lambda: on_done(
+                      ports.CommandReply(ports.Verdict.LOST))))
+
+    monkeypatch.setattr(worker_module.NodeWorkers, "start", start_with_loss)
+
+
+def test_refused_repeat_of_a_start_is_no_proof_that_it_never_ran(
+        site, monkeypatch):
+    """Guards against a second run of a task that has ended unnoticed.
+
+    The reply to a start was lost and the run ended before the start was
+    repeated. The worker refused the repeat, as it refuses any run that has
+    ended there, and the task was started on another worker.
+    """
+    _lose_first_start_replies(site, monkeypatch, 1)
+    node = site.find_leader()
+    node.workers.report_loss_probability = 1.0
+    site.submit("0" * 16, through=node.name, run_s=0.1)
+    site.run(0.8)
+    node.workers.report_loss_probability = 0.0
+    site.run(10.0)
+    assert site.ask_state("0" * 16, through=node.name) == "completed"
+    assert site.find_violations() == []
+    assert site.count_events("start") == 1
+
+
+def test_refusal_that_arrives_after_a_stop_proves_nothing(site, monkeypatch):
+    """Guards against room taken for free while an earlier start may run.
+
+    The attempts were counted anew once the run was being stopped, so that the
+    refusal of the second start seemed to be that of the only one.
+    """
+    _lose_first_start_replies(site, monkeypatch, 1)
+    node = site.find_leader()
+    monkeypatch.setattr(
+        worker_module.WorkerState,
+        "start",
+        lambda self, command, name, start=worker_module.WorkerState.start:
+        start(self, command, name)
+        if not self.runs else self._answer(ports.Verdict.NO_ROOM))
+    site.submit("0" * 16, through=node.name, run_s=5.0)
+    site.run(0.05)
+    tracker = node.node._dispatcher._runs
+    (claim,) = node.node._dispatcher.jobs["0" * 16].list_claims()
+    ended = []
+    monkeypatch.setattr(tracker, "_on_end",
+                        lambda claim, end_state, why: ended.append(end_state))
+    tracker._handle_start_reply(claim, "payload", 0.0,
+                                ports.CommandReply(ports.Verdict.LOST))
+    tracker.stop(claim, "cancelled")
+    tracker._handle_start_reply(claim, "payload", 0.0,
+                                ports.CommandReply(ports.Verdict.NO_ROOM, 1.0))
+    assert ended == []
+    site.run(1.0)
+    assert ended == [ports.EndState.STOPPED]
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -323,13 +323,27 @@
         self._host = host
         self._rng = rng
 
-    def _call(self,
-              worker: ports.Worker,
-              call: Callable[[WorkerState], Any],
-              on_done: Callable[[Any], None],
-              timeout_s: float,
-              loss_probability: float = 0.0) -> None:
-        """Calls a worker and delivers the result, or LOST after a timeout."""
+    def _call(
+            self,
+            worker: ports.Worker,
+            call: Callable[[WorkerState], Any],
+            on_done: Callable[[Any], None],
+            timeout_s: float,
+            loss_probability: float = 0.0,
+            unanswered_call: Callable[[WorkerState], Any] | None = None
+    ) -> None:
+        """Calls a worker and delivers the result, or LOST after a timeout.
+
+        Args:
+            worker: The worker.
+            call: Carries out the call.
+            on_done: Gets the result of the call, or LOST.
+            timeout_s: Time until LOST, in seconds.
+            loss_probability: Probability that the call gets no answer.
+            unanswered_call: Carries out a call that gets no answer, if `call`
+                itself sends the answer.
+        """
+        unanswered_call = unanswered_call or call
         loss_probability = max(loss_probability, self.loss_probability)
         virtual_clock = self._host.clock
         lost = ports.CommandReply(ports.Verdict.LOST)
@@ -349,7 +363,7 @@
                 def execute() -> None:
                     # A restart of the worker discards the pending call.
                     if worker_state.alive and worker_state.boot_ms == boot_ms:
-                        call(worker_state)
+                        unanswered_call(worker_state)
 
                 virtual_clock.schedule(self.lost_call_delay_s, execute)
                 fail()
@@ -429,7 +443,7 @@
 
         virtual_clock.schedule(timeout_s, time_out)
         self._call(worker, wait_for_end, finish_if_lost, timeout_s,
-                   self.report_loss_probability)
+                   self.report_loss_probability, get_report)
 
     def forget(self, worker: ports.Worker) -> None:
         """See ports.Workers.forget."""
