Build possible victims without calls for each task

Load: a full fleet with a thousand running tasks, listed in most rounds. Cause: each victim was built by several calls, and what it frees summed by worker although most victims are single tasks. Change: the loss of a step's tasks is computed in one loop, and single tasks skip the sums. What is chosen is the same.

--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -63,6 +63,13 @@
             self._add_ending(worker_id, demand)
         for victim in victims:
             weighted_loss = _compute_weighted_loss(victim)
+            if len(victim.tasks) == 1:
+                # Most victims of a full fleet are single tasks.
+                worker_id, demand = victim.tasks[0]
+                unit_loss = weighted_loss / max(1, demand.accelerators)
+                self._offers[worker_id].append(
+                    Offer(victim, demand, weighted_loss, unit_loss))
+                continue
             unit_loss = weighted_loss / max(1, victim.accelerators)
             for worker_id, demand in _sum_by_worker(victim).items():
                 self._offers[worker_id].append(
@@ -381,8 +388,8 @@
 
 def _compute_weighted_loss(victim: units.Victim) -> float:
     """Returns the core-seconds that a stop loses, weighted by priority."""
-    level = units.find_worth_index(victim.priority)
-    return victim.lost_core_s * units.WORTH_BY_PRIORITY[level]
+    return victim.lost_core_s * units.WORTH_BY_PRIORITY[units.find_worth_index(
+        victim.priority)]
 
 
 def _sum_by_worker(victim: units.Victim) -> dict[str, workload.Demand]:
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -271,25 +271,30 @@
                 step = job.workload.steps[number]
                 if not claims or step.long_running:
                     continue
-                density = self._compute_density(inputs, job)
-                groups = [claims] if step.gang else [[claim] for claim in claims
-                                                    ]
-                victims.extend(
-                    self._build_victim(inputs, step, priority, density, group)
-                    for group in groups)
+                victims += self._build_victims(
+                    inputs, step, priority, self._compute_density(inputs, job),
+                    claims)
         return reclaim.RunningTasks(ending=ending, victims=victims)
 
-    def _build_victim(self, inputs: RoundInput, step: workload.Step,
-                      priority: int, density: float,
-                      claims: list[progress.Claim]) -> units.Victim:
-        lost_core_s = sum([
-            units.compute_lost_core_s(step, inputs.now_s - claim.started_s,
-                                      self._bounds.checkpoint_interval_s)
-            for claim in claims
-        ])
-        return units.Victim(
-            tuple([(claim.worker_id, claim.demand) for claim in claims]),
-            lost_core_s, priority, claims, density)
+    def _build_victims(self, inputs: RoundInput, step: workload.Step,
+                       priority: int, density: float,
+                       claims: list[progress.Claim]) -> list[units.Victim]:
+        """Returns the victims of one step: a whole gang, or single tasks."""
+        now_s = inputs.now_s
+        # Loops without calls: a full fleet has a thousand running tasks.
+        cores = estimate.count_core_equivalents(step.demand)
+        max_lost_s = units.get_max_lost_s(step,
+                                          self._bounds.checkpoint_interval_s)
+        if not step.gang:
+            return [
+                units.Victim(((claim.worker_id, claim.demand),),
+                             min(now_s - claim.started_s, max_lost_s) * cores,
+                             priority, [claim], density) for claim in claims
+            ]
+        lost_s = sum(
+            [min(now_s - claim.started_s, max_lost_s) for claim in claims])
+        tasks = tuple([(claim.worker_id, claim.demand) for claim in claims])
+        return [units.Victim(tasks, lost_s * cores, priority, claims, density)]
 
     def _compute_density(self, inputs: RoundInput, job: progress.Job) -> float:
         """Returns the worth of a job for each core-second of it."""
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -176,7 +176,10 @@
         checkpoint_interval_s: Most seconds of work that a step with
             checkpoints loses.
     """
-    lost_s = elapsed_s
-    if step.checkpoints:
-        lost_s = min(elapsed_s, checkpoint_interval_s)
+    lost_s = min(elapsed_s, get_max_lost_s(step, checkpoint_interval_s))
     return lost_s * estimate.count_core_equivalents(step.demand)
+
+
+def get_max_lost_s(step: workload.Step, checkpoint_interval_s: float) -> float:
+    """Returns the most seconds of work that the stop of one task loses."""
+    return checkpoint_interval_s if step.checkpoints else float("inf")
