--- a/packages/jobs/tests/test_load.py
+++ b/packages/jobs/tests/test_load.py
@@ -3,6 +3,9 @@
 Each policy must improve the results on the load that it is meant for.
 """
 
+from concurrent import futures
+import functools
+import multiprocessing
 import statistics
 
 import pytest
@@ -31,9 +34,17 @@
 
 
 def _play(pattern, seeds=SEEDS, **options):
-    return [
-        load.simulate(load.PATTERNS[pattern], seed, **options) for seed in seeds
-    ]
+    """Plays one day for each seed; several days at a time.
+
+    The processes are forked, so that they see what a test has replaced. A
+    single day is played in this process, where a test can count calls.
+    """
+    play = functools.partial(load.simulate, load.PATTERNS[pattern], **options)
+    if len(seeds) == 1:
+        return [play(seeds[0])]
+    with futures.ProcessPoolExecutor(
+            mp_context=multiprocessing.get_context("fork")) as pool:
+        return list(pool.map(play, seeds))
 
 
 @pytest.fixture(scope="module")
