Ignore malformed worker entries instead of ending the watch

A row of another writer with an object as `labels` raised KeyError in decode_worker; only RecordError and TypeError were caught, and the exception left Watch._handle_result before the call that asks for the next change. Every leader read the same row and ended the same way.

A row that cannot be decoded, applied or planned affects no other row. An exception from a callback of a watch is logged, and the table is read anew. A leader that cannot load the jobs gives up the lead. A request that cannot be encoded or connected gets NoReply.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -158,6 +158,16 @@
 
     def _apply_intake_row(self, row: ports.Row,
                           states: Mapping[str, bytes | None]) -> None:
+        """Applies one row; one that cannot be applied affects no other row."""
+        try:
+            self._apply_readable_row(row, states)
+        except Exception as error:
+            _log.exception("row cannot be applied",
+                           row=row.key,
+                           error=repr(error))
+
+    def _apply_readable_row(self, row: ports.Row,
+                            states: Mapping[str, bytes | None]) -> None:
         if row.value is None:
             return
         if row.key.startswith(tables.CANCEL_PREFIX):
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -308,7 +308,13 @@
                 _log.warning("progress cannot be read", reason=str(result))
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
-            dispatcher.load(intake_rows[0], result)
+            try:
+                dispatcher.load(intake_rows[0], result)
+            except Exception as error:
+                # A leader that schedules nothing must not keep the lead.
+                _log.exception("jobs cannot be loaded", error=repr(error))
+                self._leadership.step_down("jobs cannot be loaded")
+                return
             self._follow_jobs(dispatcher)
 
         self._follow_workers(dispatcher)
@@ -330,7 +336,14 @@
         def decode(row: ports.Row) -> ports.Worker | None:
             if row.value is None:
                 return None
-            return self._platform_tables.decode_worker(row.key, row.value)
+            try:
+                return self._platform_tables.decode_worker(row.key, row.value)
+            except Exception as error:
+                # A row that others wrote must not hide the rows beside it.
+                _log.exception("worker row cannot be decoded",
+                               worker=row.key,
+                               error=repr(error))
+                return None
 
         def on_snapshot(rows: ports.Rows) -> None:
             workers.clear()
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -9,6 +9,8 @@
 import functools
 from typing import NamedTuple
 
+import structlog
+
 from trefoilroad_jobs import configuration as configurations
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet as fleets
@@ -27,6 +29,8 @@
 # 3 s while other workers are idle.
 FAILING_AVOIDANCE_S = 1.5
 
+_log = structlog.get_logger()
+
 
 class RoundInput(NamedTuple):
     """State from which a round is planned.
@@ -69,6 +73,7 @@
         self._headroom_estimators: dict[str, headroom.HeadroomEstimator] = (
             collections.defaultdict(headroom.HeadroomEstimator))
         self._densities: dict[str, float] = {}
+        self._unplannable_jobs: set[str] = set()
 
     def record_job(self, job: progress.Job) -> None:
         """Counts an accepted job if it is urgent, to estimate the headroom."""
@@ -115,15 +120,33 @@
         ready_units = []
         used_accelerators = self._sum_urgent_accelerators(inputs)
         for job in sorted(inputs.jobs.values(), key=lambda job: job.accepted_s):
-            for occurrence, number in job.list_ready(inputs.wall_ms):
-                unit = self._build_unit(inputs, job, occurrence, number)
-                if unit is None:
-                    continue
+            for unit in self._build_units(inputs, job):
                 if unit.priority == workload.URGENT_PRIORITY:
                     unit = _apply_guarantee(inputs, unit, used_accelerators)
                 ready_units.append(unit)
         return ready_units
 
+    def _build_units(self, inputs: RoundInput,
+                     job: progress.Job) -> list[units.Unit]:
+        """Returns the ready units of a job.
+
+        A job for which that fails must not keep the others from running. It is
+        logged once, as rounds follow each other within milliseconds.
+        """
+        try:
+            ready = [
+                self._build_unit(inputs, job, occurrence, number)
+                for occurrence, number in job.list_ready(inputs.wall_ms)
+            ]
+        except Exception as error:
+            if job.job_id not in self._unplannable_jobs:
+                self._unplannable_jobs.add(job.job_id)
+                _log.exception("job cannot be planned",
+                               request=job.job_id,
+                               error=repr(error))
+            return []
+        return [unit for unit in ready if unit is not None]
+
     def _sum_urgent_accelerators(self, inputs: RoundInput) -> dict[str, int]:
         """Returns the number of accelerators in use by urgent jobs, by team."""
         used_accelerators: dict[str, int] = collections.Counter()
--- a/packages/jobs/src/trefoilroad_jobs/watch.py
+++ b/packages/jobs/src/trefoilroad_jobs/watch.py
@@ -22,7 +22,7 @@
     """Watches one table.
 
     Attributes:
-        fresh_s: Time up to which all changes have been received, in seconds;
+        fresh_s: Time up to which all changes have been processed, in seconds;
             minus infinity before the first result.
     """
 
@@ -51,6 +51,7 @@
         self._on_change = on_change
         self._version: int | None = None
         self._failures = 0
+        self._rejections = 0
         self._closed = False
 
     def begin(self) -> None:
@@ -92,16 +93,41 @@
         elif isinstance(result, ports.StoreFailed):
             self._retry(result)
         else:
-            self._record_success(sent_s)
-            self._version = max(result.version, self._version or 0)
+            self._record_answer()
+            if self._process(result, is_snapshot):
+                self.fresh_s = sent_s
+                self._version = max(result.version, self._version or 0)
+                self._rejections = 0
+                self._request_rows()
+
+    def _process(self, result: ports.Rows, is_snapshot: bool) -> bool:
+        """Passes rows to the callback.
+
+        After an exception, which may have come in the middle of the rows, the
+        whole table is read anew after a delay. Otherwise the watch would end
+        and its node would act on what it knows by then for ever.
+
+        Returns:
+            Whether the callback has processed them.
+        """
+        try:
             if is_snapshot:
                 self._on_snapshot(result)
             elif result.rows:
                 self._on_change(result)
-            self._request_rows()
+        except Exception as error:
+            self._rejections += 1
+            _log.exception("rows cannot be processed, reading anew",
+                           table=self._table,
+                           version=result.version,
+                           rejections=self._rejections,
+                           error=repr(error))
+            self._version = None
+            self._request_later(self._rejections)
+            return False
+        return True
 
-    def _record_success(self, sent_s: float) -> None:
-        self.fresh_s = sent_s
+    def _record_answer(self) -> None:
         if self._failures:
             _log.info("store answers again",
                       table=self._table,
@@ -115,7 +141,10 @@
                          table=self._table,
                          reason=result.reason,
                          version=self._version)
-        delay_s = backoff.compute_delay(tries=self._failures,
+        self._request_later(self._failures)
+
+    def _request_later(self, tries: int) -> None:
+        delay_s = backoff.compute_delay(tries=tries,
                                         base_s=WATCH_RETRY_BASE_S,
                                         max_s=WATCH_RETRY_MAX_S,
                                         rng=self._rng)
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from trefoilroad_jobs import dispatcher
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
+from trefoilroad_jobs import rounds
 from trefoilroad_jobs import watch
 from trefoilroad_standins.jobs import site as sites
 from trefoilroad_standins.jobs import workers as worker_module
@@ -597,3 +599,115 @@
     assert ended == []
     site.run(1.0)
     assert ended == [ports.EndState.STOPPED]
+
+
+def _write_odd_row(site, monkeypatch):
+    """Writes a row of the workers' table on which the decoder raises."""
+    decode = site.decode_worker
+
+    def decode_or_raise(key, value):
+        if key == "odd":
+            raise KeyError(-1)
+        return decode(key, value)
+
+    for site_node in site.nodes.values():
+        monkeypatch.setattr(site_node.node._platform_tables, "decode_worker",
+                            decode_or_raise)
+    site.tables.put("workers", "odd", b"odd")
+
+
+def test_worker_row_that_cannot_be_decoded(site, monkeypatch):
+    """Guards against the end of the watch of the workers.
+
+    The leader took no notice of workers that joined after such a row.
+    """
+    _write_odd_row(site, monkeypatch)
+    site.run(1.0)
+    site.add_worker("w99", "r9")
+    site.submit("0" * 16, tasks=5, run_s=1.0, max_per_worker=1)
+    site.run(0.8)
+    assert site.count_events("start") == 5
+
+
+def test_leader_that_cannot_load_jobs_gives_up_the_lead(site, monkeypatch):
+    """Guards against a leader that keeps the lead and schedules nothing."""
+    site.submit("0" * 16, run_s=1.0)
+    site.run(0.2)
+    loads = []
+    load = dispatcher.Dispatcher.load
+
+    def load_or_raise(self, *rows):
+        loads.append(self.epoch)
+        if len(loads) == 1:
+            raise OverflowError("test")
+        load(self, *rows)
+
+    monkeypatch.setattr(dispatcher.Dispatcher, "load", load_or_raise)
+    site.kill(site.find_leader().name)
+    site.run(9.0)
+    assert len(loads) == 2
+    name = site.find_leader().name
+    assert site.ask_state("0" * 16, through=name) == "completed"
+
+
+def test_job_that_cannot_be_planned_delays_no_other(site, monkeypatch):
+    """Guards against rounds that end at one job, also after a takeover."""
+    build_unit = rounds.RoundScheduler._build_unit
+
+    def build_or_raise(self, inputs, job, *args):
+        if job.job_id.startswith("a"):
+            raise TypeError("test")
+        return build_unit(self, inputs, job, *args)
+
+    monkeypatch.setattr(rounds.RoundScheduler, "_build_unit", build_or_raise)
+    site.submit("a" * 16)
+    site.submit("0" * 16, run_s=0.5)
+    site.run(1.5)
+    assert site.ask_state("0" * 16) == "completed"
+    assert site.ask_state("a" * 16) == "queued"
+
+
+def test_job_row_that_cannot_be_applied(site, monkeypatch):
+    """Guards against the end of the watch of the jobs on an odd row."""
+    site.tables.put("intake", "job/" + "f" * 16, b"\xff\xff")
+    estimator = estimate.Estimator
+    record_job = estimator.record_job
+
+    def record_or_raise(self, job):
+        if job.job_id.startswith("a"):
+            raise OverflowError("test")
+        record_job(self, job)
+
+    monkeypatch.setattr(estimator, "record_job", record_or_raise)
+    site.submit("a" * 16)
+    site.run(0.2)
+    site.submit("0" * 16, run_s=0.5)
+    site.run(1.5)
+    assert site.ask_state("0" * 16) == "completed"
+
+
+def test_watch_goes_on_after_an_exception(site):
+    """Guards against a watch that ends with an exception of its callback.
+
+    The rows are read anew: the callback may have processed a part of them.
+    """
+    seen = []
+
+    def fail_once(rows):
+        seen.append([row.key for row in rows.rows])
+        if len(seen) == 2:
+            raise ValueError("test")
+
+    site_node = site.nodes["n0"]
+    table_watch = site_node.node._start_watch("table", 1.0, fail_once,
+                                              fail_once)
+    site.run(0.5)
+    assert table_watch.fresh_s > float("-inf")
+    site.tables.put("table", "a", b"1")
+    site.run(0.001)
+    fresh_s = table_watch.fresh_s
+    site.run(1.0)
+    site.tables.put("table", "b", b"1")
+    site.run(0.5)
+    assert seen == [[], ["a"], ["a"], ["b"]]
+    assert table_watch.fresh_s > fresh_s
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -95,9 +95,18 @@
         """Whether the connection is free for a request."""
         return self._exchange is None and not self.closed
 
-    def open(self, connector: streams.Connector, host: str, port: int) -> None:
-        """Starts to connect."""
-        self._stream = connector.open(host, port, self)
+    def open(self, connector: streams.Connector, address: str) -> None:
+        """Starts to connect; a malformed address closes the connection.
+
+        Args:
+            connector: Opens the connection.
+            address: "host:port".
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            self._stream = connector.open(host, int(port), self)
+        except (OSError, ValueError, OverflowError) as error:
+            self._fail(f"cannot connect: {error!r}")
 
     def send(self, exchange: Exchange) -> None:
         """Sends a request, at once or when the connection is established."""
@@ -212,7 +221,7 @@
         """Sends a request, or queues it until a connection is free.
 
         Args:
-            address: "host:port".
+            address: "host:port"; if it is malformed, there is no reply.
             method: HTTP method.
             path: Path and query.
             body: The body; may be empty.
@@ -220,7 +229,12 @@
             on_done: Called once with a Reply or a NoReply.
             headers: Additional headers of this request.
         """
-        data = self._encode(address, method, path, body, headers or {})
+        try:
+            data = self._encode(address, method, path, body, headers or {})
+        except ValueError as error:
+            no_reply = NoReply(False, f"cannot be encoded: {error!r}")
+            self._timers.call_later(0, lambda: on_done(no_reply))
+            return
         self._byte_counter.sent_bytes += len(data)
         exchange = Exchange(data=data, on_done=on_done)
         pool = self._pools.setdefault(address, ConnectionPool())
@@ -242,6 +256,8 @@
             "Content-Length": str(len(body))
         }
         lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+        if any("\n" in value or "\r" in value for value in headers.values()):
+            raise ValueError("a header contains the end of a line")
         head = f"{method} {path} HTTP/1.1\r\n{''.join(lines)}\r\n"
         return head.encode("latin-1") + body
 
@@ -265,12 +281,11 @@
                 return connection
         if len(pool.connections) >= self._max_connections:
             return None
-        host, _, port = address.rpartition(":")
         connection = Connection(
             byte_counter=self._byte_counter,
             on_idle=lambda: self._timers.call_later(
                 0, lambda: self._send_queued(address, pool)))
-        connection.open(self._connector, host, int(port))
+        connection.open(self._connector, address)
         pool.connections.append(connection)
         return connection
 
--- a/packages/node/src/trefoilroad_node/streams.py
+++ b/packages/node/src/trefoilroad_node/streams.py
@@ -86,13 +86,25 @@
 
         Returns:
             The stream; data can be written before it is connected.
+
+        Raises:
+            OSError: If the host is not an IP address, or there is no socket.
+            ValueError: If the host is not text that can be an address.
+            OverflowError: If the port is out of range.
         """
+        # Without this check, a host name would block the loop while it is
+        # resolved.
+        socket.inet_pton(socket.AF_INET, host)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex((host, port))
+        except (OSError, OverflowError):
+            sock.close()
+            raise
         stream = Stream(connector=self, sock=sock, listener=listener)
         self._streams[sock] = stream
-        code = sock.connect_ex((host, port))
         if code in _IN_PROGRESS:
             self._poller.addWriter(self, sock)
         else:
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -106,3 +106,57 @@
     assert "crossed" not in caller.results
     if timeout_s > 1.0:
         assert set(caller.results) == {"own"}
+
+
+@pytest.mark.parametrize("fields", [
+    {
+        "address": "127.0.0.1:70000"
+    },
+    {
+        "address": "127.0.0.1:"
+    },
+    {
+        "address": "localhost:80"
+    },
+    {
+        "address": "127.0.0.1\x00:80"
+    },
+    {
+        "address": "\ud800:80"
+    },
+    {
+        "headers": {
+            "Expect-Instance": "\u0394"
+        }
+    },
+    {
+        "headers": {
+            "Expect-Instance": "a\r\nX: y"
+        }
+    },
+])
+def test_request_that_cannot_be_sent_gets_no_reply(fields):
+    """Guards against an exception in the caller and a call without an end."""
+    rng = random.Random(1)
+    root = circuits.BaseComponent()
+    poller = pollers.EPoll().register(root)
+    timers = timer.TimerService(rng=rng).register(root)
+    client = httpclient.HttpClient(
+        connector=streams.Connector(poller=poller).register(root),
+        timers=timers,
+        headers={},
+        byte_counter=traffic.ByteCounter())
+    results = []
+    client.send(**({
+        "address": "127.0.0.1:9",
+        "method": "POST",
+        "path": "/",
+        "body": b"",
+        "timeout_s": 0.5,
+        "on_done": results.append
+    } | fields))
+    timers.call_later(1.0, root.stop)
+    root.run()
+    assert len(results) == 1
+    assert isinstance(results[0], httpclient.NoReply)
+    assert not results[0].sent
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -24,6 +24,7 @@
 import click
 
 from trefoilroad_standins.jobs import fleet_server
+from trefoilroad_standins.jobs import odd_rows
 from trefoilroad_standins.jobs import proxy as proxies
 from trefoilroad_standins.jobs import workers as worker_module
 
@@ -35,6 +36,9 @@
 RECOVERY_S = 30.0
 JOB_COUNT = 14
 FAULT_COUNT = 6
+ODD_ROW_COUNT = 6
+# A worker is cut off for longer than the lease of a leader, 6 s.
+LONG_CUT_S = (6.5, 12.0)
 CALL_TIMEOUT_S = 3.0
 STOP_GRACE_S = 6.0
 # Below the range from which the kernel chooses ports for other processes.
@@ -259,6 +263,8 @@
         """
         self.log: list[str] = []
         self._rng = random.Random(seed)
+        # Separate, so that the other faults of a seed stay the same.
+        self._extra_rng = random.Random(f"extra {seed}")
         self._folder = folder
         self._fleet = fleet_server.FleetServer(worker_count=WORKER_COUNT)
         self._nodes: list[NodeProcess] = []
@@ -284,6 +290,10 @@
                     asyncio.create_task(
                         self._run_later(self._rng.uniform(0, FAULT_PHASE_S),
                                         action, number)))
+            self._tasks += [
+                asyncio.create_task(self._write_odd_rows()),
+                asyncio.create_task(self._cut_worker_for_long())
+            ]
             await asyncio.gather(*self._tasks)
             await self._repair_all()
             return await self._check_outcome()
@@ -433,6 +443,25 @@
         self._record(f"worker {name}")
         await self._break_connections(self._proxies[name], duration_s)
 
+    async def _write_odd_rows(self) -> None:
+        """Writes rows of another writer; the last ones stay for good."""
+        for _ in range(ODD_ROW_COUNT):
+            await asyncio.sleep(
+                self._extra_rng.uniform(0, 2 * FAULT_PHASE_S / ODD_ROW_COUNT))
+            key, value = odd_rows.draw_row(self._extra_rng)
+            self._record(f"odd row {key!r}: {value[:80]!r}")
+            self._fleet.tables.put("servers|", key, value)
+
+    async def _cut_worker_for_long(self) -> None:
+        """Silences the connections of a worker for longer than its lease."""
+        await asyncio.sleep(self._extra_rng.uniform(0, FAULT_PHASE_S / 2))
+        name = self._extra_rng.choice(list(self._proxies))
+        duration_s = self._extra_rng.uniform(*LONG_CUT_S)
+        self._record(f"worker {name} cut off for {duration_s:.1f} s")
+        self._proxies[name].set_fault(proxies.Fault.SILENT)
+        await asyncio.sleep(duration_s)
+        self._proxies[name].set_fault(proxies.Fault.NONE)
+
     async def _crash_worker(self, duration_s: float) -> None:
         worker_state = self._rng.choice(list(
             self._fleet.worker_states.values()))
