Never give a lease that is longer than a successor assumes

The end of a lease was extrapolated from the last reading of the worker's clock without regard to its drift of up to 2%. Idle workers are not asked for reports, so the reading was 84 s old and the lease of 6 s lasted 7.8 s; the next leader counted on 6.1 s.

A lease now counts from the earliest time that the worker's clock can show, and idle workers are asked for their clock once a minute, so that a first lease is not too short. The same cause on related paths: a worker that restarted unnoticed holds the longest lease, which is waited for if no start of a run was answered; a leader with such a start, or with runs of the leader before whose leases may last, does not announce its release; the longest lease of a restarted worker is no longer sent as a new one; a suspended leader sends no starts until it has confirmed that it leads.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -52,7 +52,7 @@
                  wall_clock: ports.WallClock, ledger: ledgers.Ledger,
                  bounds: limits.Limits, round_planner: planner.Planner,
                  metrics: sinks.Metrics, prior_authority_end_s: float,
-                 on_newer_leader: Callable[[str], None]):
+                 prior_released: bool, on_newer_leader: Callable[[str], None]):
         """Starts the timers; `load` supplies the jobs.
 
         Args:
@@ -67,6 +67,7 @@
             metrics: Sink of metrics.
             prior_authority_end_s: Latest time at which the previous leader may
                 have renewed a lease, on this leader's clock.
+            prior_released: Whether the previous leader released the leadership.
             on_newer_leader: Called with a reason when there is evidence of a
                 newer leader.
         """
@@ -97,12 +98,14 @@
             timers=timers,
             ledger=ledger,
             bounds=bounds,
-            prior_leases_end_s=(prior_authority_end_s + fleet.LEASE_SLACK_S +
-                                bounds.lease_s / (1 - fleet.MAX_CLOCK_DRIFT)),
+            prior_leases_end_s=(prior_authority_end_s +
+                                fleet.compute_lease_duration_s(bounds.lease_s)),
+            prior_released=prior_released,
             find_job=self.jobs.get,
             on_end=self._handle_run_end,
             on_change=self._request_round,
             on_newer_leader=on_newer_leader)
+        self._starting = True
         self._round_planned = False
         self._last_round_s = float("-inf")
         self._round_duration_s = 0.0
@@ -119,6 +122,14 @@
         self._runs.close()
         self._ledger.close()
 
+    def stop_starting(self) -> None:
+        """Places no more tasks; running ones are still tracked."""
+        self._starting = False
+
+    def has_doubtful_runs(self) -> bool:
+        """See RunTracker.has_doubtful_runs."""
+        return self._runs.has_doubtful_runs()
+
     # Input from the store.
 
     def load(self, intake_rows: ports.Rows, progress_rows: ports.Rows) -> None:
@@ -437,7 +448,7 @@
 
     def _run_round(self) -> None:
         self._round_planned = False
-        if self._closed or not self.ready:
+        if self._closed or not self.ready or not self._starting:
             return
         started_s = self._timers.read_clock()
         self._last_round_s = started_s
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -21,6 +21,9 @@
 MAX_CLOCK_DRIFT = 0.02
 # Added to a computed end of a lease, for the resolution of clocks.
 LEASE_SLACK_S = 0.1
+# A reading of a worker's clock that is older than this is replaced before it is
+# needed: each second of age takes 20 ms off the next lease.
+MAX_CLOCK_AGE_S = 60.0
 # Weights of a new sample and width of the timeout, from RFC 6298.
 REPLY_MEAN_SMOOTHING = 1 / 8
 REPLY_DEVIATION_SMOOTHING = 1 / 4
@@ -38,6 +41,15 @@
 BOOT_CLOCK_SLACK_MS = 200.0
 
 
+def compute_lease_duration_s(lease_s: float) -> float:
+    """Returns how long a lease may last on the leader's clock.
+
+    Args:
+        lease_s: Length of the lease on the worker's clock, in seconds.
+    """
+    return lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_SLACK_S
+
+
 class ReplyTime:
     """Mean and deviation of the reply times of a worker.
 
@@ -175,8 +187,7 @@
             now_s: Current time on the leader's clock.
             max_lease_s: Longest lease that a worker accepts, in seconds.
         """
-        elapsed_s = max(0.0, now_s - self.clock_s - LEASE_SLACK_S)
-        expected_ms = self.clock_ms + elapsed_s * (1 - MAX_CLOCK_DRIFT) * 1000.0
+        expected_ms = self._compute_earliest_clock_ms(now_s)
         if self.contacted and clock_ms < expected_ms - BOOT_CLOCK_SLACK_MS:
             self.maybe_restarted = True
             longest_ms = int(clock_ms + max_lease_s * 1000.0)
@@ -217,6 +228,10 @@
                          max_lease_s: float) -> int:
         """Returns the end of a new lease on the worker's clock.
 
+        The end counts from the earliest time that the worker's clock can show.
+        The lease is then never longer than `lease_s`, however old the last
+        reading of the clock is, and later leaders can rely on that.
+
         Args:
             lease_s: Length of the lease in seconds.
             now_s: Current time on the leader's clock.
@@ -224,12 +239,21 @@
         """
         # A worker that has restarted takes the end for one on its new clock and
         # shortens the lease to the longest one.
-        self.sent_leases_end_s = (now_s + max_lease_s / (1 - MAX_CLOCK_DRIFT) +
-                                  LEASE_SLACK_S)
-        elapsed_s = now_s - self.clock_s
-        until = int(self.clock_ms + (elapsed_s + lease_s) * 1000.0)
-        self.lease_end_ms = max(self.lease_end_ms, until)
-        return self.lease_end_ms
+        self.sent_leases_end_s = now_s + compute_lease_duration_s(max_lease_s)
+        until_ms = int(
+            self._compute_earliest_clock_ms(now_s) + lease_s * 1000.0)
+        # A worker that restarted unnoticed may hold a longer lease.
+        self.lease_end_ms = max(self.lease_end_ms, until_ms)
+        return until_ms
+
+    def _compute_earliest_clock_ms(self, now_s: float) -> float:
+        """Returns the earliest time that the worker's clock can show now."""
+        elapsed_s = max(0.0, now_s - self.clock_s - LEASE_SLACK_S)
+        return self.clock_ms + elapsed_s * (1 - MAX_CLOCK_DRIFT) * 1000.0
+
+    def needs_clock_reading(self, now_s: float) -> bool:
+        """Returns whether the last reading of its clock is too old."""
+        return self.contacted and now_s - self.clock_s > MAX_CLOCK_AGE_S
 
     def is_lease_expired(self, now_s: float, prior_leases_end_s: float) -> bool:
         """Returns whether the lease of a silent worker has surely expired.
@@ -243,9 +267,7 @@
         """
         if not self.contacted:
             return now_s >= max(prior_leases_end_s, self.sent_leases_end_s)
-        elapsed_s = max(0.0, now_s - self.clock_s - LEASE_SLACK_S)
-        return self.clock_ms + elapsed_s * (1 - MAX_CLOCK_DRIFT) * 1000.0 > (
-            self.lease_end_ms)
+        return self._compute_earliest_clock_ms(now_s) > self.lease_end_ms
 
     def record_failure(self, job_id: str, *, ran_s: float,
                        failed_elsewhere: bool, now_s: float) -> bool:
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -97,7 +97,7 @@
     def __init__(self, *, node_id: str, link: str, store: ports.Store,
                  timers: timer.Timers, rng: random.Random,
                  takeover_delay_s: float, authority_s: float,
-                 on_gain: Callable[[int, int, float],
+                 on_gain: Callable[[int, int, float, bool],
                                    None], on_loss: Callable[[str], None]):
         """Starts to watch the leader.
 
@@ -113,8 +113,8 @@
             authority_s: How long a leader renews leases after its last
                 confirmed transaction, in seconds.
             on_gain: Called when this node becomes the leader, with the epoch,
-                the version of the head row and the time until which the
-                previous leader may have acted.
+                the version of the head row, the time until which the previous
+                leader may have acted, and whether it released the leadership.
             on_loss: Called with the reason when this node stops leading.
         """
         self.leader = NO_LEADER
@@ -223,17 +223,23 @@
             self._head = None
             self._on_loss(reason)
 
-    def release(self, on_done: Callable[[], None]) -> None:
+    def release(self, on_done: Callable[[], None], *, announce: bool) -> None:
         """Releases the leadership before a planned stop.
 
         Calls `on_loss` first, which must stop all that this node does as the
-        leader; only then marks the leader row as vacant. `on_done` is called
-        once the store has answered or its call has timed out.
+        leader; only then marks the leader row as vacant.
+
+        Args:
+            on_done: Called once the store has answered or its call has timed
+                out.
+            announce: Whether to mark the leader row as vacant. If not, other
+                nodes take over as after the loss of this node, and allow for
+                all that it may have done last.
         """
         was_leading = self.leading
         self._released = True
         self.step_down("planned stop")
-        if not was_leading:
+        if not was_leading or not announce:
             on_done()
             return
         vacant_row = Leader(self.leader.epoch, "", "")
@@ -306,6 +312,7 @@
         now_s = self._timers.read_clock()
         # A leader that released the leadership had stopped acting before.
         prior_authority_end_s = now_s
+        released = not self.leader.node_id
         if not self._is_vacant(now_s):
             prior_authority_end_s = since_s + self._authority_s
         leader = Leader(self.leader.epoch + 1, self._node_id, self._link)
@@ -324,26 +331,27 @@
                            },
                            removals=[],
                            on_done=lambda result: self._handle_takeover_result(
-                               leader, prior_authority_end_s, result))
+                               leader, prior_authority_end_s, released, result))
 
     def _handle_takeover_result(self, leader: Leader,
-                                prior_authority_end_s: float,
+                                prior_authority_end_s: float, released: bool,
                                 result: ports.CommitResult) -> None:
         self._taking_over = False
         self._head = None
         if isinstance(result, ports.Committed):
             self._row_version = result.version
-            self._become_leader(leader, result.version, prior_authority_end_s)
+            self._become_leader(leader, result.version, prior_authority_end_s,
+                                released)
             return
         if isinstance(result, ports.Conflict):
             self._handle_takeover_conflict(leader, prior_authority_end_s,
-                                           result)
+                                           released, result)
         else:
             _log.warning("taking the lead failed", reason=result.reason)
             self._next_try_s = self._timers.read_clock() + self._draw_delay_s()
 
     def _handle_takeover_conflict(self, leader: Leader,
-                                  prior_authority_end_s: float,
+                                  prior_authority_end_s: float, released: bool,
                                   result: ports.Conflict) -> None:
         """Checks whether an earlier attempt of this node has taken effect."""
         row = result.rows.get(tables.LEADER_ROW)
@@ -356,12 +364,14 @@
         if head is not None and head.value == ledger.encode_head(
                 ledger.Head(leader.epoch, 0)):
             self._row_version = row.version
-            self._become_leader(leader, head.version, prior_authority_end_s)
+            self._become_leader(leader, head.version, prior_authority_end_s,
+                                released)
 
     def _become_leader(self, leader: Leader, head_version: int,
-                       prior_authority_end_s: float) -> None:
+                       prior_authority_end_s: float, released: bool) -> None:
         self.leader = leader
         self.leading = True
         self._leader_active_s = self._timers.read_clock()
-        _log.info("leading", epoch=leader.epoch)
-        self._on_gain(leader.epoch, head_version, prior_authority_end_s)
+        _log.info("leading", epoch=leader.epoch, prior_released=released)
+        self._on_gain(leader.epoch, head_version, prior_authority_end_s,
+                      released)
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -33,6 +33,10 @@
 STATUS_TIMEOUT_S = 0.4
 # Wait for the leader to write a row; the store may take a second for it.
 RELAY_TIMEOUT_S = 1.0
+# Longest wait for the replies to start commands before a planned stop, longer
+# than the timeout of a command, and the interval of the checks.
+START_SETTLE_TIMEOUT_S = 0.5
+START_SETTLE_INTERVAL_S = 0.01
 # Longest wait of each watch call. For the configuration it limits how long a
 # node can use an old one unnoticed; the other waits only affect the number of
 # calls.
@@ -192,7 +196,28 @@
             on_done: Called when the release has succeeded or failed.
         """
         self.stopping = True
-        self._leadership.release(on_done)
+        if self._dispatcher is not None:
+            self._dispatcher.stop_starting()
+        give_up_s = self._timers.read_clock() + START_SETTLE_TIMEOUT_S
+        self._release_when_settled(give_up_s, on_done)
+
+    def _release_when_settled(self, give_up_s: float,
+                              on_done: Callable[[], None]) -> None:
+        """Releases the leadership once no start command is unanswered.
+
+        If one remains so, a successor is not told that it may take over at
+        once: it could not know how long the run of that start may last.
+        """
+        doubtful = (self._dispatcher is not None and
+                    self._dispatcher.has_doubtful_runs())
+        if doubtful and self._timers.read_clock() < give_up_s:
+            self._timers.call_later(
+                START_SETTLE_INTERVAL_S,
+                lambda: self._release_when_settled(give_up_s, on_done))
+            return
+        if doubtful:
+            _log.warning("leadership not handed over, starts are unanswered")
+        self._leadership.release(on_done, announce=not doubtful)
 
     def _start_watch(self, table: str, wait_s: float, on_snapshot: watch.OnRows,
                      on_change: watch.OnRows) -> watch.Watch:
@@ -254,7 +279,8 @@
     # Leading.
 
     def _start_leading(self, epoch: int, head_version: int,
-                       prior_authority_end_s: float) -> None:
+                       prior_authority_end_s: float,
+                       prior_released: bool) -> None:
         self._links.set_addresses(set())
         self._followers = {}
         ledger = ledgers.Ledger(store=self._store,
@@ -273,6 +299,7 @@
             round_planner=self._round_planner,
             metrics=self._metrics,
             prior_authority_end_s=prior_authority_end_s,
+            prior_released=prior_released,
             on_newer_leader=self._leadership.step_down)
         self._ledger = ledger
         self._dispatcher = dispatcher
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -65,6 +65,10 @@
             run that an earlier leader claimed.
         start_settled: Whether a start command was answered or can no longer
             take effect.
+        longest_lease_end_s: When the longest lease that a worker accepts has
+            ended, if the start is not settled: the worker may have restarted
+            unnoticed, and its new process takes the end of the lease for one on
+            its own clock. Minus infinity if there is no such doubt.
         stop_acked_s: When the worker confirmed a stop, or infinity.
         since_s: When the phase began.
         started_s: When the start was first sent, in seconds; before that, and
@@ -80,10 +84,11 @@
         why: Reason of the stop, for logs.
     """
 
-    __slots__ = ("boot_ms", "checkpoint", "demand", "key", "percent",
-                 "percent_s", "phase", "retry_s", "run", "since_s",
-                 "start_settled", "started_ms", "started_s", "starts_sent",
-                 "stop_acked_s", "tries", "why", "worker_id")
+    __slots__ = ("boot_ms", "checkpoint", "demand", "key",
+                 "longest_lease_end_s", "percent", "percent_s", "phase",
+                 "retry_s", "run", "since_s", "start_settled", "started_ms",
+                 "started_s", "starts_sent", "stop_acked_s", "tries", "why",
+                 "worker_id")
 
     def __init__(self,
                  *,
@@ -104,6 +109,7 @@
         self.phase = phase
         self.starts_sent = int(phase is Phase.RECOVERING)
         self.start_settled = False
+        self.longest_lease_end_s = float("-inf")
         self.stop_acked_s = float("inf")
         self.since_s = now_s
         self.started_s = now_s
@@ -115,6 +121,11 @@
         self.checkpoint = checkpoint
         self.why = ""
 
+    def settle_start(self) -> None:
+        """Records that a start command was answered or has no more effect."""
+        self.start_settled = True
+        self.longest_lease_end_s = float("-inf")
+
     def set_phase(self, phase: Phase, now_s: float) -> None:
         """Enters a phase and resets the retries."""
         self.phase = phase
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -9,7 +9,9 @@
 - an earlier leader claimed it, and a complete report to this leader omits it,
   or
 - its worker process has restarted after the start was settled, or
-- its worker does not answer and its lease has expired on the worker's clock.
+- its worker does not answer and its lease has expired on the worker's clock;
+  if no start of the run was answered, the longest lease that a worker accepts
+  counts, as the worker may have restarted before the start.
 """
 
 from collections.abc import Callable
@@ -44,6 +46,9 @@
 # and declarations are wrong by a factor of two.
 STALL_RUN_TIME_SHARE = 0.15
 DONE_PERCENT = 100
+# Longest time from a claim to the last start command sent for it: the commit of
+# the claim, then the repeats of a start that gets no reply.
+START_SETTLE_S = 3.0
 # Number of stops without a reply after which their interval doubles no further.
 MAX_STOP_RETRY_DOUBLINGS = 8
 # Progress below this percentage is too coarse to extrapolate from.
@@ -66,7 +71,7 @@
     def __init__(self, *, epoch: int, fleet: fleets.Fleet,
                  workers: ports.Workers, timers: timer.Timers,
                  ledger: ledgers.Ledger, bounds: limits.Limits,
-                 prior_leases_end_s: float,
+                 prior_leases_end_s: float, prior_released: bool,
                  find_job: Callable[[str], progress.Job | None], on_end: OnEnd,
                  on_change: Callable[[],
                                      None], on_newer_leader: Callable[[str],
@@ -82,6 +87,8 @@
             bounds: Time limits of the leader.
             prior_leases_end_s: Time at which all leases that earlier leaders
                 gave have expired.
+            prior_released: Whether the leader before released the leadership,
+                which it does only if no start of its runs is in doubt.
             find_job: Finds a job by id.
             on_end: Called with each run that has provably ended.
             on_change: Called when a new round may be needed.
@@ -95,6 +102,9 @@
         self._ledger = ledger
         self._bounds = bounds
         self._prior_leases_end_s = prior_leases_end_s
+        self._prior_released = prior_released
+        self._longest_lease_s = fleets.compute_lease_duration_s(
+            bounds.max_lease_s)
         self._find_job = find_job
         self._on_end = on_end
         self._on_change = on_change
@@ -118,6 +128,23 @@
         """Stops sending calls to workers."""
         self._closed = True
 
+    def has_doubtful_runs(self) -> bool:
+        """Returns whether a run may outlast what a successor allows for.
+
+        That is a lease of the usual length from the release of the leadership
+        on.
+        """
+        assumed_end_s = (self._timers.read_clock() +
+                         fleets.compute_lease_duration_s(self._bounds.lease_s))
+        for tracked in self._fleet.tracked_workers.values():
+            for claim in tracked.claims.values():
+                lease_end_s = claim.longest_lease_end_s
+                if not tracked.contacted:
+                    lease_end_s = max(lease_end_s, self._prior_leases_end_s)
+                if lease_end_s > assumed_end_s:
+                    return True
+        return False
+
     def read_list_age_s(self) -> float:
         """Returns the seconds since the list of workers was last current."""
         return self._timers.read_clock() - self._list_updated_s
@@ -162,6 +189,10 @@
             tracked.silent_since_s = self._timers.read_clock()
             self._fleet.tracked_workers[claim.worker_id] = tracked
         tracked.add_claim(claim)
+        if not self._prior_released:
+            last_start_s = min(self._timers.read_clock(),
+                               claim.started_s + START_SETTLE_S)
+            claim.longest_lease_end_s = last_start_s + self._longest_lease_s
         self._keys_by_name[self._workers.format_name(claim.key)] = claim.key
         if stop:
             claim.why = "its job has ended"
@@ -201,7 +232,17 @@
 
     def start(self, claims: Sequence[progress.Claim],
               job: workload.Workload) -> None:
-        """Sends the start commands of claims, which must be durable."""
+        """Sends the start commands of claims, which must be durable.
+
+        A leader that was suspended since the commit may have been replaced, so
+        it sends them only after another transaction has confirmed that it
+        leads.
+        """
+        if self._closed:
+            return
+        if not self._has_authority():
+            self._ledger.call_after(lambda: self.start(claims, job))
+            return
         now_s = self._timers.read_clock()
         for claim in claims:
             if claim.phase is Phase.CLAIMING:
@@ -218,6 +259,7 @@
         now_s = self._timers.read_clock()
         claim.tries += 1
         claim.starts_sent += 1
+        claim.longest_lease_end_s = now_s + self._longest_lease_s
         claim.retry_s = float("inf")
         command = ports.StartCommand(key=claim.key,
                                      run=claim.run,
@@ -232,6 +274,11 @@
                             on_done=lambda reply: self._handle_start_reply(
                                 claim, payload, now_s, reply))
 
+    def _has_authority(self) -> bool:
+        """Returns whether this leader has confirmed recently that it leads."""
+        age_s = self._timers.read_clock() - self._ledger.confirmed_s
+        return age_s <= self._bounds.authority_s
+
     def _compute_lease_ms(self, tracked: fleets.TrackedWorker,
                           now_s: float) -> int:
         return tracked.compute_lease_ms(self._bounds.lease_s, now_s,
@@ -250,7 +297,7 @@
             return
         verdict = reply.verdict
         if verdict is Verdict.DONE:
-            claim.start_settled = True
+            claim.settle_start()
             if claim.phase is Phase.STARTING:
                 claim.set_phase(Phase.RUNNING, now_s)
                 claim.percent_s = now_s
@@ -261,7 +308,8 @@
             tracked.record_loss(now_s)
             if claim.phase is not Phase.STARTING:
                 return
-            if now_s - claim.since_s < self._bounds.start_patience_s:
+            if (now_s - claim.since_s < self._bounds.start_patience_s and
+                    self._has_authority()):
                 self._send_start(claim, payload)
             else:
                 self.stop(claim, "its start was not answered")
@@ -357,10 +405,11 @@
         tracked.next_poll_s = min(tracked.next_poll_s, now_s)
         self._poll(tracked)
 
-    def _needs_poll(self, tracked: fleets.TrackedWorker) -> bool:
+    def _needs_poll(self, tracked: fleets.TrackedWorker, now_s: float) -> bool:
         if not tracked.worker.address:
             return False
         return bool(tracked.claims or tracked.maybe_restarted or
+                    tracked.needs_clock_reading(now_s) or
                     tracked.processed_end > tracked.recorded_end or
                     tracked.silent_since_s < float("inf"))
 
@@ -368,9 +417,10 @@
         """Requests a report and renews the lease, if that is due."""
         now_s = self._timers.read_clock()
         if (self._closed or not self._ready or tracked.polling or
-                now_s < tracked.next_poll_s or not self._needs_poll(tracked)):
+                now_s < tracked.next_poll_s or
+                not self._needs_poll(tracked, now_s)):
             return
-        if now_s - self._ledger.confirmed_s > self._bounds.authority_s:
+        if not self._has_authority():
             return
         tracked.polling = True
         lease_ms = None
@@ -485,7 +535,7 @@
                 continue
             assert key is not None
             newly_ended.add(key)
-            claim.start_settled = True
+            claim.settle_start()
             if end.checkpoint:
                 claim.checkpoint = end.checkpoint
             self._end_run(claim, end.end_state, claim.why or
@@ -528,7 +578,7 @@
     def _update_progress(self, tracked: fleets.TrackedWorker,
                          claim: progress.Claim, task: ports.RunningTask,
                          now_s: float) -> None:
-        claim.start_settled = True
+        claim.settle_start()
         if task.checkpoint:
             claim.checkpoint = task.checkpoint
         if claim.phase in (Phase.STARTING, Phase.RECOVERING):
@@ -648,21 +698,31 @@
                 "inf") or not tracked.worker.address
             if silent and tracked.is_lease_expired(now_s,
                                                    self._prior_leases_end_s):
-                self._resolve_lost_worker(tracked)
-                continue
+                self._resolve_lost_worker(tracked, now_s)
             for claim in list(tracked.claims.values()):
                 if (claim.phase is Phase.STOPPING and claim.starts_sent and
                         claim.retry_s <= now_s):
                     self._send_stop(claim)
         self._remove_gone_workers()
 
-    def _resolve_lost_worker(self, tracked: fleets.TrackedWorker) -> None:
-        """Ends the runs of a silent worker whose lease has expired."""
+    def _resolve_lost_worker(self, tracked: fleets.TrackedWorker,
+                             now_s: float) -> None:
+        """Ends the runs of a silent worker whose lease has expired.
+
+        A run whose start is in doubt remains for the longest lease.
+        """
+        lost = [
+            claim for claim in tracked.claims.values()
+            if claim.longest_lease_end_s <= now_s
+        ]
+        if not lost:
+            return
         _log.warning("worker lost with its runs",
                      worker=tracked.worker.worker_id,
                      listed=tracked.registered,
-                     runs=len(tracked.claims))
-        for claim in list(tracked.claims.values()):
+                     runs=len(lost),
+                     doubtful_runs=len(tracked.claims) - len(lost))
+        for claim in lost:
             self._end_run(claim, ports.EndState.LAPSED, "its worker is lost")
 
 
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -711,3 +711,175 @@
     site.run(0.5)
     assert seen == [[], ["a"], ["a"], ["b"]]
     assert table_watch.fresh_s > fresh_s
+
+
+@pytest.fixture
+def slow_clock_site():
+    """A site whose workers' clocks are as slow as the platform allows."""
+    new_site = sites.Site()
+    for worker_state in new_site.worker_states.values():
+        worker_state.clock_rate = 0.98
+    return new_site
+
+
+def _stop_leader(site):
+    leader = site.find_leader()
+    leader.node.begin_stop(lambda: site.kill(leader.name))
+
+
+def _find_busy_worker(site):
+    return next(worker_state for worker_state in site.worker_states.values()
+                if worker_state.runs)
+
+
+@pytest.mark.parametrize("idle_s", [30.0, 90.0, 400.0])
+def test_lease_on_an_old_clock_reading(slow_clock_site, idle_s):
+    """Guards against a lease that is longer than the next leader assumes.
+
+    The clock of a worker that had been idle for 84 s was extrapolated without
+    regard to its drift. Its lease lasted 7.8 s; the leader after a planned stop
+    started the runs again after 6.3 s.
+    """
+    site = slow_clock_site
+    site.run(idle_s)
+    site.submit("0" * 16, run_s=11.0)
+    site.run(0.2)
+    _find_busy_worker(site).reachable = False
+    _stop_leader(site)
+    site.run(30.0)
+    assert site.find_violations() == []
+    assert site.ask_state("0" * 16, site.find_leader().name) == "completed"
+
+
+def test_start_after_a_long_idle_time_is_not_refused(site):
+    """Guards against a lease that has ended when it arrives.
+
+    The lease counts from the earliest time that the worker's clock can show.
+    """
+    for worker_state in site.worker_states.values():
+        worker_state.clock_rate = 1.0
+    site.run(900.0)
+    site.submit("0" * 16, tasks=4, run_s=1.0)
+    site.run(0.1)
+    assert site.count_events("start") == 4
+
+
+def _start_on_restarted_worker(site):
+    """Has a start reach a process that its leader does not know of.
+
+    Returns:
+        The worker, which is cut off before the leader gets any reply.
+    """
+    site.run(60.0)
+    worker_state = site.worker_states["w00"]
+    for other in site.worker_states.values():
+        if other is not worker_state:
+            other.crash()
+    site.run(4.0)
+    worker_state.restart()
+    leader = site.find_leader()
+    leader.workers.loss_probability = 1.0
+    site.submit("0" * 16, run_s=11.0)
+    site.run(0.05)
+    assert worker_state.runs
+    worker_state.reachable = False
+    for other in site.worker_states.values():
+        if other is not worker_state:
+            other.restart()
+            site.register(other)
+    leader.workers.loss_probability = 0.0
+    return worker_state
+
+
+def test_unanswered_start_on_a_restarted_worker(slow_clock_site):
+    """Guards against a second start while the longest lease lasts.
+
+    The new process took the end of the lease for one on its own clock and held
+    the longest lease; the leader counted with its usual length.
+    """
+    site = slow_clock_site
+    _start_on_restarted_worker(site)
+    site.run(30.0)
+    assert site.find_violations() == []
+    assert site.ask_state("0" * 16) == "completed"
+
+
+@pytest.mark.parametrize("stop", [
+    _stop_leader,
+    lambda site: site.kill(site.find_leader().name),
+],
+                         ids=["planned", "killed"])
+def test_unanswered_start_on_a_restarted_worker_and_new_leader(
+        slow_clock_site, stop):
+    """Guards against the same second start by the next leader."""
+    site = slow_clock_site
+    _start_on_restarted_worker(site)
+    stop(site)
+    site.run(30.0)
+    assert site.find_violations() == []
+    assert site.ask_state("0" * 16, site.find_leader().name) == "completed"
+
+
+def test_planned_stop_soon_after_a_takeover(site):
+    """Guards against a bound that forgets the leader before the last one.
+
+    A frozen leader renews leases for some time. The leader after it was stopped
+    before that time was over, and the third one counted from that stop.
+    """
+    site.submit("0" * 16, run_s=20.0)
+    site.run(0.5)
+    first = site.find_leader()
+    busy = _find_busy_worker(site)
+    for site_node in site.nodes.values():
+        if site_node is not first:
+            site_node.workers.cut.add(busy.worker_id)
+    # The first leader goes on without store and links, until its authority is
+    # over.
+    first.store.cut = True
+    for site_node in site.nodes.values():
+        site.cut_links.add(frozenset({first.name, site_node.name}))
+    site.run(3.0)
+    leaders = [
+        site_node for site_node in site.nodes.values()
+        if site_node.node.leading and site_node is not first
+    ]
+    assert len(leaders) == 1
+    leaders[0].node.begin_stop(lambda: site.kill(leaders[0].name))
+    site.run(40.0)
+    assert site.find_violations() == []
+
+
+def test_suspended_leader_sends_no_starts(site):
+    """Guards against starts of a leader that woke up after the commit.
+
+    Its worker may be out of reach of the next leader, whose bound on leases has
+    passed by then.
+    """
+    leader = site.find_leader()
+    site.submit("0" * 16, run_s=20.0, through=leader.name)
+    # The claim is being written; its start would be sent after the answer.
+    while not site.tables.rows.get("progress"):
+        site.run(0.0005)
+    assert site.count_events("start") == 0
+    leader.host.frozen = True
+    site.run(20.0)
+    starts = site.count_events("start")
+    leader.host.thaw()
+    site.run(0.02)
+    assert starts == 1
+    site.run(1.0)
+    assert leader.workers.sent_starts == 0
+
+
+def test_planned_stop_waits_for_unanswered_starts(site):
+    """Guards against a slow handover because a start is just under way."""
+    site.submit("0" * 16, tasks=4, run_s=3.0)
+    while not site.count_events("start"):
+        site.run(0.0005)
+    _stop_leader(site)
+    site.run(0.6)
+    assert site.find_leader() is not None
+    site.run(6.0)
+    name = site.find_leader().name
+    assert site.ask_state("0" * 16, name) == "completed"
+    assert site.count_events("start") == 4
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -81,6 +81,7 @@
         hangs: Whether runs make no progress.
         percent: Progress that all runs report in percent; None to report
             the progress of each run.
+        clock_rate: Seconds of the worker's clock in a second.
         draining: Whether the worker registers itself as draining.
         boot_ms: Start of the worker process in Unix milliseconds.
         runs: Runs in progress by the name of the task.
@@ -108,6 +109,7 @@
         self.fails = False
         self.hangs = False
         self.percent: int | None = None
+        self.clock_rate = 0.99
         self.draining = False
         self._clock = virtual_clock
         self._history = history
@@ -130,8 +132,8 @@
 
     @property
     def clock_ms(self) -> float:
-        """The worker's steady clock in milliseconds, which is 1% slow."""
-        return (self._clock.now_s - self.booted_s) * 990.0
+        """The worker's steady clock in milliseconds."""
+        return (self._clock.now_s - self.booted_s) * self.clock_rate * 1000.0
 
     def describe(self) -> ports.Worker:
         """Returns the registration of the worker."""
@@ -310,6 +312,7 @@
         lost_call_delay_s: Delay in seconds after which a worker executes a
             call that gets no answer.
         cut: Identifiers of the workers that this node cannot reach.
+        sent_starts: Number of start commands that this node has sent.
     """
 
     def __init__(self, *, worker_states: dict[str, WorkerState],
@@ -319,6 +322,7 @@
         self.report_loss_probability = 0.0
         self.lost_call_delay_s = 0.0
         self.cut: set[str] = set()
+        self.sent_starts = 0
         self._worker_states = worker_states
         self._host = host
         self._rng = rng
@@ -378,6 +382,7 @@
     def start(self, worker: ports.Worker, command: ports.StartCommand, *,
               timeout_s: float, on_done: ports.OnCommandReply) -> None:
         """See ports.Workers.start."""
+        self.sent_starts += 1
         name = self.format_name(command.key)
         self._call(worker,
                    lambda worker_state: worker_state.start(command, name),
