Start guaranteed work in parts if it does not fit at once

Such a unit is still placed whole, after preemption if needed, as long as that is possible. Otherwise, unless it is a gang, as many tasks start as fit, and room is made for as many as preemption allows.

Three of the new tests of the planner and both cases of the new test of recovery failed on the code before; the other two guard gangs and units that still fit whole.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -109,17 +109,21 @@
         for unit in sorted(ready, key=lambda unit: self._rank(unit, now_s)):
             workers = self._place(unit, round_state)
             if workers:
-                round_state.plan.starts.append(units.Start(
-                    unit, tuple(workers)))
-                _allocate(by_id, unit, workers)
-                self._holds.pop(unit.key, None)
-                self._gang_reservations.drop(unit.key)
+                self._start(unit, workers, round_state)
             elif unit.key in self._holds:
                 _allocate(by_id, unit, self._holds[unit.key].workers)
             elif now_s >= unit.reclaim_s:
                 self._make_room(unit, round_state)
         return round_state.plan
 
+    def _start(self, unit: units.Unit, workers: Sequence[str],
+               round_state: "_RoundState") -> None:
+        """Adds the start of a unit, or of a part of it, to the plan."""
+        round_state.plan.starts.append(units.Start(unit, tuple(workers)))
+        _allocate(round_state.candidates, unit, workers)
+        self._holds.pop(unit.key, None)
+        self._gang_reservations.drop(unit.key)
+
     def _rank(self, unit: units.Unit, now_s: float) -> tuple[float, ...]:
         """Returns the sort key of a unit; lower keys are placed first.
 
@@ -149,13 +153,18 @@
     def _place(self, unit: units.Unit, round_state: "_RoundState") -> list[str]:
         """Places a unit, first on the workers held for it if there are any.
 
+        If workers are held for a part of it, only that part is placed.
+
         Returns:
             The worker of each placed task; empty if the unit does not fit.
         """
         request = units.build_placement_request(unit)
+        hold = self._holds.get(unit.key)
+        if hold is not None and not unit.step.gang:
+            request = request._replace(
+                tasks=min(request.tasks, len(hold.workers)))
         if not round_state.may_fit(request):
             return []
-        hold = self._holds.get(unit.key)
         if hold is None:
             return self._place_anywhere(unit, request,
                                         list(round_state.candidates.values()))
@@ -223,13 +232,10 @@
             round_state.running)
         if preemption is not None and (unit.guaranteed or reclaim.is_worthwhile(
                 unit, preemption.victims, round_state.now_s)):
-            round_state.mark_stopping(preemption.victims)
-            self._holds[unit.key] = CapacityHold(
-                workers=tuple(preemption.workers),
-                overdue_s=round_state.now_s + STOP_S,
-                until_s=round_state.now_s + HOLD_S,
-                preempted=bool(preemption.victims))
-            _allocate(round_state.candidates, unit, preemption.workers)
+            self._preempt(unit, preemption, round_state)
+            return
+        if unit.guaranteed and not unit.step.gang:
+            self._start_part(unit, round_state)
             return
         if unit.priority > 0:
             further_workers = max(
@@ -239,6 +245,37 @@
                 round_state.now_s + FUTILE_SEARCH_DELAY_S * further_workers)
         gang_reservations.block_room(unit, reserved_candidates)
 
+    def _preempt(self, unit: units.Unit, preemption: reclaim.Preemption,
+                 round_state: "_RoundState") -> None:
+        """Adds stops to the plan and holds what they free for a unit."""
+        round_state.mark_stopping(preemption.victims)
+        self._holds[unit.key] = CapacityHold(workers=tuple(preemption.workers),
+                                             overdue_s=round_state.now_s +
+                                             STOP_S,
+                                             until_s=round_state.now_s + HOLD_S,
+                                             preempted=bool(preemption.victims))
+        _allocate(round_state.candidates, unit, preemption.workers)
+
+    def _start_part(self, unit: units.Unit, round_state: "_RoundState") -> None:
+        """Starts, or makes room for, as many tasks of a unit as possible.
+
+        The unit is covered by a guarantee, but not all of its tasks fit at
+        once, not even after preemption: workers may have been lost, or its
+        limit for each worker, its memory or other urgent work leaves too few
+        places. Waiting for all places at once could last for ever.
+        """
+        request = units.build_placement_request(unit)._replace(
+            all_or_nothing=False)
+        candidates = list(round_state.candidates.values())
+        workers = self._place_anywhere(unit, request, candidates)
+        if workers:
+            self._start(unit, workers, round_state)
+            return
+        preemption = reclaim.choose_partial_preemption(unit, candidates,
+                                                       round_state.running)
+        if preemption is not None:
+            self._preempt(unit, preemption, round_state)
+
 
 class _RoundState:
     """State of the round that is being planned.
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -348,6 +348,30 @@
     return Preemption(best.victims, best.workers)
 
 
+def choose_partial_preemption(unit: units.Unit,
+                              candidates: Sequence[placement.Candidate],
+                              running: RunningTasks) -> Preemption | None:
+    """Chooses what to preempt so that most tasks of a unit can start.
+
+    Args:
+        unit: A unit for which `choose_preemption` has found nothing.
+        candidates: Workers that it may use, with their free resources.
+        running: Tasks that are ending or may be preempted.
+
+    Returns:
+        The preemption, with a worker for each task that can start, or None if
+        no task can.
+    """
+    group = _GroupPlacement(request=units.build_placement_request(unit),
+                            candidates=candidates,
+                            running=running,
+                            priority=unit.priority)
+    group.place_all(float("inf"))
+    if not group.workers:
+        return None
+    return Preemption(group.victims, group.workers)
+
+
 def _list_candidate_groups(
     request: placement.PlacementRequest,
     candidates: Sequence[placement.Candidate]
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -132,7 +132,11 @@
 
 
 def build_placement_request(unit: Unit) -> placement.PlacementRequest:
-    """Returns the request to place the tasks of a unit."""
+    """Returns the request to place the tasks of a unit.
+
+    A unit that a guarantee covers is placed whole as long as it can be, so that
+    what is preempted for it lets all of it start.
+    """
     return placement.PlacementRequest(step=unit.step,
                                       tasks=len(unit.indexes),
                                       all_or_nothing=unit.step.gang or
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -477,3 +477,87 @@
                            float(number),
                            lowest_priority=2)
     assert searched == ["a"]
+
+
+def _wide_unit(tasks, demand=ONE, **changes):
+    """Returns an urgent unit that a guarantee covers and that is no gang."""
+    step = workload.Step(tasks=tasks,
+                         demand=demand,
+                         max_per_worker=changes.pop("max_per_worker", 0))
+    return _unit("wide",
+                 step=step,
+                 indexes=tuple(range(tasks)),
+                 priority=0,
+                 guaranteed=True,
+                 **changes)
+
+
+def test_guaranteed_unit_that_never_fits_at_once_starts_in_parts():
+    """Guards against a job that waits for good on an idle fleet.
+
+    Its tasks, one to a worker, were more than the workers that were left.
+    """
+    plan = _plan([_wide_unit(5, max_per_worker=1)], _candidates())
+    assert sorted(plan.starts[0].workers) == ["w0", "w1", "w2", "w3"]
+    # Memory for three tasks on each worker, which have room for eight.
+    demand = workload.Demand(1000, 80_000, 1)
+    plan = _plan([_wide_unit(14, demand)], _candidates())
+    assert len(plan.starts[0].workers) == 12
+
+
+def test_guaranteed_unit_starts_where_other_urgent_work_leaves_room():
+    """Guards against a wait for workers that other urgent work keeps full."""
+    candidates = _candidates()
+    candidates[0].room = workload.Demand(0, 0, 0)
+    plan = _plan([_wide_unit(4, max_per_worker=1)], candidates)
+    assert sorted(plan.starts[0].workers) == ["w1", "w2", "w3"]
+
+
+def test_guaranteed_unit_preempts_for_the_part_that_fits():
+    """Guards against the same wait if less urgent work fills the fleet."""
+    victims = [
+        units.Victim(((f"w{number}", WHOLE),), 10.0, 2, number)
+        for number in range(4)
+    ]
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    unit = _wide_unit(5, max_per_worker=1)
+    plan = _plan([unit],
+                 _candidates(used=8),
+                 victims=victims,
+                 round_planner=round_planner)
+    assert sorted(victim.handle for victim in plan.stops) == [0, 1, 2, 3]
+    assert plan.starts == []
+    # The room is held until all of the victims have ended.
+    ending = [(f"w{number}", WHOLE) for number in range(1, 4)]
+    candidates = _candidates(used=8)
+    candidates[0].room = CAPACITY
+    bulk = _unit("bulk")
+    plan = _plan([unit, bulk],
+                 candidates,
+                 ending=ending,
+                 now_s=0.1,
+                 round_planner=round_planner)
+    assert plan.stops == []
+    plan = _plan([unit, bulk],
+                 _candidates(),
+                 now_s=0.2,
+                 round_planner=round_planner)
+    assert plan.starts[0].unit.job_id == "wide"
+    assert sorted(plan.starts[0].workers) == ["w0", "w1", "w2", "w3"]
+
+
+def test_guaranteed_gang_still_waits_for_all_its_members():
+    """Guards against a gang that is started in parts."""
+    plan = _plan([_gang("a", 5, priority=0, guaranteed=True)], _candidates())
+    assert plan.starts == []
+    assert plan.stops == []
+
+
+def test_guaranteed_unit_that_fits_after_preemption_is_not_split():
+    """Guards against parts that start early and preempt more in the end."""
+    victims = [units.Victim((("w0", WHOLE),), 10.0, 2, 0)]
+    candidates = _candidates()
+    candidates[0].room = CAPACITY._replace(accelerators=0)
+    plan = _plan([_wide_unit(4, max_per_worker=1)], candidates, victims=victims)
+    assert [victim.handle for victim in plan.stops] == [0]
+    assert plan.starts == []
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -883,3 +883,25 @@
     name = site.find_leader().name
     assert site.ask_state("0" * 16, name) == "completed"
     assert site.count_events("start") == 4
+
+
+@pytest.mark.parametrize("busy", [False, True], ids=["idle", "full"])
+def test_wide_guaranteed_job_after_the_loss_of_workers(busy):
+    """Guards against a job that no longer fits at once and never starts."""
+    site = sites.Site(worker_count=6, guarantees={"team": 48})
+    site.run(1.0)
+    for name in ("w01", "w02"):
+        site.worker_states[name].crash()
+    site.run(8.0)
+    if busy:
+        site.submit("b" * 16, tasks=32, run_s=60.0)
+        site.run(0.5)
+    site.submit("0" * 16,
+                tasks=6,
+                run_s=1.0,
+                queue=sites.URGENT_QUEUE,
+                max_per_worker=1)
+    site.run(1.0)
+    assert site.count_events("start", "0" * 16) == 4
+    site.run(3.0)
+    assert site.ask_state("0" * 16) == "completed"
