Count a failed run of a gang once, not once for each member

The users' page counts a gang that has failed.

A failure counts once for each run.

Whether this is what the users saw is not known.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -371,8 +371,7 @@
         self._record_health(job, claim, failed=True, now_s=now_s)
         self._check_suspicion(job, claim, now_s)
         index = 0 if spec.gang else claim.key.task
-        failures = step.failures.get(index, 0) + 1
-        step.failures[index] = failures
+        failures = step.count_failure(claim, gang=spec.gang)
         delay_s = min(self._bounds.retry_max_s,
                       self._bounds.retry_base_s * 2**(failures - 1))
         step.retry_at_s[index] = now_s + delay_s
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -23,6 +23,9 @@
 FINAL_STATES = frozenset(
     {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
+# Key in `StepProgress.failures` of the number of a gang's last failed run.
+LAST_FAILED_RUN = -1
+
 
 class Phase(enum.Enum):
     """Phase of a claimed run as seen by the leader."""
@@ -141,7 +144,7 @@
         last_runs: Highest run number ever claimed, for each task; 0 if none.
         done: Indexes of the completed tasks.
         failures: Number of failed runs by task index; a gang counts at index
-            0.
+            0, and the number of its last failed run is at LAST_FAILED_RUN.
         claims: Runs that may be alive, by index.
         checkpoints: Latest checkpoint of an ended run, from which the next run
             resumes, by index.
@@ -170,6 +173,27 @@
         """Whether some task has been claimed."""
         return any(self.last_runs)
 
+    def count_failure(self, claim: Claim, *, gang: bool) -> int:
+        """Counts a failed run.
+
+        The members of a gang share its runs: the first that fails ends the run,
+        and others that fail in it do not count.
+
+        Args:
+            claim: Claim of the run.
+            gang: Whether the step is a gang.
+
+        Returns:
+            Number of failed runs of the task or the gang.
+        """
+        index = 0 if gang else claim.key.task
+        if gang:
+            if self.failures.get(LAST_FAILED_RUN) == claim.run:
+                return self.failures[index]
+            self.failures[LAST_FAILED_RUN] = claim.run
+        self.failures[index] = self.failures.get(index, 0) + 1
+        return self.failures[index]
+
     def list_waiting(self, now_s: float) -> list[int]:
         """Returns the indexes of tasks that may start.
 
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -905,3 +905,59 @@
     assert site.count_events("start", "0" * 16) == 4
     site.run(3.0)
     assert site.ask_state("0" * 16) == "completed"
+
+
+def _run_gang_on_failing_workers(site, failing_s, **fields):
+    """Runs a gang whose members all fail in each run of a given time."""
+    for worker_state in site.worker_states.values():
+        worker_state.fails = True
+    site.submit("0" * 16,
+                tasks=4,
+                run_s=1.0,
+                gang=True,
+                max_per_worker=1,
+                **fields)
+    site.run(failing_s)
+    for worker_state in site.worker_states.values():
+        worker_state.fails = False
+
+
+def test_gang_whose_members_fail_together_has_failed_once(site):
+    """Guards against a job that is shown as failed after its first run.
+
+    Each member that failed was counted as an attempt of the gang.
+    """
+    _run_gang_on_failing_workers(site, 0.3)
+    assert site.count_events("failed") == 4
+    site.run(12.0)
+    assert site.ask_state("0" * 16) == "completed"
+
+
+def test_gang_that_fails_in_each_run_has_failed_in_the_end(site):
+    """Guards against a gang that is started again without end."""
+    queue = sites.QUEUE._replace(max_failures=3)
+    _run_gang_on_failing_workers(site, 30.0, queue=queue)
+    assert site.ask_state("0" * 16) == "failed"
+    assert site.count_events("start") == 3 * 4
+
+
+def test_failed_gang_is_counted_once_across_a_takeover(site):
+    """Guards against the same count by the next leader.
+
+    The other members of the run are found to have failed by that leader only.
+    """
+    reports = [site.worker_states[name] for name in ("w01", "w02", "w03")]
+    site.submit("0" * 16, tasks=4, run_s=1.0, gang=True, max_per_worker=1)
+    site.run(0.3)
+    leader = site.find_leader()
+    for worker_state in reports:
+        leader.workers.cut.add(worker_state.worker_id)
+    for worker_state in site.worker_states.values():
+        worker_state.fails = True
+    site.run(1.0)
+    for worker_state in site.worker_states.values():
+        worker_state.fails = False
+    assert site.count_events("failed") == 4
+    site.kill(leader.name)
+    site.run(15.0)
+    assert site.ask_state("0" * 16, site.find_leader().name) == "completed"
