Reserve the ports of a soak against other soaks on the machine

Soak seed 7008 found a node not ready after 10 s. Its log ends with 'Address already in use' for port 25138, which a soak of another seed, run side by side, had allocated too between the probe and the start of the node. A fault of the soak, not of the product. Each allocated port is now reserved by a UDP socket of the same number, which other soaks respect.

--- a/packages/jobs/tests/test_soak.py
+++ b/packages/jobs/tests/test_soak.py
@@ -11,7 +11,7 @@
 
 # 39: SIGHUP ended a process that was still importing its modules.
 # 40 and 93 failed because of a fault of the soak test: two nodes got the same
-# port.
+# port. 7008 failed in the same way between two soaks side by side.
 @pytest.mark.parametrize("seed", [1, 39, 93])
 def test_short_run(seed, tmp_path):
     """Guards against tasks that are lost, run twice or run after a refusal."""
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -99,9 +99,10 @@
 status_s = 120
 """
 
-# Ports allocated by this process. They are not reused, since a stopped node
-# keeps its ports for the next start.
-_allocated_ports: set[int] = set()
+# Ports allocated by this process, each with a UDP socket of the same number. It
+# keeps other soaks on this machine from allocating the port. None is reused,
+# since a stopped node keeps its ports for the next start.
+_reservations: dict[int, socket.socket] = {}
 
 
 def allocate_ports(count: int) -> list[int]:
@@ -109,14 +110,17 @@
     ports: list[int] = []
     while len(ports) < count:
         port = random.randint(*PORT_RANGE)
-        if port in _allocated_ports:
+        if port in _reservations:
             continue
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
         with socket.socket() as probe:
             try:
+                reservation.bind(("127.0.0.1", port))
                 probe.bind(("127.0.0.1", port))
             except OSError:
+                reservation.close()
                 continue
-        _allocated_ports.add(port)
+        _reservations[port] = reservation
         ports.append(port)
     return ports
 
