--- a/packages/jobs/tests/test_load.py
+++ b/packages/jobs/tests/test_load.py
@@ -98,6 +98,21 @@
     assert _mean(flood, "worth") > _mean(without_headroom, "worth")
 
 
+def test_wide_urgent_work_starts_in_parts(monkeypatch):
+    """Guards against guaranteed work that waits for more places than exist.
+
+    Urgent jobs run one task on a worker, and the widest have more tasks than
+    there are workers. What they take is missing for bulk work, so that only
+    the urgent jobs are compared.
+    """
+    in_parts = _play("wide-urgent", MANY_SEEDS)
+    monkeypatch.setattr(planner.Planner, "_start_part", lambda *_: None)
+    at_once = _play("wide-urgent", MANY_SEEDS)
+    assert _mean(in_parts, "served") > _mean(at_once, "served")
+    assert (statistics.mean(result.kinds["render"] for result in in_parts)
+            > statistics.mean(result.kinds["render"] for result in at_once))
+
+
 def test_lost_replies_are_bridged_by_early_repeats():
     """Guards against urgent work that waits for replies that never come.
 
--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -54,6 +54,7 @@
             logarithm of its factor.
         rate_per_s: Jobs a second.
         initial_jobs: Number of jobs that are submitted before the traffic.
+        max_per_worker: Most tasks of a job on one worker, 0 without a limit.
     """
 
     queue: configurations.Queue
@@ -69,6 +70,7 @@
     estimate_error: float
     rate_per_s: float
     initial_jobs: int
+    max_per_worker: int = 0
 
 
 class Burst(NamedTuple):
@@ -220,6 +222,18 @@
                         0, 9.0, 4.3, 2.7), Burst(2, 2.6, 5.5, 2.1)),
                     1.1,
                     per_rack=6),
+    # Urgent jobs of independent tasks, one to a worker: the widest have more
+    # tasks than there are workers.
+    "wide-urgent":
+        LoadPattern((DETECT,
+                     RENDER._replace(gang=False,
+                                     one_rack_share=0.0,
+                                     max_per_worker=1,
+                                     accelerators=(1,),
+                                     tasks=(10.0, 24)), INDEX),
+                    (Burst(1, 4.4, 6.0, 2.3),),
+                    1.0,
+                    worker_count=16),
     "bulk-flood":
         LoadPattern(KINDS, (Burst(2, 2.0, 6.6, 5.0),), 1.0),
 }
@@ -286,6 +300,7 @@
                              demand=demand,
                              estimate_ms=int(declared_s * 1000),
                              gang=kind.gang,
+                             max_per_worker=kind.max_per_worker,
                              one_rack=rng.random() < kind.one_rack_share,
                              checkpoints=rng.random() < kind.checkpoint_share)
         team = rng.choices(range(pattern.team_count), weights)[0]
