Keep the end of earlier leaders' leases when a leader restarts

Callers could have a task run on two workers at once: a leader that is cut off renews leases for up to 6 s. If the node that took over was killed and restarted within that time, it claimed the lead again as its own successor, counted only on leases from its restart on and forgot those of the leader before.

The claim of an epoch now writes, in the same transaction, when the leases given before it have ended, as a row "epoch/N" of the new table "leases". A leader reads the rows after its claim, keeps the latest end and replaces the older rows.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -51,7 +51,7 @@
                  workers: ports.Workers, timers: timer.Timers,
                  wall_clock: ports.WallClock, ledger: ledgers.Ledger,
                  bounds: limits.Limits, round_planner: planner.Planner,
-                 metrics: sinks.Metrics, prior_authority_end_s: float,
+                 metrics: sinks.Metrics, prior_leases_end_s: float,
                  prior_released: bool, on_newer_leader: Callable[[str], None]):
         """Starts the timers; `load` supplies the jobs.
 
@@ -65,8 +65,8 @@
             bounds: Time limits of the leader.
             round_planner: Plans rounds.
             metrics: Sink of metrics.
-            prior_authority_end_s: Latest time at which the previous leader may
-                have renewed a lease, on this leader's clock.
+            prior_leases_end_s: Time at which the leases that the previous
+                leader gave have ended, on this leader's clock.
             prior_released: Whether the previous leader released the leadership.
             on_newer_leader: Called with a reason when there is evidence of a
                 newer leader.
@@ -98,8 +98,7 @@
             timers=timers,
             ledger=ledger,
             bounds=bounds,
-            prior_leases_end_s=(prior_authority_end_s +
-                                fleet.compute_lease_duration_s(bounds.lease_s)),
+            prior_leases_end_s=prior_leases_end_s,
             prior_released=prior_released,
             find_job=self.jobs.get,
             on_end=self._handle_run_end,
@@ -132,11 +131,13 @@
 
     # Input from the store.
 
-    def load(self, intake_rows: ports.Rows, progress_rows: ports.Rows) -> None:
+    def load(self, intake_rows: ports.Rows, lease_rows: ports.Rows,
+             progress_rows: ports.Rows) -> None:
         """Recovers the jobs that nodes and earlier leaders have written.
 
         Args:
             intake_rows: All rows of accepted jobs and cancellations.
+            lease_rows: All rows of leases.
             progress_rows: All rows of progress.
         """
         self._ledger.update_store_clock(intake_rows.store_ms)
@@ -144,6 +145,7 @@
         now_s = self._timers.read_clock()
         for row in intake_rows.rows:
             self._apply_intake_row(row, states)
+        self._runs.recover_leases(lease_rows)
         recovered = 0
         for job in self.jobs.values():
             for claim in list(job.list_claims()):
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -7,7 +7,10 @@
 import cbor2
 import structlog
 
+from trefoilroad_jobs import fleet
+from trefoilroad_jobs import lapses
 from trefoilroad_jobs import ledger
+from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import tables
 from trefoilroad_node import timer
@@ -96,7 +99,7 @@
 
     def __init__(self, *, node_id: str, link: str, store: ports.Store,
                  timers: timer.Timers, rng: random.Random,
-                 takeover_delay_s: float, authority_s: float,
+                 takeover_delay_s: float, bounds: limits.Limits,
                  on_gain: Callable[[int, int, float, bool],
                                    None], on_loss: Callable[[str], None]):
         """Starts to watch the leader.
@@ -110,11 +113,11 @@
             takeover_delay_s: Additional wait before a takeover, in seconds. A
                 node on a small VM has one, so that a node on a larger VM leads
                 if there is any.
-            authority_s: How long a leader renews leases after its last
-                confirmed transaction, in seconds.
+            bounds: Time limits of leaders.
             on_gain: Called when this node becomes the leader, with the epoch,
-                the version of the head row, the time until which the previous
-                leader may have acted, and whether it released the leadership.
+                the version of the head row, the time at which the leases that
+                the previous leader gave have ended, and whether it released the
+                leadership.
             on_loss: Called with the reason when this node stops leading.
         """
         self.leader = NO_LEADER
@@ -126,7 +129,7 @@
         self._timers = timers
         self._rng = rng
         self._takeover_delay_s = takeover_delay_s
-        self._authority_s = authority_s
+        self._bounds = bounds
         self._vacant_since_s = float("inf")
         self._lost_epoch = 0
         self._leader_refused = False
@@ -302,19 +305,29 @@
         lease_s = REFUSED_LEASE_S if self._leader_refused else LEADER_LEASE_S
         if self._is_vacant(
                 now_s) or unchanged_s >= lease_s + self._takeover_delay_s:
-            self._try_takeover(version, since_s)
+            self._try_takeover(version, since_s, result.store_ms)
 
-    def _try_takeover(self, head_version: int, since_s: float) -> None:
-        """Tries to become the leader; fails if either row has changed."""
+    def _try_takeover(self, head_version: int, since_s: float,
+                      store_ms: float) -> None:
+        """Tries to become the leader; fails if either row has changed.
+
+        Args:
+            head_version: Version of the head row.
+            since_s: When this node first saw that version, in seconds.
+            store_ms: Current time of the store's clock, in milliseconds.
+        """
         if self._taking_over or self.leading or self._released:
             return
         self._taking_over = True
         now_s = self._timers.read_clock()
         # A leader that released the leadership had stopped acting before.
-        prior_authority_end_s = now_s
+        prior_leases_end_s = now_s
         released = not self.leader.node_id
         if not self._is_vacant(now_s):
-            prior_authority_end_s = since_s + self._authority_s
+            prior_leases_end_s = since_s + self._bounds.authority_s
+        prior_leases_end_s += fleet.compute_lease_duration_s(
+            self._bounds.lease_s)
+        end_ms = store_ms + (prior_leases_end_s - now_s) * 1000.0
         leader = Leader(self.leader.epoch + 1, self._node_id, self._link)
         head = ledger.Head(leader.epoch, 0)
         _log.info("taking the lead",
@@ -327,31 +340,33 @@
         },
                            puts={
                                tables.LEADER_ROW: encode_leader(leader),
-                               tables.HEAD_ROW: ledger.encode_head(head)
+                               tables.HEAD_ROW: ledger.encode_head(head),
+                               tables.get_epoch_lease_row_name(leader.epoch):
+                                   lapses.encode_end(end_ms)
                            },
                            removals=[],
                            on_done=lambda result: self._handle_takeover_result(
-                               leader, prior_authority_end_s, released, result))
+                               leader, prior_leases_end_s, released, result))
 
     def _handle_takeover_result(self, leader: Leader,
-                                prior_authority_end_s: float, released: bool,
+                                prior_leases_end_s: float, released: bool,
                                 result: ports.CommitResult) -> None:
         self._taking_over = False
         self._head = None
         if isinstance(result, ports.Committed):
             self._row_version = result.version
-            self._become_leader(leader, result.version, prior_authority_end_s,
+            self._become_leader(leader, result.version, prior_leases_end_s,
                                 released)
             return
         if isinstance(result, ports.Conflict):
-            self._handle_takeover_conflict(leader, prior_authority_end_s,
+            self._handle_takeover_conflict(leader, prior_leases_end_s,
                                            released, result)
         else:
             _log.warning("taking the lead failed", reason=result.reason)
             self._next_try_s = self._timers.read_clock() + self._draw_delay_s()
 
     def _handle_takeover_conflict(self, leader: Leader,
-                                  prior_authority_end_s: float, released: bool,
+                                  prior_leases_end_s: float, released: bool,
                                   result: ports.Conflict) -> None:
         """Checks whether an earlier attempt of this node has taken effect."""
         row = result.rows.get(tables.LEADER_ROW)
@@ -364,14 +379,14 @@
         if head is not None and head.value == ledger.encode_head(
                 ledger.Head(leader.epoch, 0)):
             self._row_version = row.version
-            self._become_leader(leader, head.version, prior_authority_end_s,
+            self._become_leader(leader, head.version, prior_leases_end_s,
                                 released)
 
     def _become_leader(self, leader: Leader, head_version: int,
-                       prior_authority_end_s: float, released: bool) -> None:
+                       prior_leases_end_s: float, released: bool) -> None:
         self.leader = leader
         self.leading = True
         self._leader_active_s = self._timers.read_clock()
         _log.info("leading", epoch=leader.epoch, prior_released=released)
-        self._on_gain(leader.epoch, head_version, prior_authority_end_s,
+        self._on_gain(leader.epoch, head_version, prior_leases_end_s,
                       released)
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -101,6 +101,7 @@
         self._on_newer_leader = on_newer_leader
         self._dirty: dict[str, progress.Job] = {}
         self._removals: list[ports.RowName] = []
+        self._rows: dict[ports.RowName, bytes | None] = {}
         self._callbacks: list[Callable[[], None]] = []
         self._batch: _Batch | None = None
         self._closed = False
@@ -124,6 +125,11 @@
         self._removals.append(tables.get_progress_row_name(job_id))
         self._plan_flush()
 
+    def write_row(self, name: ports.RowName, value: bytes | None) -> None:
+        """Writes a row with the next transaction; None removes it."""
+        self._rows[name] = value
+        self._plan_flush()
+
     def call_after(self, callback: Callable[[], None]) -> None:
         """Calls back once all changes marked so far are durable."""
         self._callbacks.append(callback)
@@ -157,7 +163,8 @@
 
     def _flush(self) -> None:
         self._flush_planned = False
-        has_pending_writes = self._dirty or self._callbacks or self._removals
+        has_pending_writes = (self._dirty or self._rows or self._callbacks or
+                              self._removals)
         if self._batch is None and has_pending_writes:
             self._begin_batch()
 
@@ -166,8 +173,16 @@
             return
         self._serial += 1
         puts: dict[ports.RowName, bytes] = {}
+        removals: list[ports.RowName] = []
+        for name, row_value in list(self._rows.items())[:MAX_BATCH_ROWS]:
+            del self._rows[name]
+            if row_value is None:
+                removals.append(name)
+            else:
+                puts[name] = row_value
         size = 0
-        for job_id, job in list(self._dirty.items())[:MAX_BATCH_ROWS]:
+        free_rows = MAX_BATCH_ROWS - len(puts) - len(removals)
+        for job_id, job in list(self._dirty.items())[:free_rows]:
             value = progress.encode_progress(job)
             size += len(value)
             if size > MAX_BATCH_BYTES and puts:
@@ -175,10 +190,10 @@
             puts[tables.PROGRESS, job_id] = value
             del self._dirty[job_id]
         callbacks: list[Callable[[], None]] = []
-        if not self._dirty:
+        if not self._dirty and not self._rows:
             callbacks, self._callbacks = self._callbacks, []
-        free_rows = MAX_BATCH_ROWS - len(puts)
-        removals = self._removals[:free_rows]
+        free_rows = MAX_BATCH_ROWS - len(puts) - len(removals)
+        removals += self._removals[:free_rows]
         del self._removals[:free_rows]
         self._batch = _Batch(head=Head(self._epoch, self._serial),
                              puts=puts,
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -155,7 +155,7 @@
             timers=timers,
             rng=rng,
             takeover_delay_s=takeover_delay_s,
-            authority_s=bounds.authority_s,
+            bounds=bounds,
             on_gain=self._start_leading,
             on_loss=self._stop_leading)
         self._config_watch = self._start_watch(platform_tables.config_table,
@@ -279,7 +279,7 @@
     # Leading.
 
     def _start_leading(self, epoch: int, head_version: int,
-                       prior_authority_end_s: float,
+                       prior_leases_end_s: float,
                        prior_released: bool) -> None:
         self._links.set_addresses(set())
         self._followers = {}
@@ -298,7 +298,7 @@
             bounds=self._bounds,
             round_planner=self._round_planner,
             metrics=self._metrics,
-            prior_authority_end_s=prior_authority_end_s,
+            prior_leases_end_s=prior_leases_end_s,
             prior_released=prior_released,
             on_newer_leader=self._leadership.step_down)
         self._ledger = ledger
@@ -310,9 +310,9 @@
         """Reads the rows of all jobs, then watches for changes.
 
         The progress rows are read after the job rows: only this leader writes
-        them now, while nodes may still add jobs.
+        them and the rows of leases now, while nodes may still add jobs.
         """
-        intake_rows: list[ports.Rows] = []
+        earlier_rows: list[ports.Rows] = []
 
         def read() -> None:
             if dispatcher is self._dispatcher:
@@ -324,7 +324,15 @@
                 _log.warning("jobs cannot be read", reason=str(result))
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
-            intake_rows[:] = [result]
+            earlier_rows[:] = [result]
+            self._store.read_all(table=tables.LEASES, on_done=on_lease_rows)
+
+        def on_lease_rows(result: Any) -> None:
+            if not isinstance(result, ports.Rows):
+                _log.warning("leases cannot be read", reason=str(result))
+                self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
+                return
+            earlier_rows.append(result)
             self._store.read_all(table=tables.PROGRESS,
                                  on_done=on_progress_rows)
 
@@ -336,7 +344,7 @@
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
             try:
-                dispatcher.load(intake_rows[0], result)
+                dispatcher.load(*earlier_rows, result)
             except Exception as error:
                 # A leader that schedules nothing must not keep the lead.
                 _log.exception("jobs cannot be loaded", error=repr(error))
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -20,10 +20,12 @@
 import structlog
 
 from trefoilroad_jobs import fleet as fleets
+from trefoilroad_jobs import lapses
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
+from trefoilroad_jobs import tables
 from trefoilroad_jobs import workload
 from trefoilroad_node import timer
 
@@ -114,6 +116,26 @@
         self._list_updated_s = timers.read_clock()
         self._keys_by_name: dict[str, progress.TaskKey] = {}
 
+    def recover_leases(self, rows: ports.Rows) -> None:
+        """Takes over what earlier leaders wrote about leases.
+
+        Args:
+            rows: All rows of the table of leases.
+        """
+        ends = lapses.decode_rows(rows.rows)
+        now_s = self._timers.read_clock()
+        for epoch, end_ms in ends.items():
+            self._prior_leases_end_s = max(
+                self._prior_leases_end_s,
+                now_s + (end_ms - rows.store_ms) / 1000.0)
+            if epoch < self._epoch:
+                self._ledger.write_row(tables.get_epoch_lease_row_name(epoch),
+                                       None)
+        if ends:
+            self._ledger.write_row(
+                tables.get_epoch_lease_row_name(self._epoch),
+                lapses.encode_end(max(ends.values())))
+
     def begin_polling(self) -> None:
         """Starts to call workers; all earlier claims must be adopted before.
 
--- a/packages/jobs/src/trefoilroad_jobs/tables.py
+++ b/packages/jobs/src/trefoilroad_jobs/tables.py
@@ -14,8 +14,12 @@
 HEAD_ROW: ports.RowName = ("head", "head")
 """Epoch and number of the leader's last transaction."""
 
+LEASES = "leases"
+"""When leases have ended, for the next leaders; written by the leader."""
+
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
+EPOCH_PREFIX = "epoch/"
 
 
 def get_job_row_name(job_id: str) -> ports.RowName:
@@ -31,3 +35,8 @@
 def get_progress_row_name(job_id: str) -> ports.RowName:
     """Returns table and key of a job's progress."""
     return PROGRESS, job_id
+
+
+def get_epoch_lease_row_name(epoch: int) -> ports.RowName:
+    """Returns table and key of the end of all leases given before an epoch."""
+    return LEASES, f"{EPOCH_PREFIX}{epoch}"
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -961,3 +961,28 @@
     site.kill(leader.name)
     site.run(15.0)
     assert site.ask_state("0" * 16, site.find_leader().name) == "completed"
+
+
+def test_restart_of_a_leader_soon_after_a_takeover(site):
+    """Guards against a bound that forgets the leader before the last one.
+
+    A frozen leader renews leases for some time. The leader after it was killed
+    and restarted before that time was over, and counted from its restart.
+    """
+    site.submit("0" * 16, run_s=25.0)
+    site.run(5.0)
+    first = site.find_leader()
+    busy = _find_busy_worker(site)
+    for site_node in site.nodes.values():
+        if site_node is not first:
+            site_node.workers.cut.add(busy.worker_id)
+    first.store.cut = True
+    for site_node in site.nodes.values():
+        site.cut_links.add(frozenset({first.name, site_node.name}))
+    site.run(3.0)
+    second = next(site_node for site_node in site.nodes.values()
+                  if site_node.node.leading and site_node is not first)
+    site.kill(second.name)
+    site.add_node(second.name).workers.cut.add(busy.worker_id)
+    site.run(40.0)
+    assert site.find_violations() == []
