Do not begin the wait for a lost worker anew with each takeover

A run that an earlier leader claimed counts as alive while its worker may hold a lease. For a worker that does not answer, a new leader took 12.2 s from the last change of the head row, as it knew nothing of what its predecessor knew: the worker had got no lease since it fell silent. Each takeover set that time again.

A leader now writes the end of the leases of a worker that has been silent for a second ("worker/ID" in the table of leases) and gives it no lease, neither by a renewal nor by a start, until that row is removed. The next leaders count from the row. They trust it only if the leader before them wrote the row of its epoch: a node of an older release would renew leases beside it.

The test of a series of lost leaders failed before (no second start within 30 s).

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -137,6 +137,9 @@
         failures: Job id and time of its recent failures.
         reply_time: How long it takes to reply to commands.
         last_loss_s: When a call last got no reply.
+        lapse_s: When its leases have ended as written in the store, or infinity
+            if nothing is written. No lease is given while it is written.
+        lapse_removed: Whether the removal of that row is being written.
     """
 
     def __init__(self, *, worker: ports.Worker):
@@ -161,6 +164,13 @@
         self.failures: list[tuple[str, float]] = []
         self.reply_time = ReplyTime()
         self.last_loss_s = float("-inf")
+        self.lapse_s = float("inf")
+        self.lapse_removed = False
+
+    @property
+    def may_get_lease(self) -> bool:
+        """Whether a lease may be given, by a start or a renewal."""
+        return self.lapse_s == float("inf")
 
     def add_claim(self, claim: progress.Claim) -> None:
         """Adds a run; it replaces an earlier one of the same task."""
@@ -263,10 +273,12 @@
         Args:
             now_s: Current time on the leader's clock.
             prior_leases_end_s: Time at which all leases that earlier leaders
-                gave have expired; used if the worker has not answered yet.
+                gave have expired; used if this leader has given none to the
+                process that answers.
         """
-        if not self.contacted:
-            return now_s >= max(prior_leases_end_s, self.sent_leases_end_s)
+        if not self.contacted or not self.lease_end_ms:
+            return now_s >= max(min(prior_leases_end_s, self.lapse_s),
+                                self.sent_leases_end_s)
         return self._compute_earliest_clock_ms(now_s) > self.lease_end_ms
 
     def record_failure(self, job_id: str, *, ran_s: float,
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -257,7 +257,7 @@
         for tracked in inputs.fleet.list_tracked_workers(service):
             worker = tracked.worker
             if (not tracked.registered or worker.draining or
-                    not tracked.contacted or
+                    not tracked.contacted or not tracked.may_get_lease or
                     tracked.silent_since_s < float("inf") or
                     tracked.paused_until_s > inputs.now_s or
                     worker.worker_id in inputs.quarantined or
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -51,6 +51,9 @@
 # Longest time from a claim to the last start command sent for it: the commit of
 # the claim, then the repeats of a start that gets no reply.
 START_SETTLE_S = 3.0
+# A worker that has been silent for this long gets a row that tells the next
+# leaders when its leases have ended. Most silences are shorter.
+LAPSE_RECORD_DELAY_S = 1.0
 # Number of stops without a reply after which their interval doubles no further.
 MAX_STOP_RETRY_DOUBLINGS = 8
 # Progress below this percentage is too coarse to extrapolate from.
@@ -115,26 +118,58 @@
         self._ready = False
         self._list_updated_s = timers.read_clock()
         self._keys_by_name: dict[str, progress.TaskKey] = {}
+        # Ends of leases that earlier leaders wrote, of workers not seen yet.
+        self._recovered_lapses: dict[str, float] = {}
 
     def recover_leases(self, rows: ports.Rows) -> None:
         """Takes over what earlier leaders wrote about leases.
 
+        A worker that was silent then has got no lease since, so its leases end
+        at the same time, however many leaders follow.
+
         Args:
             rows: All rows of the table of leases.
         """
-        ends = lapses.decode_rows(rows.rows)
+        recovered = lapses.decode_rows(rows.rows)
         now_s = self._timers.read_clock()
-        for epoch, end_ms in ends.items():
-            self._prior_leases_end_s = max(
-                self._prior_leases_end_s,
-                now_s + (end_ms - rows.store_ms) / 1000.0)
+
+        def convert(end_ms: float) -> float:
+            return now_s + (end_ms - rows.store_ms) / 1000.0
+
+        for epoch, end_ms in recovered.epochs.items():
+            self._prior_leases_end_s = max(self._prior_leases_end_s,
+                                           convert(end_ms))
             if epoch < self._epoch:
                 self._ledger.write_row(tables.get_epoch_lease_row_name(epoch),
                                        None)
-        if ends:
+        if recovered.epochs:
             self._ledger.write_row(
                 tables.get_epoch_lease_row_name(self._epoch),
-                lapses.encode_end(max(ends.values())))
+                lapses.encode_end(max(recovered.epochs.values())))
+        # A leader of an older release renews leases without removing the rows.
+        trusted = self._epoch - 1 in recovered.epochs
+        for worker_id, end_ms in recovered.workers.items():
+            if not trusted:
+                self._ledger.write_row(
+                    tables.get_worker_lease_row_name(worker_id), None)
+                continue
+            self._recovered_lapses[worker_id] = convert(end_ms)
+            tracked = self._fleet.tracked_workers.get(worker_id)
+            if tracked is not None:
+                self._restore_lapse(tracked)
+
+    def _restore_lapse(self, tracked: fleets.TrackedWorker) -> None:
+        lapse_s = self._recovered_lapses.pop(tracked.worker.worker_id, None)
+        if lapse_s is not None:
+            tracked.lapse_s = lapse_s
+
+    def _remove_recovered_lapses(self, now_s: float) -> None:
+        """Removes the rows of workers that never appeared again."""
+        for worker_id, lapse_s in list(self._recovered_lapses.items()):
+            if lapse_s <= now_s:
+                del self._recovered_lapses[worker_id]
+                self._ledger.write_row(
+                    tables.get_worker_lease_row_name(worker_id), None)
 
     def begin_polling(self) -> None:
         """Starts to call workers; all earlier claims must be adopted before.
@@ -191,6 +226,7 @@
                       life_ms=tracked.worker.boot_ms,
                       draining=tracked.worker.draining)
             tracked.next_poll_s = float("-inf")
+            self._restore_lapse(tracked)
             if tracked.boot_ms not in (0, tracked.worker.boot_ms):
                 tracked.contacted = False
                 tracked.maybe_restarted = True
@@ -210,6 +246,7 @@
             tracked.registered = False
             tracked.silent_since_s = self._timers.read_clock()
             self._fleet.tracked_workers[claim.worker_id] = tracked
+            self._restore_lapse(tracked)
         tracked.add_claim(claim)
         if not self._prior_released:
             last_start_s = min(self._timers.read_clock(),
@@ -226,6 +263,10 @@
         for tracked in self._fleet.remove_gone():
             _log.info("worker gone", worker=tracked.worker.worker_id)
             self._workers.forget(tracked.worker)
+            if not tracked.may_get_lease:
+                self._ledger.write_row(
+                    tables.get_worker_lease_row_name(tracked.worker.worker_id),
+                    None)
 
     def _process_reply(self, claim: progress.Claim, sent_s: float,
                        reply: ports.CommandReply,
@@ -272,7 +313,10 @@
                     claim.key)] = claim.key
                 claim.set_phase(Phase.STARTING, now_s)
                 claim.started_s = now_s
-                self._send_start(claim, job.payload)
+                if self._fleet.tracked_workers[claim.worker_id].may_get_lease:
+                    self._send_start(claim, job.payload)
+                else:
+                    self._end_run(claim, None, "its worker is silent")
             elif claim.phase is Phase.STOPPING:
                 self._end_run(claim, None, claim.why)
 
@@ -331,7 +375,7 @@
             if claim.phase is not Phase.STARTING:
                 return
             if (now_s - claim.since_s < self._bounds.start_patience_s and
-                    self._has_authority()):
+                    tracked.may_get_lease and self._has_authority()):
                 self._send_start(claim, payload)
             else:
                 self.stop(claim, "its start was not answered")
@@ -448,7 +492,8 @@
         lease_ms = None
         wait_ms = 0
         acknowledged_end = 0
-        if tracked.contacted and tracked.silent_since_s == float("inf"):
+        if (tracked.contacted and tracked.may_get_lease and
+                tracked.silent_since_s == float("inf")):
             # The lease of a silent worker must be able to expire.
             lease_ms = self._compute_lease_ms(tracked, now_s)
         if tracked.contacted and not tracked.maybe_restarted:
@@ -503,6 +548,7 @@
         tracked.maybe_restarted = False
         tracked.update_clock(report.clock_ms, now_s, self._bounds.max_lease_s)
         tracked.reply_time.record_reply()
+        self._remove_lapse(tracked)
         newly_ended = self._process_ends(tracked, report)
         present = self._process_running(tracked, report, now_s)
         for claim in list(tracked.claims.values()):
@@ -539,6 +585,45 @@
                          claims=len(tracked.claims))
         tracked.next_poll_s = now_s + self._bounds.probe_interval_s
 
+    def _record_lapse(self, tracked: fleets.TrackedWorker,
+                      now_s: float) -> None:
+        """Writes when the leases of a worker have ended, if it stays silent.
+
+        It gets no lease until the row is removed, so the row also holds for the
+        leaders that follow.
+        """
+        silent_s = now_s - tracked.silent_since_s
+        if (not tracked.may_get_lease or not tracked.claims or
+                silent_s < LAPSE_RECORD_DELAY_S):
+            return
+        tracked.lapse_s = max(self._prior_leases_end_s,
+                              tracked.sent_leases_end_s)
+        end_ms = (self._ledger.read_store_ms() +
+                  (tracked.lapse_s - now_s) * 1000.0)
+        self._ledger.write_row(
+            tables.get_worker_lease_row_name(tracked.worker.worker_id),
+            lapses.encode_end(end_ms))
+        _log.info("leases of a silent worker recorded",
+                  worker=tracked.worker.worker_id,
+                  claims=len(tracked.claims),
+                  end_in_s=round(tracked.lapse_s - now_s, 3))
+
+    def _remove_lapse(self, tracked: fleets.TrackedWorker) -> None:
+        """Removes the row of a worker that answers; it then gets leases."""
+        if tracked.may_get_lease or tracked.lapse_removed:
+            return
+        tracked.lapse_removed = True
+        self._ledger.write_row(
+            tables.get_worker_lease_row_name(tracked.worker.worker_id), None)
+
+        def allow_leases() -> None:
+            tracked.lapse_s = float("inf")
+            tracked.lapse_removed = False
+            self._poll_now(tracked, self._timers.read_clock())
+            self._on_change()
+
+        self._ledger.call_after(allow_leases)
+
     def _process_ends(self, tracked: fleets.TrackedWorker,
                       report: ports.Report) -> set[progress.TaskKey]:
         """Processes the ends that a report lists for the first time.
@@ -712,10 +797,12 @@
         if not self._ready:
             return
         now_s = self._timers.read_clock()
+        self._remove_recovered_lapses(now_s)
         for tracked in list(self._fleet.tracked_workers.values()):
             self._poll(tracked)
             if not tracked.claims:
                 continue
+            self._record_lapse(tracked, now_s)
             silent = tracked.silent_since_s < float(
                 "inf") or not tracked.worker.address
             if silent and tracked.is_lease_expired(now_s,
--- a/packages/jobs/src/trefoilroad_jobs/tables.py
+++ b/packages/jobs/src/trefoilroad_jobs/tables.py
@@ -15,11 +15,13 @@
 """Epoch and number of the leader's last transaction."""
 
 LEASES = "leases"
-"""When leases have ended, for the next leaders; written by the leader."""
+"""When the leases of workers have ended, for the next leaders; written by the
+leader."""
 
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 EPOCH_PREFIX = "epoch/"
+WORKER_PREFIX = "worker/"
 
 
 def get_job_row_name(job_id: str) -> ports.RowName:
@@ -40,3 +42,8 @@
 def get_epoch_lease_row_name(epoch: int) -> ports.RowName:
     """Returns table and key of the end of all leases given before an epoch."""
     return LEASES, f"{EPOCH_PREFIX}{epoch}"
+
+
+def get_worker_lease_row_name(worker_id: str) -> ports.RowName:
+    """Returns table and key of the end of a silent worker's leases."""
+    return LEASES, WORKER_PREFIX + worker_id
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -963,6 +963,55 @@
     assert site.ask_state("0" * 16, site.find_leader().name) == "completed"
 
 
+def _kill_leader(site):
+    site.kill(site.find_leader().name)
+
+
+def _freeze_leader(site):
+    leader = site.find_leader()
+    leader.host.frozen = True
+    site.clock.schedule(7.0, leader.host.thaw)
+
+
+@pytest.mark.parametrize("hit", [_kill_leader, _freeze_leader])
+def test_lost_worker_is_given_up_although_leaders_are_lost_in_series(hit):
+    """Guards against a wait for leases that each takeover begins anew."""
+    site = sites.Site(node_count=5)
+    site.run(1.0)
+    site.submit("0" * 16, run_s=2.0)
+    site.run(0.5)
+    lost = _find_busy_worker(site)
+    lost.crash()
+    crashed_s = site.clock.now_s
+    site.clock.schedule(40.0, lost.restart)
+    for _ in range(3):
+        hit(site)
+        site.run(10.0)
+    starts = [event for event in site.history if event.kind == "start"]
+    assert len(starts) == 2
+    bounds = limits.Limits()
+    longest_wait_s = (bounds.authority_s + bounds.lease_s +
+                      bounds.reclaim_lead_s)
+    assert starts[1].at_s - crashed_s < longest_wait_s + 1.0
+    assert site.find_violations() == []
+
+
+def test_silent_worker_keeps_its_runs_when_it_answers_again(site):
+    """Guards against a lease that is never renewed after a long silence."""
+    site.submit("0" * 16, run_s=12.0)
+    site.run(0.5)
+    worker_state = _find_busy_worker(site)
+    worker_state.reachable = False
+    site.run(5.2)
+    assert site.tables.rows["leases"].get(f"worker/{worker_state.worker_id}")
+    worker_state.reachable = True
+    site.run(1.0)
+    assert f"worker/{worker_state.worker_id}" not in site.tables.rows["leases"]
+    site.run(8.0)
+    assert site.ask_state("0" * 16) == "completed"
+    assert site.count_events("start") == 1
+
+
 def test_restart_of_a_leader_soon_after_a_takeover(site):
     """Guards against a bound that forgets the leader before the last one.
 
