Give no lease with the request that follows a lost report

The tasks of a lost worker were given up two seconds later than its last report allowed: a worker counts as silent after two lost reports, and the request between them still carried a new lease. A request that follows a lost report carries none now; the first report that arrives is followed by a renewal at once.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -64,6 +64,11 @@
         self._known = False
         self._losses = 0
 
+    @property
+    def is_missing(self) -> bool:
+        """Whether the last call got no reply."""
+        return self._losses > 0
+
     def record_loss(self) -> int:
         """Records that there was no reply within the timeout.
 
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -493,8 +493,8 @@
         wait_ms = 0
         acknowledged_end = 0
         if (tracked.contacted and tracked.may_get_lease and
-                tracked.silent_since_s == float("inf")):
-            # The lease of a silent worker must be able to expire.
+                not tracked.reply_time.is_missing):
+            # The lease of a worker that may be lost must be able to expire.
             lease_ms = self._compute_lease_ms(tracked, now_s)
         if tracked.contacted and not tracked.maybe_restarted:
             acknowledged_end = tracked.recorded_end
