Do not take the first reading of a worker's clock for a restart

After each takeover the tasks of a worker that was lost within four seconds were given up up to four seconds too late. A first contact compared the reading of the worker's clock with no earlier one, took the worker for one that had just restarted, and assumed the longest lease of 10 s.

Such a lease is possible only if the leader before called a process that had restarted unnoticed, so it is still assumed at the first contact with a process younger than 15 s. The new test failed before.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -37,6 +37,10 @@
 LOSSES_OF_SILENT_WORKER = 2
 # A worker that has been silent for longer is not expected to answer soon.
 MAX_REST_S = 0.6
+# A worker process that is older than this at the first contact with a leader has
+# been noticed by the leader before, if that called the process before it: its
+# leases are on its own clock. The time is the longest lease and some losses.
+MIN_NOTICED_AGE_MS = 15_000.0
 # A clock that is further behind than this belongs to a restarted worker.
 BOOT_CLOCK_SLACK_MS = 200.0
 
@@ -125,6 +129,7 @@
             process would acknowledge ends of the new one.
         clock_ms: Its steady clock at the last answer, in milliseconds.
         clock_s: Time of that answer on the leader's clock.
+        clock_known: Whether its clock has been read.
         lease_end_ms: Latest end of a lease that this leader has sent, on the
             worker's clock.
         sent_leases_end_s: Time at which the leases that this leader has sent
@@ -157,6 +162,7 @@
         self.maybe_restarted = True
         self.clock_ms = 0.0
         self.clock_s = 0.0
+        self.clock_known = False
         self.lease_end_ms = 0
         self.sent_leases_end_s = float("-inf")
         self.recorded_end = 0
@@ -195,7 +201,9 @@
 
         A clock that is behind what even a slow clock would show belongs to a
         restarted worker. The lease end recorded for the old clock is then
-        replaced by that of the longest possible lease on the new clock.
+        replaced by that of the longest possible lease on the new clock. A
+        process that is young at the first reading may hold such a lease of the
+        leader before.
 
         Args:
             clock_ms: The worker's steady clock in milliseconds.
@@ -203,9 +211,13 @@
             max_lease_s: Longest lease that a worker accepts, in seconds.
         """
         expected_ms = self._compute_earliest_clock_ms(now_s)
-        if self.contacted and clock_ms < expected_ms - BOOT_CLOCK_SLACK_MS:
+        longest_ms = int(clock_ms + max_lease_s * 1000.0)
+        if not self.clock_known:
+            self.clock_known = True
+            if clock_ms < MIN_NOTICED_AGE_MS:
+                self.lease_end_ms = longest_ms
+        elif self.contacted and clock_ms < expected_ms - BOOT_CLOCK_SLACK_MS:
             self.maybe_restarted = True
-            longest_ms = int(clock_ms + max_lease_s * 1000.0)
             if clock_ms >= self.clock_ms:
                 longest_ms = max(longest_ms, self.lease_end_ms)
             self.lease_end_ms = longest_ms
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -498,6 +498,25 @@
     assert site.count_events("start") == 2
 
 
+def test_worker_lost_soon_after_a_takeover(site):
+    """Guards against the longest lease assumed at each first contact.
+
+    The first reading of a worker's clock was compared with no earlier one and
+    taken for that of a restarted worker, which may hold a lease of 10 s.
+    """
+    site.run(30.0)
+    site.submit("0" * 16, run_s=30.0)
+    site.run(0.5)
+    site.kill(site.find_leader().name)
+    site.run(4.0)
+    site.worker_states[next(
+        event.worker_id for event in site.history)].crash()
+    bounds = limits.Limits()
+    longest_lease_s = fleet.compute_lease_duration_s(bounds.lease_s)
+    site.run(longest_lease_s + bounds.reclaim_lead_s)
+    assert site.count_events("start") == 2
+
+
 def test_configuration_is_current_soon_after_an_outage_of_the_store(site):
     """Guards against calls that are refused although the store is back.
 
