End all leases with the longest outage that a leader bridges

A leader without the store gave leases of 6 s for 6 s, so that its successor had to wait 12.2 s for workers that it could not reach. The outage that leases have to bridge is 10 s. No lease ends later than that after the last confirmed transaction now, and a successor waits 10.3 s from the last change of the head row.

--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -320,13 +320,14 @@
             return
         self._taking_over = True
         now_s = self._timers.read_clock()
-        # A leader that released the leadership had stopped acting before.
-        prior_leases_end_s = now_s
         released = not self.leader.node_id
-        if not self._is_vacant(now_s):
-            prior_leases_end_s = since_s + self._bounds.authority_s
-        prior_leases_end_s += fleet.compute_lease_duration_s(
-            self._bounds.lease_s)
+        if self._is_vacant(now_s):
+            # The previous leader has stopped acting.
+            prior_leases_end_s = now_s + fleet.compute_lease_duration_s(
+                self._bounds.lease_s)
+        else:
+            prior_leases_end_s = since_s + fleet.compute_lease_duration_s(
+                self._bounds.bridge_s)
         end_ms = store_ms + (prior_leases_end_s - now_s) * 1000.0
         leader = Leader(self.leader.epoch + 1, self._node_id, self._link)
         head = ledger.Head(leader.epoch, 0)
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -16,7 +16,10 @@
             is short enough that the tasks of a lost worker restart soon.
         max_lease_s: Longest lease that a worker accepts.
         authority_s: A leader that cannot reach the store renews leases for at
-            most this long; with the lease that bridges outages of 10 s.
+            most this long.
+        bridge_s: Such a leader gives no lease that ends later than this after
+            its last confirmed transaction, the longest outage of the store
+            during which runs go on.
         report_wait_ms: Longest time that a worker delays a report while no
             run ends, in milliseconds.
         max_command_timeout_s: Longest wait for the reply to a start or stop,
@@ -54,6 +57,7 @@
     lease_s: float = 6.0
     max_lease_s: float = 10.0
     authority_s: float = 6.0
+    bridge_s: float = 10.0
     report_wait_ms: int = 2000
     max_command_timeout_s: float = 0.4
     min_command_timeout_s: float = 0.1
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -347,8 +347,12 @@
 
     def _compute_lease_ms(self, tracked: fleets.TrackedWorker,
                           now_s: float) -> int:
-        return tracked.compute_lease_ms(self._bounds.lease_s, now_s,
-                                        self._bounds.max_lease_s)
+        # Leases end with the outage that a leader has to bridge, so that a
+        # successor waits no longer than that for runs it cannot reach.
+        bridge_end_s = self._ledger.confirmed_s + self._bounds.bridge_s
+        return tracked.compute_lease_ms(
+            min(self._bounds.lease_s, bridge_end_s - now_s), now_s,
+            self._bounds.max_lease_s)
 
     def _compute_timeout_s(self, tracked: fleets.TrackedWorker) -> float:
         return tracked.reply_time.compute_timeout_s(
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -218,7 +218,7 @@
     for worker_id in {event.worker_id for event in site.history}:
         site.worker_states[worker_id].crash()
     site.kill(site.find_leader().name)
-    site.run(17.5)
+    site.run(16.0)
     assert site.ask_state("a" * 16, site.find_leader().name) == "completed"
     assert site.find_violations() == []
 
@@ -1014,8 +1014,8 @@
     """Guards against a wait for leases that each takeover begins anew."""
     site = sites.Site(node_count=5)
     site.run(1.0)
-    site.submit("0" * 16, run_s=2.0)
-    site.run(0.5)
+    site.submit("0" * 16, run_s=8.0)
+    site.run(4.0)
     lost = _find_busy_worker(site)
     lost.crash()
     crashed_s = site.clock.now_s
@@ -1025,10 +1025,8 @@
         site.run(10.0)
     starts = [event for event in site.history if event.kind == "start"]
     assert len(starts) == 2
-    bounds = limits.Limits()
-    longest_wait_s = (bounds.authority_s + bounds.lease_s +
-                      bounds.reclaim_lead_s)
-    assert starts[1].at_s - crashed_s < longest_wait_s + 1.0
+    longest_lease_s = fleet.compute_lease_duration_s(limits.Limits().bridge_s)
+    assert starts[1].at_s - crashed_s < longest_lease_s + 1.5
     assert site.find_violations() == []
 
 
