--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -91,19 +91,18 @@
         self._rounds = rounds.RoundScheduler(estimator=self._estimator,
                                              round_planner=round_planner,
                                              bounds=bounds)
-        self._runs = runs.RunTracker(
-            epoch=epoch,
-            fleet=self._fleet,
-            workers=workers,
-            timers=timers,
-            ledger=ledger,
-            bounds=bounds,
-            prior_leases_end_s=prior_leases_end_s,
-            prior_released=prior_released,
-            find_job=self.jobs.get,
-            on_end=self._handle_run_end,
-            on_change=self._request_round,
-            on_newer_leader=on_newer_leader)
+        self._runs = runs.RunTracker(epoch=epoch,
+                                     fleet=self._fleet,
+                                     workers=workers,
+                                     timers=timers,
+                                     ledger=ledger,
+                                     bounds=bounds,
+                                     prior_leases_end_s=prior_leases_end_s,
+                                     prior_released=prior_released,
+                                     find_job=self.jobs.get,
+                                     on_end=self._handle_run_end,
+                                     on_change=self._request_round,
+                                     on_newer_leader=on_newer_leader)
         self._starting = True
         self._round_planned = False
         self._last_round_s = float("-inf")
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -340,8 +340,10 @@
             tables.HEAD_ROW: head_version
         },
                            puts={
-                               tables.LEADER_ROW: encode_leader(leader),
-                               tables.HEAD_ROW: ledger.encode_head(head),
+                               tables.LEADER_ROW:
+                                   encode_leader(leader),
+                               tables.HEAD_ROW:
+                                   ledger.encode_head(head),
                                tables.get_epoch_lease_row_name(leader.epoch):
                                    lapses.encode_end(end_ms)
                            },
@@ -349,8 +351,8 @@
                            on_done=lambda result: self._handle_takeover_result(
                                leader, prior_leases_end_s, released, result))
 
-    def _handle_takeover_result(self, leader: Leader,
-                                prior_leases_end_s: float, released: bool,
+    def _handle_takeover_result(self, leader: Leader, prior_leases_end_s: float,
+                                released: bool,
                                 result: ports.CommitResult) -> None:
         self._taking_over = False
         self._head = None
@@ -360,8 +362,8 @@
                                 released)
             return
         if isinstance(result, ports.Conflict):
-            self._handle_takeover_conflict(leader, prior_leases_end_s,
-                                           released, result)
+            self._handle_takeover_conflict(leader, prior_leases_end_s, released,
+                                           result)
         else:
             _log.warning("taking the lead failed", reason=result.reason)
             self._next_try_s = self._timers.read_clock() + self._draw_delay_s()
@@ -389,5 +391,4 @@
         self.leading = True
         self._leader_active_s = self._timers.read_clock()
         _log.info("leading", epoch=leader.epoch, prior_released=released)
-        self._on_gain(leader.epoch, head_version, prior_leases_end_s,
-                      released)
+        self._on_gain(leader.epoch, head_version, prior_leases_end_s, released)
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -279,8 +279,7 @@
     # Leading.
 
     def _start_leading(self, epoch: int, head_version: int,
-                       prior_leases_end_s: float,
-                       prior_released: bool) -> None:
+                       prior_leases_end_s: float, prior_released: bool) -> None:
         self._links.set_addresses(set())
         self._followers = {}
         ledger = ledgers.Ledger(store=self._store,
@@ -312,7 +311,8 @@
         The progress rows are read after the job rows: only this leader writes
         them and the rows of leases now, while nodes may still add jobs.
         """
-        earlier_rows: list[ports.Rows] = []
+        intake_rows: list[ports.Rows] = []
+        lease_rows: list[ports.Rows] = []
 
         def read() -> None:
             if dispatcher is self._dispatcher:
@@ -324,7 +324,7 @@
                 _log.warning("jobs cannot be read", reason=str(result))
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
-            earlier_rows[:] = [result]
+            intake_rows[:] = [result]
             self._store.read_all(table=tables.LEASES, on_done=on_lease_rows)
 
         def on_lease_rows(result: Any) -> None:
@@ -332,7 +332,7 @@
                 _log.warning("leases cannot be read", reason=str(result))
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
-            earlier_rows.append(result)
+            lease_rows[:] = [result]
             self._store.read_all(table=tables.PROGRESS,
                                  on_done=on_progress_rows)
 
@@ -344,7 +344,7 @@
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
             try:
-                dispatcher.load(*earlier_rows, result)
+                dispatcher.load(intake_rows[0], lease_rows[0], result)
             except Exception as error:
                 # A leader that schedules nothing must not keep the lead.
                 _log.exception("jobs cannot be loaded", error=repr(error))
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -490,8 +490,7 @@
     """
     site.submit("0" * 16, run_s=20.0)
     site.run(5.0)
-    site.worker_states[next(
-        event.worker_id for event in site.history)].crash()
+    site.worker_states[next(event.worker_id for event in site.history)].crash()
     bounds = limits.Limits()
     longest_lease_s = fleet.compute_lease_duration_s(bounds.lease_s)
     site.run(longest_lease_s + bounds.reclaim_lead_s)
@@ -509,8 +508,7 @@
     site.run(0.5)
     site.kill(site.find_leader().name)
     site.run(4.0)
-    site.worker_states[next(
-        event.worker_id for event in site.history)].crash()
+    site.worker_states[next(event.worker_id for event in site.history)].crash()
     bounds = limits.Limits()
     longest_lease_s = fleet.compute_lease_duration_s(bounds.lease_s)
     site.run(longest_lease_s + bounds.reclaim_lead_s)
--- a/packages/standins/tests/test_formats.py
+++ b/packages/standins/tests/test_formats.py
@@ -56,7 +56,7 @@
 
     def record_commit(conditions, puts, removals):
         for (table, key), value in puts.items():
-            if table in ("intake", "progress", "leader", "head"):
+            if table in ("intake", "progress", "leader", "head", "leases"):
                 name = f"{table} {key.partition('/')[0]}" if "/" in key else (
                     table)
                 rows.setdefault(name, describe(cbor2.loads(value)))
@@ -78,6 +78,9 @@
     site.run(1.0)
     site.submit_steps("2" * 16, steps, [0.5], through=follower)
     site.run(0.2)
+    for worker_state in site.worker_states.values():
+        worker_state.reachable = False
+    site.run(4.0)
     site.cancel("2" * 16, through=follower)
     site.run(1.0)
     assert isinstance(site.nodes[leader].node, job_nodes.Node)
