--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -38,8 +38,8 @@
 # A worker that has been silent for longer is not expected to answer soon.
 MAX_REST_S = 0.6
 # A worker process that is older than this when a leader first reads its clock
-# holds no lease that was meant for the process before it. The time is that of
-# the longest lease and of some lost replies, after which the restart is noticed.
+# holds no lease that was meant for the process before it. The time covers the
+# longest lease and some lost replies, after which a restart is noticed.
 MIN_NOTICED_AGE_MS = 15_000.0
 # A clock that is further behind than this belongs to a restarted worker.
 BOOT_CLOCK_SLACK_MS = 200.0
