Log why a job has nothing running

Operators could not tell why a job stood still: no line said why a task whose turn had come was not started, which workers were withheld and why, or which claims held the job and until when.

Once a second the leader now looks for jobs that have had nothing running for 2 s, and logs `job waits` with the reason and what decided it, at most every 5 s for a job and ten lines a second over all, those logged longest ago first; the rest is counted in one line. `workers withheld` tells when less than half of the workers of a service are usable and when they are back, `still reading jobs` names the table and the number of tries of a leader that schedules nothing yet. The decision is in waits.py, without input and output, the lines and metrics are in wait_monitor.py. Metrics: gauges of waiting jobs, withheld workers and claims, a counter of takeovers, the time from a takeover to the first round.

Nothing is done for each job in each round.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -20,6 +20,8 @@
 from trefoilroad_jobs import runs
 from trefoilroad_jobs import tables
 from trefoilroad_jobs import units
+from trefoilroad_jobs import wait_monitor
+from trefoilroad_jobs import waits
 from trefoilroad_jobs import workload
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import timer
@@ -103,6 +105,8 @@
                                      on_end=self._handle_run_end,
                                      on_change=self._request_round,
                                      on_newer_leader=on_newer_leader)
+        self._wait_monitor = wait_monitor.WaitMonitor(metrics=metrics,
+                                                      now_s=timers.read_clock())
         self._starting = True
         self._round_planned = False
         self._last_round_s = float("-inf")
@@ -110,6 +114,7 @@
         self._timer_handles = [
             timers.call_every(TICK_INTERVAL_S, self._tick),
             timers.call_every(CLEANUP_INTERVAL_S, self._remove_expired_jobs),
+            timers.call_every(wait_monitor.CHECK_INTERVAL_S, self._check_waits),
         ]
 
     def close(self) -> None:
@@ -119,6 +124,7 @@
             timer_handle.cancel()
         self._runs.close()
         self._ledger.close()
+        self._wait_monitor.close()
 
     def stop_starting(self) -> None:
         """Places no more tasks; running ones are still tracked."""
@@ -130,6 +136,10 @@
 
     # Input from the store.
 
+    def record_read(self, table: str) -> None:
+        """Records that the node begins to read a table for `load`."""
+        self._wait_monitor.record_read(table)
+
     def load(self, intake_rows: ports.Rows, lease_rows: ports.Rows,
              progress_rows: ports.Rows) -> None:
         """Recovers the jobs that nodes and earlier leaders have written.
@@ -454,6 +464,7 @@
         self._last_round_s = started_s
         if self._ledger.store_failing:
             return
+        self._wait_monitor.record_round(started_s)
         self._health.update(started_s, len(self._fleet.tracked_workers))
         plan = self._rounds.run(
             rounds.RoundInput(now_s=started_s,
@@ -471,6 +482,22 @@
         self._round_duration_s = self._timers.read_clock() - started_s
         self._metrics.time("round", self._round_duration_s)
 
+    def _check_waits(self) -> None:
+        """Logs and counts the jobs that have nothing running."""
+        self._wait_monitor.check(
+            self._active_jobs,
+            waits.Snapshot(now_s=self._timers.read_clock(),
+                           wall_ms=self._wall_clock.read_wall_ms(),
+                           ready=self.ready,
+                           store_failing=self._ledger.store_failing,
+                           starting=self._starting,
+                           fleet=self._fleet,
+                           queues=self._queues,
+                           quarantined=self._health.find_workers(
+                               health.Status.QUARANTINED),
+                           prior_leases_end_s=self._runs.prior_leases_end_s,
+                           held=self._rounds.list_held_room()))
+
     def _start_unit(self, start: units.Start, now_s: float) -> None:
         unit = start.unit
         job = self._active_jobs[unit.job_id]
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -298,6 +298,18 @@
                                 self.sent_leases_end_s)
         return self._compute_earliest_clock_ms(now_s) > self.lease_end_ms
 
+    def compute_lease_expiry_s(self, prior_leases_end_s: float) -> float:
+        """Returns when `is_lease_expired` becomes true if nothing is heard.
+
+        Args:
+            prior_leases_end_s: See `is_lease_expired`.
+        """
+        if not self.contacted or not self.lease_end_ms:
+            return max(min(prior_leases_end_s, self.lapse_s),
+                       self.sent_leases_end_s)
+        left_s = max(0.0, self.lease_end_ms - self.clock_ms) / 1000.0
+        return self.clock_s + LEASE_SLACK_S + left_s / (1 - MAX_CLOCK_DRIFT)
+
     def record_failure(self, job_id: str, *, ran_s: float,
                        failed_elsewhere: bool, now_s: float) -> bool:
         """Records a failed run, after which the worker may be suspected.
--- a/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
+++ b/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
@@ -44,6 +44,10 @@
         """Drops the reservation of a unit, if it has one."""
         self._workers.pop(key, None)
 
+    def list_workers(self) -> dict[units.UnitKey, tuple[str, ...]]:
+        """Returns the ids of the reserved workers, by unit."""
+        return dict(self._workers)
+
     def choose_workers(self, unit: units.Unit,
                        candidates: Mapping[str, placement.Candidate],
                        now_s: float) -> tuple[str, ...]:
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -316,6 +316,7 @@
 
         def read() -> None:
             if dispatcher is self._dispatcher:
+                dispatcher.record_read(tables.INTAKE)
                 self._store.read_all(table=tables.INTAKE,
                                      on_done=on_intake_rows)
 
@@ -325,6 +326,7 @@
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
             intake_rows[:] = [result]
+            dispatcher.record_read(tables.LEASES)
             self._store.read_all(table=tables.LEASES, on_done=on_lease_rows)
 
         def on_lease_rows(result: Any) -> None:
@@ -333,6 +335,7 @@
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
                 return
             lease_rows[:] = [result]
+            dispatcher.record_read(tables.PROGRESS)
             self._store.read_all(table=tables.PROGRESS,
                                  on_done=on_progress_rows)
 
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Container
+from collections.abc import Mapping
 from collections.abc import Sequence
 import functools
 from typing import NamedTuple
@@ -50,6 +51,23 @@
     preempted: bool
 
 
+class HeldRoom(NamedTuple):
+    """Workers that are kept for some units.
+
+    Attributes:
+        headroom_workers: Ids of the workers kept for urgent work.
+        holds: Ids of the workers held, by unit.
+        reservations: Ids of the workers reserved, by unit.
+    """
+
+    headroom_workers: frozenset[str]
+    holds: Mapping[units.UnitKey, tuple[str, ...]]
+    reservations: Mapping[units.UnitKey, tuple[str, ...]]
+
+
+NOTHING_HELD = HeldRoom(frozenset(), {}, {})
+
+
 class Planner:
     """Plans scheduling rounds; keeps holds and reservations between them."""
 
@@ -116,6 +134,12 @@
                 self._make_room(unit, round_state)
         return round_state.plan
 
+    def list_held_room(self) -> HeldRoom:
+        """Returns what is kept since the last round."""
+        return HeldRoom(self._headroom_workers, {
+            key: hold.workers for key, hold in self._holds.items()
+        }, self._gang_reservations.list_workers())
+
     def _start(self, unit: units.Unit, workers: Sequence[str],
                round_state: "_RoundState") -> None:
         """Adds the start of a unit, or of a part of it, to the plan."""
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -114,6 +114,13 @@
             combined_plan.stops.extend(plan.stops)
         return combined_plan
 
+    def list_held_room(self) -> dict[str, planner.HeldRoom]:
+        """Returns the room that is kept since the last round, by service."""
+        return {
+            service: service_planner.list_held_room()
+            for service, service_planner in self._planners.items()
+        }
+
     # Ready units.
 
     def _collect_ready_units(self, inputs: RoundInput) -> list[units.Unit]:
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -121,6 +121,11 @@
         # Ends of leases that earlier leaders wrote, of workers not seen yet.
         self._recovered_lapses: dict[str, float] = {}
 
+    @property
+    def prior_leases_end_s(self) -> float:
+        """Time at which the leases of earlier leaders have expired."""
+        return self._prior_leases_end_s
+
     def recover_leases(self, rows: ports.Rows) -> None:
         """Takes over what earlier leaders wrote about leases.
 
