Bound the wait for the rack of a step's data

The rack was waited for as long as it could hold the tasks when idle, and preemption for gangs looked at no other rack.

A unit of a job of which nothing runs now uses any rack after 1 s with room elsewhere, as in delay scheduling. The time counts from the first round with such room: in a full service all work would otherwise lose locality. Units of jobs that run wait for the rack as before. Preemption may use other racks 1 s after it is due.

Eight workers in two racks, one of them full: four jobs start within 2 s, none did before.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -14,6 +14,7 @@
 from trefoilroad_jobs import gang_reservations
 from trefoilroad_jobs import headroom
 from trefoilroad_jobs import ordering
+from trefoilroad_jobs import patience
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import units
@@ -80,6 +81,7 @@
         self._order = order
         self._holds: dict[units.UnitKey, CapacityHold] = {}
         self._gang_reservations = gang_reservations.GangReservations()
+        self._patience = patience.Patience()
         self._headroom_workers: frozenset[str] = frozenset()
         self._next_search_s: dict[units.UnitKey, float] = {}
         self._lowest_priority: int | None = None
@@ -125,7 +127,8 @@
                                   list_running=list_running,
                                   now_s=now_s)
         for unit in sorted(ready, key=lambda unit: self._rank(unit, now_s)):
-            workers = self._place(unit, round_state)
+            workers = (self._place(unit, round_state) or
+                       self._place_elsewhere(unit, round_state))
             if workers:
                 self._start(unit, workers, round_state)
             elif unit.key in self._holds:
@@ -146,6 +149,7 @@
         round_state.plan.starts.append(units.Start(unit, tuple(workers)))
         _allocate(round_state.candidates, unit, workers)
         self._holds.pop(unit.key, None)
+        self._patience.drop(unit.key)
         self._gang_reservations.drop(unit.key)
 
     def _rank(self, unit: units.Unit, now_s: float) -> tuple[float, ...]:
@@ -166,6 +170,7 @@
         """Drops holds and reservations of units or workers that are gone."""
         waiting = {unit.key for unit in ready}
         self._gang_reservations.retain(waiting)
+        self._patience.retain({unit.key for unit in ready if unit.idle})
         for key in [key for key in self._next_search_s if key not in waiting]:
             del self._next_search_s[key]
         for key, hold in list(self._holds.items()):
@@ -205,19 +210,47 @@
                                           list(round_state.candidates.values()))
         return placed if len(placed) == request.tasks else []
 
-    def _place_anywhere(self, unit: units.Unit,
+    def _place_elsewhere(self, unit: units.Unit,
+                         round_state: "_RoundState") -> list[str]:
+        """Places a unit without regard to what it prefers.
+
+        Only a unit of a job of which nothing runs is placed so, once it has
+        waited for long enough beside the room.
+
+        Returns:
+            The worker of each placed task; empty if the unit has to wait.
+        """
+        if (not unit.idle or unit.key in self._holds or
+                not unit.step.data_rack):
+            return []
+        request = units.build_placement_request(unit)
+        placed: list[str] = []
+        if round_state.may_fit(request):
+            placed = self._place_anywhere(unit,
+                                          request,
+                                          list(round_state.candidates.values()),
+                                          spread=True)
+        if not placed:
+            self._patience.drop(unit.key)
+            return []
+        waited_s = self._patience.measure(unit.key, round_state.now_s)
+        return placed if waited_s >= patience.PREFERENCE_S else []
+
+    def _place_anywhere(self,
+                        unit: units.Unit,
                         request: placement.PlacementRequest,
-                        candidates: list[placement.Candidate]) -> list[str]:
+                        candidates: list[placement.Candidate],
+                        spread: bool = False) -> list[str]:
         """Places a unit that has no hold.
 
         Bulk units avoid the headroom workers; urgent units try these first.
         """
         if not self._headroom_workers:
-            return placement.place(request, candidates, spread=False)
+            return placement.place(request, candidates, spread=spread)
         if unit.priority > 0:
             others = headroom.exclude_headroom(request, candidates,
                                                self._headroom_workers)
-            return placement.place(request, others, spread=False)
+            return placement.place(request, others, spread=spread)
         headroom_candidates = [
             candidate for candidate in candidates
             if candidate.worker_id in self._headroom_workers
@@ -225,7 +258,7 @@
         placed = placement.place(request, headroom_candidates, spread=False)
         if len(placed) == request.tasks:
             return placed
-        return placement.place(request, candidates, spread=False)
+        return placement.place(request, candidates, spread=spread)
 
     def _is_search_futile(self, unit: units.Unit,
                           round_state: "_RoundState") -> bool:
@@ -253,7 +286,8 @@
             round_state.considered_units += 1
         preemption = reclaim.choose_preemption(
             unit, reserved_candidates or list(round_state.candidates.values()),
-            round_state.running)
+            round_state.running, round_state.now_s
+            >= unit.reclaim_s + patience.PREFERENCE_S)
         if preemption is not None and (unit.guaranteed or reclaim.is_worthwhile(
                 unit, preemption.victims, round_state.now_s)):
             self._preempt(unit, preemption, round_state)
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -304,7 +304,8 @@
 
 def choose_preemption(unit: units.Unit,
                       candidates: Sequence[placement.Candidate],
-                      running: RunningTasks) -> Preemption | None:
+                      running: RunningTasks,
+                      spread: bool = False) -> Preemption | None:
     """Chooses what to preempt so that a unit can start.
 
     Each task in turn goes to the worker with the smallest loss. A unit that
@@ -314,6 +315,8 @@
         unit: The unit.
         candidates: Workers that it may use, with their free resources.
         running: Tasks that are ending or may be preempted.
+        spread: Whether a step with data in a rack may use others if no
+            preemption makes enough room in that rack.
 
     Returns:
         The preemption, or None if no preemption makes enough room.
@@ -337,7 +340,8 @@
                                 priority=unit.priority)
         if group.place_all(best.cost if best else float("inf")):
             best = group
-    if best is None and request.step.one_rack:
+    if best is None and (request.step.one_rack or
+                         (request.step.data_rack and spread)):
         group = _GroupPlacement(request=request,
                                 candidates=candidates,
                                 running=running,
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -215,7 +215,8 @@
             retry=any(
                 index in state.retry_at_s and
                 inputs.now_s < state.retry_at_s[index] + FAILING_AVOIDANCE_S
-                for index in waiting))
+                for index in waiting),
+            idle=not _is_running(inputs, job))
 
     def _compute_reclaim_s(self, eligible_s: float, slack: float,
                            critical_path_s: float, extra_s: float) -> float:
@@ -351,6 +352,16 @@
                      if tracked.is_resting(inputs.now_s))
 
 
+def _is_running(inputs: RoundInput, job: progress.Job) -> bool:
+    """Returns whether some task of a job runs on a worker that answers."""
+    for claim in job.list_claims():
+        tracked = inputs.fleet.tracked_workers.get(claim.worker_id)
+        if (claim.phase is not Phase.STOPPING and tracked is not None and
+                tracked.silent_since_s == float("inf")):
+            return True
+    return False
+
+
 def _count_by_worker(state: progress.StepProgress) -> dict[str, int]:
     return collections.Counter(
         claim.worker_id for claim in state.claims.values())
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -52,6 +52,8 @@
             unit; until then enough tasks may end on their own.
         retry: Whether a run of it has failed shortly before, so that workers
             with recent failures are avoided.
+        idle: Whether nothing of the job runs, so that it does not wait long
+            for workers that it only prefers.
     """
 
     job_id: str
@@ -71,6 +73,7 @@
     guaranteed: bool
     reclaim_s: float = 0.0
     retry: bool = False
+    idle: bool = False
 
     @property
     def key(self) -> UnitKey:
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -1,5 +1,7 @@
 """Tests of planning: placement, guarantees, preemption, reservations."""
 
+import pytest
+
 from trefoilroad_jobs import ordering
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
@@ -561,3 +563,79 @@
     plan = _plan([_wide_unit(4, max_per_worker=1)], candidates, victims=victims)
     assert [victim.handle for victim in plan.stops] == [0]
     assert plan.starts == []
+
+
+def _fill_rack(candidates, rack):
+    for candidate in candidates:
+        if candidate.rack == rack:
+            candidate.room = candidate.room._replace(accelerators=0)
+    return candidates
+
+
+def _plan_rounds(make_candidates, unit, end_s, interval_s=0.1, **options):
+    """Plans rounds until the unit starts; returns the time, or None."""
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    for number in range(round(end_s / interval_s) + 1):
+        now_s = number * interval_s
+        plan = round_planner.plan(
+            [unit], make_candidates(),
+            lambda: reclaim.RunningTasks(ending=(), victims=()), now_s,
+            **options)
+        if plan.starts:
+            return now_s
+    return None
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("priority", [0, 1])
+def test_unit_does_not_wait_long_for_the_rack_of_its_data(gang, priority):
+    """Guards against work that waits for one full rack beside idle ones."""
+    step = workload.Step(tasks=2, demand=WHOLE, gang=gang, data_rack="r0")
+    unit = _unit("a",
+                 step=step,
+                 indexes=(0, 1),
+                 priority=priority,
+                 objective_s=-100.0,
+                 idle=True)
+    start_s = _plan_rounds(lambda: _fill_rack(_candidates(), "r0"), unit, 3.0)
+    assert start_s is not None
+    assert 0.9 <= start_s <= 1.1
+
+
+def test_time_in_a_full_service_is_no_wait_for_a_rack():
+    """Guards against work far from its data as soon as anything is free."""
+    step = workload.Step(tasks=1, demand=WHOLE, data_rack="r0")
+    unit = _unit("a", step=step, idle=True, objective_s=-100.0)
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    for now_s in (0.0, 1.0, 2.0, 3.0):
+        _plan([unit],
+              _candidates(used=8),
+              now_s=now_s,
+              round_planner=round_planner)
+    plan = _plan([unit],
+                 _fill_rack(_candidates(), "r0"),
+                 now_s=4.0,
+                 round_planner=round_planner)
+    assert not plan.starts
+
+
+def test_unit_of_a_job_that_runs_waits_for_the_rack_of_its_data():
+    """Guards against tasks far from their data although the job goes on."""
+    step = workload.Step(tasks=1, demand=WHOLE, data_rack="r0")
+    unit = _unit("a", step=step, idle=False, objective_s=-100.0)
+    assert _plan_rounds(lambda: _fill_rack(_candidates(), "r0"), unit,
+                        3.0) is None
+
+
+def test_guaranteed_gang_preempts_outside_the_rack_of_its_data():
+    """Guards against a guarantee that ends at the rack of the data."""
+    step = workload.Step(tasks=1, demand=WHOLE, gang=True, data_rack="r0")
+    unit = _unit("a", step=step, priority=0, guaranteed=True, idle=True)
+    victims = [
+        units.Victim(((f"w{number}", WHOLE),), 10.0, 2, number)
+        for number in (2, 3)
+    ]
+    plan = _plan([unit], _candidates(used=8), victims=victims, now_s=0.5)
+    assert not plan.stops
+    plan = _plan([unit], _candidates(used=8), victims=victims, now_s=1.1)
+    assert len(plan.stops) == 1
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1067,3 +1067,18 @@
     site.add_node(second.name).workers.cut.add(busy.worker_id)
     site.run(40.0)
     assert site.find_violations() == []
+
+
+def test_busy_data_rack_does_not_hold_up_other_jobs():
+    """Guards against jobs that stand for one full rack beside idle ones."""
+    site = sites.Site(worker_count=8, per_rack=4)
+    site.run(1.0)
+    whole = sites.SMALL_DEMAND._replace(accelerators=8)
+    for number in range(4):
+        site.submit(f"{number:016x}", run_s=60.0, demand=whole, data_rack="r0")
+    site.run(1.0)
+    for number in range(4, 8):
+        site.submit(f"{number:016x}", run_s=1.0, demand=whole, data_rack="r0")
+    site.run(2.0)
+    for number in range(4, 8):
+        assert site.count_events("start", f"{number:016x}") == 1
