Bound the wait for one rack that holds all tasks

Only preemption spread it, which is not considered for late work, for the least urgent queue of a large service or before it is due.

A unit of a job of which nothing runs now spreads after 1 s with such room, as for the rack of its data. Gangs, urgent and guaranteed units included: 1.0 s on rounds 0.1 s apart, in all eight cases of the new test.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -221,7 +221,7 @@
             The worker of each placed task; empty if the unit has to wait.
         """
         if (not unit.idle or unit.key in self._holds or
-                not unit.step.data_rack):
+                not (unit.step.data_rack or unit.step.one_rack)):
             return []
         request = units.build_placement_request(unit)
         placed: list[str] = []
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -639,3 +639,34 @@
     assert not plan.stops
     plan = _plan([unit], _candidates(used=8), victims=victims, now_s=1.1)
     assert len(plan.stops) == 1
+
+
+def _leave_one_free_in_each_rack():
+    candidates = _candidates()
+    for candidate in candidates[::2]:
+        candidate.room = candidate.room._replace(accelerators=0)
+    return candidates
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("priority", [0, 1])
+@pytest.mark.parametrize("guaranteed", [False, True])
+def test_unit_does_not_wait_long_for_room_in_one_rack(gang, priority,
+                                                      guaranteed):
+    """Guards against work that waits for one rack beside room in several.
+
+    Preemption spreads units, but it is not considered for late ones nor
+    before it is due.
+    """
+    step = workload.Step(tasks=2, demand=WHOLE, gang=gang, one_rack=True)
+    unit = _unit("a",
+                 step=step,
+                 indexes=(0, 1),
+                 priority=priority,
+                 guaranteed=guaranteed,
+                 reclaim_s=5.0,
+                 objective_s=-100.0,
+                 idle=True)
+    start_s = _plan_rounds(_leave_one_free_in_each_rack, unit, 3.0)
+    assert start_s is not None
+    assert 0.9 <= start_s <= 1.1
