Prefer other workers to withheld ones instead of excluding them

Jobs with a label that only one worker has stood for a quarantine of 60 s, and up to an hour, beside that worker, idle and sound. All workers of a small service could be quarantined at once, as the limit counts the whole fleet.

Quarantined and suspected workers are candidates of the last rank now. A unit of a job of which nothing runs uses them once it has waited for 1.5 s and nothing else fits.

A worker that fails everything for 6 s and has a label of its own: the first start after that comes within 2 s, and eight more jobs run within 5 s.

--- a/packages/jobs/src/trefoilroad_jobs/patience.py
+++ b/packages/jobs/src/trefoilroad_jobs/patience.py
@@ -14,10 +14,13 @@
 # spread over racks takes about three times as long, and most tasks of a busy
 # service end within this time.
 PREFERENCE_S = 1.0
+# How long a unit waits before it uses a worker on which runs fail. It is
+# longer, as a failed run counts against the job.
+WITHHELD_S = 1.5
 
 
 class Patience:
-    """Since when each unit has had room that it does not prefer.
+    """Since when each unit has had room, though none that it prefers.
 
     The time counts from the first round with such room, and not from the
     arrival of the unit: otherwise, in a full service, all work would have lost
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Sequence
+import enum
 from typing import NamedTuple
 
 from trefoilroad_jobs import workload
@@ -12,6 +13,17 @@
 UNLIMITED_TASKS = 1_000
 
 
+class Access(enum.Enum):
+    """How many units may start on a worker that is withheld.
+
+    Such a worker is used only by work that has waited for others.
+    """
+
+    CLOSED = "closed"  # A trial is under way, or one has failed just now.
+    ONE = "one"
+    OPEN = "open"
+
+
 class Candidate:
     """A worker that may be used in a round.
 
@@ -22,9 +34,11 @@
         room: Free resources.
         capacity: Total resources.
         failing: Whether runs have failed there recently.
+        withheld: How it may be used if it is withheld, else None.
     """
 
-    __slots__ = ("capacity", "failing", "labels", "rack", "room", "worker_id")
+    __slots__ = ("capacity", "failing", "labels", "rack", "room", "withheld",
+                 "worker_id")
 
     def __init__(self,
                  *,
@@ -33,13 +47,15 @@
                  labels: frozenset[str],
                  room: Demand,
                  capacity: Demand,
-                 failing: bool = False):
+                 failing: bool = False,
+                 withheld: Access | None = None):
         self.worker_id = worker_id
         self.rack = rack
         self.labels = labels
         self.room = room
         self.capacity = capacity
         self.failing = failing
+        self.withheld = withheld
 
 
 class PlacementRequest(NamedTuple):
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -102,8 +102,9 @@
 
         Args:
             ready: Units that may start.
-            candidates: Workers that may be used; their free resources are
-                reduced by what the plan uses.
+            candidates: Workers that may be used, including those that are
+                withheld; their free resources are reduced by what the plan
+                uses.
             list_running: Returns the tasks that are being stopped and those
                 that may be preempted. Called only if some unit needs room, as
                 most rounds of a large fleet place everything or nothing.
@@ -118,12 +119,20 @@
         Returns:
             The plan.
         """
-        by_id = {candidate.worker_id: candidate for candidate in candidates}
+        usable = [
+            candidate for candidate in candidates if candidate.withheld is None
+        ]
+        by_id = {candidate.worker_id: candidate for candidate in usable}
         self._headroom_workers = headroom.choose_workers(
-            candidates, headroom_accelerators)
+            usable, headroom_accelerators)
         self._lowest_priority = lowest_priority
         self._drop_stale_holds(ready, by_id, resting, now_s)
         round_state = _RoundState(candidates=by_id,
+                                  withheld={
+                                      candidate.worker_id: candidate
+                                      for candidate in candidates
+                                      if candidate.withheld is not None
+                                  },
                                   list_running=list_running,
                                   now_s=now_s)
         for unit in sorted(ready, key=lambda unit: self._rank(unit, now_s)):
@@ -148,6 +157,7 @@
         """Adds the start of a unit, or of a part of it, to the plan."""
         round_state.plan.starts.append(units.Start(unit, tuple(workers)))
         _allocate(round_state.candidates, unit, workers)
+        _allocate_withheld(round_state.withheld, unit, workers)
         self._holds.pop(unit.key, None)
         self._patience.drop(unit.key)
         self._gang_reservations.drop(unit.key)
@@ -215,26 +225,45 @@
         """Places a unit without regard to what it prefers.
 
         Only a unit of a job of which nothing runs is placed so, once it has
-        waited for long enough beside the room.
+        waited for long enough beside the room. It leaves its preferred rack
+        before it uses a worker that is withheld.
 
         Returns:
             The worker of each placed task; empty if the unit has to wait.
         """
+        prefers_rack = unit.step.data_rack or unit.step.one_rack
         if (not unit.idle or unit.key in self._holds or
-                not (unit.step.data_rack or unit.step.one_rack)):
+                not (prefers_rack or round_state.withheld)):
             return []
         request = units.build_placement_request(unit)
+        now_s = round_state.now_s
+        candidates = list(round_state.candidates.values())
+        withheld = list(round_state.withheld.values())
         placed: list[str] = []
-        if round_state.may_fit(request):
+        if prefers_rack and round_state.may_fit(request):
             placed = self._place_anywhere(unit,
                                           request,
-                                          list(round_state.candidates.values()),
+                                          candidates,
                                           spread=True)
-        if not placed:
+        if placed:
+            waited_s = self._patience.measure(unit.key, now_s)
+            return placed if waited_s >= patience.PREFERENCE_S else []
+        if not self._place_anywhere(unit,
+                                    request._replace(avoid_failing=False),
+                                    [*candidates, *withheld],
+                                    spread=True):
             self._patience.drop(unit.key)
             return []
-        waited_s = self._patience.measure(unit.key, round_state.now_s)
-        return placed if waited_s >= patience.PREFERENCE_S else []
+        if (self._patience.measure(unit.key, now_s) < patience.WITHHELD_S or
+                unit.retry):
+            return []
+        open_workers = [
+            candidate for candidate in withheld
+            if candidate.withheld is not placement.Access.CLOSED
+        ]
+        return self._place_anywhere(unit,
+                                    request, [*candidates, *open_workers],
+                                    spread=True)
 
     def _place_anywhere(self,
                         unit: units.Unit,
@@ -340,6 +369,7 @@
 
     Attributes:
         candidates: Workers that may be used, with what is still free, by id.
+        withheld: Workers that are withheld, likewise.
         now_s: Current time in seconds.
         plan: Decisions so far.
         considered_units: Units without a guarantee for which preemption or
@@ -347,9 +377,11 @@
     """
 
     def __init__(self, *, candidates: dict[str, placement.Candidate],
+                 withheld: dict[str, placement.Candidate],
                  list_running: Callable[[],
                                         reclaim.RunningTasks], now_s: float):
         self.candidates = candidates
+        self.withheld = withheld
         self._list_running = list_running
         self.now_s = now_s
         self.plan = units.Plan([], [])
@@ -401,3 +433,14 @@
         candidate = candidates.get(worker_id)
         if candidate is not None:
             candidate.room = candidate.room.minus(unit.step.occupied)
+
+
+def _allocate_withheld(withheld: dict[str, placement.Candidate],
+                       unit: units.Unit, workers: Sequence[str]) -> None:
+    """Subtracts what a unit uses, and closes workers that only it may try."""
+    _allocate(withheld, unit, workers)
+    for worker_id in workers:
+        candidate = withheld.get(worker_id)
+        if (candidate is not None and
+                candidate.withheld is placement.Access.ONE):
+            candidate.withheld = placement.Access.CLOSED
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -20,6 +20,7 @@
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import progress
 from trefoilroad_jobs import reclaim
+from trefoilroad_jobs import trials
 from trefoilroad_jobs import units
 from trefoilroad_jobs import workload
 
@@ -42,7 +43,7 @@
         fleet: Workers as the leader last saw them.
         configuration: Configuration in force.
         queues: Queues of the configuration, by name.
-        quarantined: Ids of workers that get no new runs, as runs fail there.
+        quarantined: Ids of workers that are withheld, as runs fail there.
     """
 
     now_s: float
@@ -72,6 +73,8 @@
         self._bounds = bounds
         self._headroom_estimators: dict[str, headroom.HeadroomEstimator] = (
             collections.defaultdict(headroom.HeadroomEstimator))
+        self._trials: dict[str, trials.Trials] = (collections.defaultdict(
+            trials.Trials))
         self._densities: dict[str, float] = {}
         self._unplannable_jobs: set[str] = set()
 
@@ -95,6 +98,11 @@
         combined_plan = units.Plan([], [])
         for service, service_units in ready.items():
             candidates = self._build_candidates(inputs, service)
+            limited = [
+                candidate.worker_id
+                for candidate in candidates
+                if candidate.withheld is placement.Access.ONE
+            ]
             headroom_accelerators = self._headroom_estimators[service].estimate(
                 inputs.now_s)
             if service not in self._planners:
@@ -110,6 +118,13 @@
                                      for queue in inputs.queues.values()
                                      if queue.service == service),
                                     default=None))
+            tried = {
+                worker_id for start in plan.starts
+                for worker_id in start.workers
+            }
+            for worker_id in tried.intersection(limited):
+                self._trials[service].record_start(
+                    inputs.fleet.tracked_workers[worker_id], inputs.now_s)
             combined_plan.starts.extend(plan.starts)
             combined_plan.stops.extend(plan.stops)
         return combined_plan
@@ -261,16 +276,20 @@
     def _build_candidates(self, inputs: RoundInput,
                           service: str) -> list[placement.Candidate]:
         candidates = []
-        suspected = inputs.fleet.find_suspects(service, inputs.now_s)
+        withheld = inputs.quarantined | inputs.fleet.find_suspects(
+            service, inputs.now_s)
+        service_trials = self._trials[service]
+        service_trials.retain(withheld)
         for tracked in inputs.fleet.list_tracked_workers(service):
             worker = tracked.worker
             if (not tracked.registered or worker.draining or
                     not tracked.contacted or not tracked.may_get_lease or
                     tracked.silent_since_s < float("inf") or
-                    tracked.paused_until_s > inputs.now_s or
-                    worker.worker_id in inputs.quarantined or
-                    worker.worker_id in suspected):
+                    tracked.paused_until_s > inputs.now_s):
                 continue
+            access = None
+            if worker.worker_id in withheld:
+                access = service_trials.find_access(tracked, inputs.now_s)
             candidates.append(
                 placement.Candidate(worker_id=worker.worker_id,
                                     rack=worker.rack,
@@ -278,7 +297,8 @@
                                     room=worker.capacity.minus(
                                         tracked.occupied),
                                     capacity=worker.capacity,
-                                    failing=tracked.has_failed(inputs.now_s)))
+                                    failing=tracked.has_failed(inputs.now_s),
+                                    withheld=access))
         return candidates
 
     # Possible victims.
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -670,3 +670,59 @@
     start_s = _plan_rounds(_leave_one_free_in_each_rack, unit, 3.0)
     assert start_s is not None
     assert 0.9 <= start_s <= 1.1
+
+
+def _withhold(candidates, names, access=placement.Access.ONE):
+    for candidate in candidates:
+        if candidate.worker_id in names:
+            candidate.withheld = access
+    return candidates
+
+
+def test_withheld_workers_are_used_by_work_that_has_waited():
+    """Guards against jobs that stand beside a worker that is sound again."""
+    step = workload.Step(tasks=1, demand=ONE, label="r0")
+    unit = _unit("a", step=step, idle=True, objective_s=-100.0)
+    start_s = _plan_rounds(lambda: _withhold(_candidates(), {"w0", "w1"}), unit,
+                           3.0)
+    assert start_s is not None
+    assert 1.4 <= start_s <= 1.6
+
+
+def test_closed_worker_is_not_tried():
+    """Guards against a storm of starts on a worker that fails them all."""
+    step = workload.Step(tasks=1, demand=ONE, label="r0")
+    unit = _unit("a", step=step, idle=True, objective_s=-100.0)
+    closed = placement.Access.CLOSED
+    assert _plan_rounds(lambda: _withhold(_candidates(), {"w0", "w1"}, closed),
+                        unit, 5.0) is None
+
+
+@pytest.mark.parametrize(("access", "count"), [(placement.Access.ONE, 1),
+                                               (placement.Access.OPEN, 3)])
+def test_withheld_worker_is_tried_by_one_unit(access, count):
+    """Guards against many runs that fail on the same worker at once."""
+    step = workload.Step(tasks=1, demand=ONE, label="r1")
+    waiting = [_unit(name, step=step, idle=True) for name in "abc"]
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    for now_s in (0.0, 2.0):
+        plan = _plan(waiting,
+                     _withhold(_candidates(count=3), {"w2"}, access),
+                     now_s=now_s,
+                     round_planner=round_planner)
+    assert len(plan.starts) == count
+
+
+def test_gang_uses_sound_and_withheld_workers_together():
+    """Guards against a gang that stands as one worker of many is withheld."""
+    unit = _gang("a", 4, idle=True, objective_s=-100.0)
+    start_s = _plan_rounds(lambda: _withhold(_candidates(), {"w1"}), unit, 3.0)
+    assert start_s is not None
+    assert start_s <= 1.6
+
+
+def test_work_that_fits_elsewhere_avoids_withheld_workers():
+    """Guards against failed runs on workers that are known to fail."""
+    unit = _unit("a", idle=True)
+    plan = _plan([unit], _withhold(_candidates(), {"w0"}))
+    assert plan.starts[0].workers != ("w0",)
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1082,3 +1082,39 @@
     site.run(2.0)
     for number in range(4, 8):
         assert site.count_events("start", f"{number:016x}") == 1
+
+
+def test_quarantined_worker_is_tried_by_work_that_needs_it():
+    """Guards against jobs that stand for a quarantine of up to an hour."""
+    site = sites.Site(per_rack=1)
+    site.run(1.0)
+    site.worker_states["w00"].fails = True
+    for number in range(8):
+        site.submit(f"{number:016x}", run_s=0.5, label="r0")
+    site.run(6.0)
+    site.worker_states["w00"].fails = False
+    sound_s = site.clock.now_s
+    names = [f"{number:016x}" for number in range(8, 16)]
+    for name in names:
+        site.submit(name, run_s=5.0, label="r0")
+    site.run(5.0)
+    starts_s = [
+        event.at_s
+        for event in site.history
+        if event.kind == "start" and event.at_s > sound_s
+    ]
+    assert starts_s[0] - sound_s < 2.0
+    assert all(site.count_events("start", name) for name in names)
+
+
+def test_worker_that_goes_on_failing_is_tried_seldom():
+    """Guards against a storm of starts on a worker that fails them all."""
+    site = sites.Site(per_rack=1)
+    site.run(1.0)
+    site.worker_states["w00"].fails = True
+    for number in range(100):
+        site.submit(f"{number:016x}", run_s=0.5, label="r0")
+    site.run(2.0)
+    failed = site.count_events("failed")
+    site.run(9.0)
+    assert 3 <= site.count_events("failed") - failed <= 8
