Leave a preferred rack only for room twice over

Work that is spread over racks or runs far from its data takes several times as long. A unit left its rack after 1 s with any room that it fitted into, so on a busy service it could hold the last room for three times its run time. It needs room twice over now: of the whole unit if that is placed all or nothing, else of one task. On workers that are withheld, tasks that are placed one by one are searched for only there, as they have just been found to fit nowhere else.

The tests of the bounded waits give that room; a new one has a gang wait that would fit exactly, and failed before.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -236,26 +236,43 @@
                 not (prefers_rack or round_state.withheld)):
             return []
         request = units.build_placement_request(unit)
-        now_s = round_state.now_s
         candidates = list(round_state.candidates.values())
-        withheld = list(round_state.withheld.values())
-        placed: list[str] = []
         if prefers_rack and round_state.may_fit(request):
-            placed = self._place_anywhere(unit,
-                                          request,
-                                          candidates,
-                                          spread=True)
-        if placed:
-            waited_s = self._patience.measure(unit.key, now_s)
-            return placed if waited_s >= patience.PREFERENCE_S else []
-        if not self._place_anywhere(unit,
-                                    request._replace(avoid_failing=False),
-                                    [*candidates, *withheld],
-                                    spread=True):
+            # Work that is spread or far from its data takes several times as
+            # long, so that it needs room twice over.
+            twice = request._replace(
+                tasks=2 * (request.tasks if request.all_or_nothing else 1),
+                all_or_nothing=True)
+            if self._place_anywhere(unit, twice, candidates, spread=True):
+                waited_s = self._patience.measure(unit.key, round_state.now_s)
+                if waited_s < patience.PREFERENCE_S:
+                    return []
+                return self._place_anywhere(unit,
+                                            request,
+                                            candidates,
+                                            spread=True)
+        return self._place_on_withheld(unit, request, round_state)
+
+    def _place_on_withheld(self, unit: units.Unit,
+                           request: placement.PlacementRequest,
+                           round_state: "_RoundState") -> list[str]:
+        """Places a unit that fits nowhere else on workers that are withheld.
+
+        Returns:
+            The worker of each placed task; empty if the unit has to wait.
+        """
+        withheld = list(round_state.withheld.values())
+        candidates = []
+        if request.all_or_nothing:
+            candidates = list(round_state.candidates.values())
+        if not withheld or not self._place_anywhere(
+                unit,
+                request._replace(avoid_failing=False), [*candidates, *withheld],
+                spread=True):
             self._patience.drop(unit.key)
             return []
-        if (self._patience.measure(unit.key, now_s) < patience.WITHHELD_S or
-                unit.retry):
+        waited_s = self._patience.measure(unit.key, round_state.now_s)
+        if waited_s < patience.WITHHELD_S or unit.retry:
             return []
         open_workers = [
             candidate for candidate in withheld
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -597,11 +597,19 @@
                  priority=priority,
                  objective_s=-100.0,
                  idle=True)
-    start_s = _plan_rounds(lambda: _fill_rack(_candidates(), "r0"), unit, 3.0)
+    start_s = _plan_rounds(lambda: _fill_rack(_candidates(6), "r0"), unit, 3.0)
     assert start_s is not None
     assert 0.9 <= start_s <= 1.1
 
 
+def test_gang_does_not_leave_its_rack_for_the_last_room():
+    """Guards against runs that take three times as long on a busy service."""
+    step = workload.Step(tasks=2, demand=WHOLE, gang=True, data_rack="r0")
+    unit = _unit("a", step=step, indexes=(0, 1), objective_s=-100.0, idle=True)
+    assert _plan_rounds(lambda: _fill_rack(_candidates(), "r0"), unit,
+                        3.0) is None
+
+
 def test_time_in_a_full_service_is_no_wait_for_a_rack():
     """Guards against work far from its data as soon as anything is free."""
     step = workload.Step(tasks=1, demand=WHOLE, data_rack="r0")
@@ -642,7 +650,7 @@
 
 
 def _leave_one_free_in_each_rack():
-    candidates = _candidates()
+    candidates = _candidates(8)
     for candidate in candidates[::2]:
         candidate.room = candidate.room._replace(accelerators=0)
     return candidates
