Search withheld workers for each unit at most four times a second

Rounds follow each other within milliseconds, and each looked for room on withheld workers for all waiting units. Plan of 400 waiting units on 176 workers of which 10 are withheld: 39.9 ms median before, 16.7 ms now (17.7 ms without withheld workers, on a busy machine).

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -32,6 +32,9 @@
 # the units behind it would not get their turn.
 FUTILE_SEARCH_DELAY_S = 0.002
 WORKERS_SEARCHED_IN_EACH_ROUND = 64
+# Time between two searches for room for a unit on workers that are withheld.
+# Rounds may follow each other within milliseconds, and hundreds of units wait.
+WITHHELD_SEARCH_INTERVAL_S = 0.25
 
 
 class CapacityHold(NamedTuple):
@@ -84,6 +87,7 @@
         self._patience = patience.Patience()
         self._headroom_workers: frozenset[str] = frozenset()
         self._next_search_s: dict[units.UnitKey, float] = {}
+        self._next_withheld_search_s: dict[units.UnitKey, float] = {}
         self._lowest_priority: int | None = None
 
     def create_empty(self) -> "Planner":
@@ -181,8 +185,9 @@
         waiting = {unit.key for unit in ready}
         self._gang_reservations.retain(waiting)
         self._patience.retain({unit.key for unit in ready if unit.idle})
-        for key in [key for key in self._next_search_s if key not in waiting]:
-            del self._next_search_s[key]
+        for searches in (self._next_search_s, self._next_withheld_search_s):
+            for key in [key for key in searches if key not in waiting]:
+                del searches[key]
         for key, hold in list(self._holds.items()):
             if (key not in waiting or hold.until_s <= now_s or
                     any(worker not in candidates and worker not in resting
@@ -261,6 +266,11 @@
         Returns:
             The worker of each placed task; empty if the unit has to wait.
         """
+        now_s = round_state.now_s
+        if now_s < self._next_withheld_search_s.get(unit.key, 0.0):
+            return []
+        self._next_withheld_search_s[unit.key] = (now_s +
+                                                  WITHHELD_SEARCH_INTERVAL_S)
         withheld = list(round_state.withheld.values())
         candidates = []
         if request.all_or_nothing:
@@ -271,7 +281,7 @@
                 spread=True):
             self._patience.drop(unit.key)
             return []
-        waited_s = self._patience.measure(unit.key, round_state.now_s)
+        waited_s = self._patience.measure(unit.key, now_s)
         if waited_s < patience.WITHHELD_S or unit.retry:
             return []
         open_workers = [
