--- a/packages/jobs/src/trefoilroad_jobs/headroom.py
+++ b/packages/jobs/src/trefoilroad_jobs/headroom.py
@@ -66,8 +66,11 @@
         return mean + HEADROOM_DEVIATIONS * math.sqrt(variance)
 
 
-def choose_workers(candidates: Sequence[placement.Candidate],
-                   accelerators: float) -> frozenset[str]:
+def choose_workers(
+    candidates: Sequence[placement.Candidate],
+    accelerators: float,
+    withheld: Sequence[placement.Candidate] = ()
+) -> frozenset[str]:
     """Chooses the workers that are kept for urgent work.
 
     Workers are taken rack by rack and always in the same order: urgent gangs
@@ -77,14 +80,17 @@
     Args:
         candidates: Workers that may be used.
         accelerators: Number of accelerators to keep.
+        withheld: Further workers of the service, which count as part of it.
 
     Returns:
         Ids of the workers.
     """
-    capacity = sum(candidate.capacity.accelerators for candidate in candidates)
-    free = sum(max(0, candidate.room.accelerators) for candidate in candidates)
-    if free > (1.0 - MAX_HEADROOM_SHARE) * capacity:
+    service = [*candidates, *withheld]
+    total = sum(candidate.capacity.accelerators for candidate in service)
+    free = sum(max(0, candidate.room.accelerators) for candidate in service)
+    if free > (1.0 - MAX_HEADROOM_SHARE) * total:
         return frozenset()
+    capacity = sum(candidate.capacity.accelerators for candidate in candidates)
     chosen = []
     left = min(accelerators, MAX_HEADROOM_SHARE * capacity)
     for candidate in sorted(candidates,
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -127,16 +127,17 @@
             candidate for candidate in candidates if candidate.withheld is None
         ]
         by_id = {candidate.worker_id: candidate for candidate in usable}
+        withheld = {
+            candidate.worker_id: candidate
+            for candidate in candidates
+            if candidate.withheld is not None
+        }
         self._headroom_workers = headroom.choose_workers(
-            usable, headroom_accelerators)
+            usable, headroom_accelerators, list(withheld.values()))
         self._lowest_priority = lowest_priority
         self._drop_stale_holds(ready, by_id, resting, now_s)
         round_state = _RoundState(candidates=by_id,
-                                  withheld={
-                                      candidate.worker_id: candidate
-                                      for candidate in candidates
-                                      if candidate.withheld is not None
-                                  },
+                                  withheld=withheld,
                                   list_running=list_running,
                                   now_s=now_s)
         for unit in sorted(ready, key=lambda unit: self._rank(unit, now_s)):
--- a/packages/jobs/tests/test_headroom.py
+++ b/packages/jobs/tests/test_headroom.py
@@ -72,6 +72,19 @@
     assert headroom.choose_workers(_candidates(free=3), 24.0) != frozenset()
 
 
+def test_withheld_workers_count_as_idle_part_of_the_service():
+    """Guards against bulk jobs that wait although half of a service is idle.
+
+    The idle half may be withheld in part.
+    """
+    candidates = _candidates(free=3)
+    idle, others = candidates[:2], candidates[2:]
+    for candidate in idle:
+        candidate.room = candidate.capacity
+    assert headroom.choose_workers(others, 24.0) != frozenset()
+    assert headroom.choose_workers(others, 24.0, idle) == frozenset()
+
+
 def test_restricted_unit_may_use_headroom_workers():
     """Guards against jobs that never start or run far from their data."""
     headroom_workers = frozenset({"w0", "w2", "w4"})
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -734,3 +734,23 @@
     unit = _unit("a", idle=True)
     plan = _plan([unit], _withhold(_candidates(), {"w0"}))
     assert plan.starts[0].workers != ("w0",)
+
+
+def test_no_headroom_is_kept_while_half_of_the_service_is_withheld():
+    """Guards against bulk work that waits beside half of a service."""
+
+    def _plan_bulk(idle_names):
+        candidates = _withhold(_candidates(), {"w2", "w3"},
+                               placement.Access.CLOSED)
+        for candidate in candidates:
+            if candidate.worker_id not in idle_names:
+                candidate.room = candidate.room._replace(accelerators=0)
+        return planner.Planner(order=ordering.WorthDensityOrder()).plan(
+            [_unit("a", priority=2)],
+            candidates,
+            lambda: reclaim.RunningTasks(ending=(), victims=()),
+            0.0,
+            headroom_accelerators=8.0)
+
+    assert not _plan_bulk({"w0", "w2"}).starts
+    assert _plan_bulk({"w0", "w2", "w3"}).starts
