Check the computed end of a lease against the one waited for

The line about a claim on a silent worker names the end of its lease, computed apart from the check that ends the claim. A test now compares the two, for a lease of this leader and for those of earlier ones.

--- a/packages/jobs/tests/test_fleet.py
+++ b/packages/jobs/tests/test_fleet.py
@@ -94,3 +94,17 @@
     assert not tracked.is_lease_expired(51.0, prior_leases_end_s=20.0)
     assert not tracked.is_lease_expired(60.0, prior_leases_end_s=20.0)
     assert tracked.is_lease_expired(60.5, prior_leases_end_s=20.0)
+
+
+@pytest.mark.parametrize("contacted", [False, True])
+def test_computed_expiry_is_when_the_lease_counts_as_expired(contacted):
+    """Guards against lines that name another end than the one waited for."""
+    tracked = fleet.TrackedWorker(worker=WORKER)
+    tracked.contacted = contacted
+    tracked.clock_ms = 50_000.0
+    tracked.clock_s = 10.0
+    tracked.compute_lease_ms(4.0, 12.0, 6.0)
+    expiry_s = tracked.compute_lease_expiry_s(20.0)
+    assert expiry_s > 12.0
+    assert not tracked.is_lease_expired(expiry_s - 0.01, 20.0)
+    assert tracked.is_lease_expired(expiry_s + 0.01, 20.0)
