Name two more causes of idle room beside a waiting job

On a virtual site under load, with leaders frozen in series, the lines of five jobs said "no cause found", which the guide takes for a fault of the product. All five were in one moment, between a change of the fleet and the round that followed. Such a moment is now told apart, and so is room that two causes hold together, each of which alone leaves enough.

The two new tests fail without the change of waits.py.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -490,6 +490,7 @@
                            ready=self.ready,
                            store_failing=self._ledger.store_failing,
                            starting=self._starting,
+                           round_due=self._round_planned,
                            fleet=self._fleet,
                            queues=self._queues,
                            quarantined=self._health.find_workers(
--- a/packages/jobs/src/trefoilroad_jobs/waits.py
+++ b/packages/jobs/src/trefoilroad_jobs/waits.py
@@ -70,6 +70,8 @@
         ready: Whether the jobs have been read from the store.
         store_failing: Whether the last call to the store failed.
         starting: Whether tasks are placed; not before a planned stop.
+        round_due: Whether something has changed since the last round, so that
+            another one follows within milliseconds.
         fleet: Workers as the leader last saw them.
         queues: Queues of the configuration, by name.
         quarantined: Ids of workers that get no new runs, as runs fail there.
@@ -82,6 +84,7 @@
     ready: bool
     store_failing: bool
     starting: bool
+    round_due: bool
     fleet: fleets.Fleet
     queues: Mapping[str, configurations.Queue]
     quarantined: frozenset[str]
@@ -277,7 +280,8 @@
             self._shared[key] = explain_room(request,
                                              self.get_workers(service),
                                              held,
-                                             bulk=bulk)
+                                             bulk=bulk,
+                                             round_due=snapshot.round_due)
         return self._shared[key]
 
     def _describe_claims(self, state: progress.StepProgress) -> dict[str, Any]:
@@ -333,8 +337,8 @@
 
 
 def explain_room(request: placement.PlacementRequest, workers: ServiceWorkers,
-                 held: planner.HeldRoom, *,
-                 bulk: bool) -> tuple[Reason, dict[str, Any]]:
+                 held: planner.HeldRoom, *, bulk: bool,
+                 round_due: bool) -> tuple[Reason, dict[str, Any]]:
     """Finds why tasks were not placed.
 
     Args:
@@ -342,6 +346,7 @@
         workers: Registered workers of the service.
         held: Room that is kept for other units.
         bulk: Whether the tasks may not use the headroom.
+        round_due: Whether another round is due.
 
     Returns:
         The reason and what decided it, as fields of a log line.
@@ -379,15 +384,19 @@
             "workers": len(allowed),
             "withheld": count_withheld(workers.withheld)
         }
-    return Reason.ROOM_HELD, {
-        "held_by": _find_holder(request, workers.usable, held, bulk=bulk)
-    }
+    holder = _find_holder(request, workers.usable, held, bulk=bulk)
+    if not holder:
+        holder = "next round" if round_due else "no cause found"
+    return Reason.ROOM_HELD, {"held_by": holder}
 
 
 def _find_holder(request: placement.PlacementRequest,
                  usable: list[placement.Candidate], held: planner.HeldRoom, *,
                  bulk: bool) -> str:
-    """Returns what keeps tasks from room that would hold them."""
+    """Returns what keeps tasks from room that would hold them, or nothing.
+
+    If several causes together do, the last of them is returned.
+    """
     request_anywhere = request._replace(avoid_failing=False)
     if not placement.place(request_anywhere, usable, spread=False):
         return ("rack of its data"
@@ -399,13 +408,15 @@
                                            held.headroom_workers)
         if not placement.place(request, others, spread=False):
             return "headroom"
-    for name, units_workers in (("hold", held.holds), ("reservation",
-                                                       held.reservations)):
-        names = {worker for kept in units_workers.values() for worker in kept}
+        usable = others
+    for name, kept in (("hold", held.holds), ("reservation",
+                                              held.reservations)):
+        names = {worker for workers in kept.values() for worker in workers}
         others = [
             candidate for candidate in usable
             if candidate.worker_id not in names
         ]
         if names and not placement.place(request, others, spread=False):
             return name
-    return "no cause found"
+        usable = others
+    return ""
--- a/packages/jobs/tests/test_waits.py
+++ b/packages/jobs/tests/test_waits.py
@@ -74,6 +74,7 @@
         "ready": True,
         "store_failing": False,
         "starting": True,
+        "round_due": False,
         "fleet": fleet,
         "queues": {},
         "quarantined": frozenset(),
@@ -302,6 +303,23 @@
                     })
 
 
+def test_room_that_has_just_become_free():
+    """Guards against a fault that is seen in the moment before a round."""
+    assert _explain(_make_job(), [_make_worker("w0")], round_due=True)[1] == {
+        "held_by": "next round"
+    }
+
+
+def test_room_is_held_by_two_causes_together():
+    """Guards against causes that are ruled out as neither holds all room."""
+    workers = [_make_worker("w0"), _make_worker("w1")]
+    held = _hold(headroom_workers=frozenset({"w0"}),
+                 reservations={("1" * 16, 0, 0): ("w1",)})
+    assert _explain(_make_job(), workers, held=held)[1] == {
+        "held_by": "reservation"
+    }
+
+
 def test_room_is_held_for_a_rack():
     """Guards against idle room in other racks than the preferred one."""
     workers = [_make_worker("w0", "r0"), _make_worker("w1", "r1")]
