Count blocked workers as full and not below that for gangs

Workers that are reserved or held for a unit while tasks still run there have less than no room during a round. The quick check of a request that must be placed whole added these numbers to the room of the other workers, so each reserved accelerator that was in use hid a free one elsewhere, in the whole service and in the rack. Such workers now count as full. The check by worker that follows was right.

The new test fails for both cases without the change.

--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -197,11 +197,21 @@
     return placed
 
 
+def _count_free(candidates: Sequence[Candidate]) -> int:
+    """Returns the number of free accelerators.
+
+    Room that is blocked for another unit while tasks still run there is
+    negative, and takes nothing from the other workers.
+    """
+    return sum(
+        [max(0, candidate.room.accelerators) for candidate in candidates])
+
+
 def _has_room(request: PlacementRequest,
               candidates: Sequence[Candidate]) -> bool:
     """Returns whether the workers together have enough accelerators."""
-    free = sum(candidate.room.accelerators for candidate in candidates)
-    return free >= request.step.demand.accelerators * request.tasks
+    return _count_free(
+        candidates) >= request.step.demand.accelerators * request.tasks
 
 
 def _place_in_one_rack(request: PlacementRequest,
@@ -218,7 +228,7 @@
         placed = pack(request, rack)
         if len(placed) < request.tasks:
             continue
-        free = sum(candidate.room.accelerators for candidate in rack)
+        free = _count_free(rack)
         key = (rack[0].rack != request.step.data_rack, free)
         if best_key is None or key < best_key:
             best, best_key = placed, key
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -87,6 +87,22 @@
     assert len(plan.starts) == 1
 
 
+@pytest.mark.parametrize("one_rack", [False, True])
+def test_gang_is_placed_beside_a_worker_that_is_blocked_for_another(one_rack):
+    """Guards against a gang that waits beside free room that it fits in.
+
+    The room of a worker that is reserved while tasks still run there is below
+    zero, which was subtracted from the room of the other workers.
+    """
+    candidates = _candidates(count=3, per_rack=3)
+    candidates[0].room = CAPACITY._replace(accelerators=-7)
+    gang = _gang("gang", 2, one_rack=one_rack)
+    placed = placement.place(units.build_placement_request(gang),
+                             candidates,
+                             spread=False)
+    assert sorted(placed) == ["w1", "w2"]
+
+
 def test_label_and_task_limit_per_worker():
     """Guards against a start on a worker that the job excludes."""
     step = workload.Step(tasks=4, demand=ONE, label="r1", max_per_worker=1)
