Take a held worker for a full one, not for an absent one

A job with data in a rack whose workers were held for another job was logged with "no cause found": without the held workers its rack seemed too small, so that other racks would do. The new test fails without the change.

--- a/packages/jobs/src/trefoilroad_jobs/waits.py
+++ b/packages/jobs/src/trefoilroad_jobs/waits.py
@@ -413,10 +413,20 @@
                                               held.reservations)):
         names = {worker for workers in kept.values() for worker in workers}
         others = [
-            candidate for candidate in usable
-            if candidate.worker_id not in names
+            _fill(candidate) if candidate.worker_id in names else candidate
+            for candidate in usable
         ]
         if names and not placement.place(request, others, spread=False):
             return name
         usable = others
     return ""
+
+
+def _fill(candidate: placement.Candidate) -> placement.Candidate:
+    """Returns a worker as it looks to tasks for which it is not held."""
+    return placement.Candidate(worker_id=candidate.worker_id,
+                               rack=candidate.rack,
+                               labels=candidate.labels,
+                               room=fleets.NO_DEMAND,
+                               capacity=candidate.capacity,
+                               failing=candidate.failing)
--- a/packages/jobs/tests/test_waits.py
+++ b/packages/jobs/tests/test_waits.py
@@ -320,6 +320,15 @@
     }
 
 
+def test_room_in_the_preferred_rack_is_held():
+    """Guards against a preference that ends when a worker of it is held."""
+    workers = [_make_worker("w0", "r0"), _make_worker("w1", "r1")]
+    held = _hold(holds={("1" * 16, 0, 0): ("w0",)})
+    assert _explain(_make_job(data_rack="r0"), workers, held=held)[1] == {
+        "held_by": "hold"
+    }
+
+
 def test_room_is_held_for_a_rack():
     """Guards against idle room in other racks than the preferred one."""
     workers = [_make_worker("w0", "r0"), _make_worker("w1", "r1")]
