Judge a gang as done with the first end of its tasks

The tasks of a gang work only together, so one of them ends as done only with all others, and the product takes it so. The judge waited for the end of each task: if the end of one was lost with its worker, the gang seemed to stand. The new test failed before, with 1 finding instead of none.

--- a/packages/standins/src/trefoilroad_standins/jobs/idleness.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/idleness.py
@@ -264,8 +264,15 @@
         ]
 
     def finish_task(self, step: int, task: str) -> None:
-        """Notes a task that is done."""
+        """Notes a task that is done.
+
+        The tasks of a gang work only together, so that one of them ends as
+        done only with all others.
+        """
         self.done[step].add(task)
+        if self.job.steps[step].gang:
+            self.done[step].update(
+                str(number) for number in range(self.job.steps[step].tasks))
         self.waiting = self._find_waiting()
 
 
--- a/packages/standins/tests/test_idleness.py
+++ b/packages/standins/tests/test_idleness.py
@@ -128,6 +128,19 @@
     assert bool(_judge([_make_job(step=step)], workers=workers)) == found
 
 
+def test_one_end_completes_a_gang():
+    """Guards against judging a gang of which the ends of others were lost."""
+    events = [
+        _make_event(10.5, "start", "a"),
+        _make_event(10.5, "start", "a", worker="w1", task=1),
+        _make_event(20.0, "lapsed", "a", worker="w1", task=1),
+        _make_event(21.0, "done", "a")
+    ]
+    gang = _STEP._replace(tasks=2, gang=True)
+    assert _judge([_make_job(step=gang)], events=events) == []
+    assert _judge([_make_job(step=_STEP._replace(tasks=2))], events=events)
+
+
 def test_label_is_required():
     """Guards against counting room on workers without the label."""
     workers = [
