--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -1,6 +1,7 @@
 """A site on a virtual clock: real nodes with simulated surroundings."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import random
 from typing import Any
 
@@ -55,7 +56,7 @@
 
     def broadcast(self, message: node_links.Message) -> None:
         """See Links.broadcast."""
-        for address in self._addresses:
+        for address in sorted(self._addresses):
             self.send(address, message)
 
 
@@ -126,6 +127,9 @@
         replies: Reply to the last call about a job, by job.
         cut_links: Pairs of nodes that cannot reach each other.
         configuration: The published configuration.
+        workloads: Submitted jobs by identifier.
+        accepted_s: When each job was first known to be accepted, in seconds.
+        cancelled_s: When each job was first cancelled, in seconds.
     """
 
     def __init__(self,
@@ -134,6 +138,7 @@
                  node_count: int = 3,
                  worker_count: int = 4,
                  per_rack: int = 4,
+                 labels: Mapping[str, frozenset[str]] | None = None,
                  guarantees: dict[str, int] | None = None,
                  queues: tuple[configurations.Queue,
                                ...] = (QUEUE, URGENT_QUEUE),
@@ -146,6 +151,7 @@
             node_count: Number of nodes.
             worker_count: Number of workers.
             per_rack: Workers in a rack.
+            labels: Labels of the workers of each rack, by rack.
             guarantees: Guaranteed accelerators by team.
             queues: Queues of the configuration.
             round_planner: Planner of the leader, or None for the default.
@@ -159,6 +165,9 @@
         self.nodes: dict[str, SiteNode] = {}
         self.replies: dict[str, intake.Reply] = {}
         self.cut_links: set[frozenset[str]] = set()
+        self.workloads: dict[str, workload.Workload] = {}
+        self.accepted_s: dict[str, float] = {}
+        self.cancelled_s: dict[str, float] = {}
         self.configuration = configurations.Configuration(
             version=1,
             queues=queues,
@@ -171,7 +180,9 @@
         self._round_planner = round_planner
         self._bounds = bounds or limits.Limits()
         for number in range(worker_count):
-            self.add_worker(f"w{number:02}", f"r{number // per_rack}")
+            rack = f"r{number // per_rack}"
+            self.add_worker(f"w{number:02}", rack, (labels or
+                                                    {}).get(rack, frozenset()))
         self.tables.put("config", "config", b"1")
         for number in range(node_count):
             self.add_node(f"n{number}")
@@ -179,11 +190,15 @@
 
     # Setup.
 
-    def add_worker(self, worker_id: str, rack: str) -> None:
+    def add_worker(self,
+                   worker_id: str,
+                   rack: str,
+                   labels: frozenset[str] = frozenset()) -> None:
         """Adds a worker to the site and registers it."""
         worker_state = worker_module.WorkerState(
             worker_id=worker_id,
             rack=rack,
+            labels=labels,
             virtual_clock=self.clock,
             capacity=WORKER_CAPACITY,
             history=self.history,
@@ -327,11 +342,13 @@
                 step.occupied, run_s[number], fails)
         job = intake.build_workload(queue, team, job_id, "payload",
                                     tuple(steps))
+        self.workloads[job_id] = job
         self._call(through, job_id,
                    lambda node, reply: node.intake.submit(job, reply))
 
     def cancel(self, job_id: str, through: str = "n0") -> None:
         """Cancels a job through a node."""
+        self.cancelled_s.setdefault(job_id, self.clock.now_s)
         self._call(
             through, job_id,
             lambda node, reply: node.intake.cancel(job_id, "team", reply))
@@ -348,6 +365,8 @@
 
         def record(reply: intake.Reply) -> None:
             self.replies[job_id] = reply
+            if reply.outcome is intake.Outcome.ACCEPTED:
+                self.accepted_s.setdefault(job_id, self.clock.now_s)
 
         site_node.host.deliver(lambda: call(site_node.node, record))
 
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -74,6 +74,7 @@
     Attributes:
         worker_id: Identifier, which stays the same over restarts.
         rack: Rack of the worker.
+        labels: Labels of the worker apart from its rack.
         capacity: Total resources.
         reachable: Whether calls from nodes arrive.
         alive: Whether the worker runs; False after a crash.
@@ -88,14 +89,21 @@
         unacknowledged_ends: Ends of runs that no leader has acknowledged.
     """
 
-    def __init__(self, *, worker_id: str, rack: str, virtual_clock: clock.Clock,
-                 capacity: workload.Demand, history: list[Event],
+    def __init__(self,
+                 *,
+                 worker_id: str,
+                 rack: str,
+                 labels: frozenset[str] = frozenset(),
+                 virtual_clock: clock.Clock,
+                 capacity: workload.Demand,
+                 history: list[Event],
                  get_behaviour: Callable[[str], Behaviour]):
         """Creates a worker that runs and holds no lease.
 
         Args:
             worker_id: Identifier.
             rack: Rack of the worker.
+            labels: Labels of the worker apart from its rack.
             virtual_clock: Clock on which the runs proceed.
             capacity: Total resources.
             history: List to which the worker appends its events.
@@ -103,6 +111,7 @@
         """
         self.worker_id = worker_id
         self.rack = rack
+        self.labels = labels
         self.capacity = capacity
         self.reachable = True
         self.alive = True
@@ -142,7 +151,7 @@
                             service="service",
                             failure_domain="zone",
                             rack=self.rack,
-                            labels=frozenset({self.rack}),
+                            labels=self.labels | {self.rack},
                             capacity=self.capacity,
                             draining=self.draining,
                             remaining_ms=2000,
