Start the other claims of a transaction if one has ended before

A worker can be lost for good while the commit of a claim there is open, as in an outage of the store. Its claim is given up, the worker is removed, and once the commit was confirmed the start of that claim failed with a KeyError. The failure ended the loop over the callbacks of the transaction, so the starts of all other jobs in it, the acknowledgements of ends and the renewals of leases were lost. If the worker was still known, the claim was ended a second time, and the task could run twice.

A claim that is no longer held is skipped, and a callback that fails is logged and does not keep the others from running. Both new tests failed before, the first with KeyError.

--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -235,9 +235,19 @@
         self.confirmed_s = sent_s
         self._batch = None
         for callback in batch.callbacks:
-            callback()
+            self._run(callback)
         self._flush()
 
+    def _run(self, callback: Callable[[], None]) -> None:
+        """Runs a callback; its failure must not keep the others from running.
+
+        Each of them starts runs or acknowledges ends that nothing else would.
+        """
+        try:
+            callback()
+        except Exception as error:
+            _log.exception("change cannot be followed up", error=repr(error))
+
     def _handle_conflict(self, batch: _Batch, sent_s: float,
                          result: ports.Conflict) -> None:
         """Confirms the batch if an earlier attempt of it took effect.
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -313,12 +313,16 @@
             return
         now_s = self._timers.read_clock()
         for claim in claims:
+            tracked = self._fleet.tracked_workers.get(claim.worker_id)
+            if tracked is None or tracked.claims.get(claim.key) is not claim:
+                # Its worker was lost before the claim was durable.
+                continue
             if claim.phase is Phase.CLAIMING:
                 self._keys_by_name[self._workers.format_name(
                     claim.key)] = claim.key
                 claim.set_phase(Phase.STARTING, now_s)
                 claim.started_s = now_s
-                if self._fleet.tracked_workers[claim.worker_id].may_get_lease:
+                if tracked.may_get_lease:
                     self._send_start(claim, job.payload)
                 else:
                     self._end_run(claim, None, "its worker is silent")
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1144,3 +1144,67 @@
     ]
     assert len(waits_s) >= 6
     assert max(waits_s) < 2.8
+
+
+def _run_until(site, condition, limit_s=20.0):
+    """Advances the clock in small steps until a condition holds."""
+    end_s = site.clock.now_s + limit_s
+    while not condition():
+        assert site.clock.now_s < end_s
+        site.run(0.0005)
+
+
+def _lose_worker_of_open_claim():
+    """Loses a worker for good while the commit of a claim there is open.
+
+    Returns:
+        The site, on which two more jobs have claims in the same commit.
+    """
+    site = sites.Site(node_count=1, worker_count=3)
+    site.run(30.0)
+    dispatcher_ = site.find_leader().node._dispatcher
+    tracked_workers = dispatcher_._fleet.tracked_workers
+    for worker_id, tracked in tracked_workers.items():
+        tracked.maybe_restarted = True
+        site.worker_states[worker_id].reachable = False
+    _run_until(
+        site, lambda: all(tracked.reply_time.is_missing
+                          for tracked in tracked_workers.values()))
+    for number in range(3):
+        site.submit(f"{number}" * 16, run_s=5.0, demand=sites.WORKER_CAPACITY)
+    _run_until(site, lambda: "2" * 16 in dispatcher_.jobs)
+    site.tables.down = True
+    _run_until(
+        site, lambda: sum(
+            len(tracked.claims) for tracked in tracked_workers.values()) == 3)
+    lost_id = next(dispatcher_.jobs["0" * 16].list_claims()).worker_id
+    for worker_state in site.worker_states.values():
+        worker_state.reachable = worker_state.worker_id != lost_id
+    site.run(6.0)
+    site.tables.put("workers", lost_id, None)
+    site.worker_states[lost_id].alive = False
+    site.run(0.6)
+    site.tables.down = False
+    return site
+
+
+def test_worker_lost_before_its_claim_is_durable():
+    """Guards against jobs that are claimed and never started.
+
+    The start of a claim whose worker was gone failed, and with it the starts of
+    all other jobs in the same transaction.
+    """
+    site = _lose_worker_of_open_claim()
+    site.run(20.0)
+    for number in range(3):
+        assert site.ask_state(f"{number}" * 16) == "completed"
+    assert site.find_violations() == []
+
+
+def test_failing_callback_does_not_keep_others_from_running(site):
+    """Guards against starts that are lost with an unrelated failure."""
+    dispatcher_ = site.find_leader().node._dispatcher
+    dispatcher_._ledger.call_after(lambda: [][0])
+    site.submit("0" * 16, run_s=1.0)
+    site.run(3.0)
+    assert site.ask_state("0" * 16) == "completed"
