Renew the lease of a worker at once when it answers after a silence

Two ways in which the row of a silent worker cost runs that used to survive, found by the review. Without the store the row cannot be removed: a worker that was unreachable for 3 s within an outage of 9 s lost its runs. No row is written while the store fails. And the request after the first answer waited 200 ms for an end, so that the renewal came that much later than the removal of the row; it is left out until then.

Both tests failed before.

--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -568,7 +568,11 @@
             if claim.key not in present and claim.key not in newly_ended:
                 self._handle_unlisted_run(tracked, claim, report, sent_s)
         tracked.next_poll_s = now_s
-        if tracked.processed_end > tracked.recorded_end:
+        if tracked.lapse_removed:
+            # A request that waits for an end would delay the renewal that
+            # follows as soon as the row is removed.
+            tracked.next_poll_s = now_s + self._bounds.probe_interval_s
+        elif tracked.processed_end > tracked.recorded_end:
             self._acknowledge_ends(tracked)
             tracked.next_poll_s = now_s + RECORDING_WAIT_S
         else:
@@ -603,11 +607,12 @@
         """Writes when the leases of a worker have ended, if it stays silent.
 
         It gets no lease until the row is removed, so the row also holds for the
-        leaders that follow.
+        leaders that follow. Without the store the row could not be removed, and
+        the leases of a worker that answers again would end.
         """
         silent_s = now_s - tracked.silent_since_s
         if (not tracked.may_get_lease or not tracked.claims or
-                silent_s < LAPSE_RECORD_DELAY_S):
+                silent_s < LAPSE_RECORD_DELAY_S or self._ledger.store_failing):
             return
         tracked.lapse_s = max(self._prior_leases_end_s,
                               tracked.sent_leases_end_s)
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1208,3 +1208,39 @@
     site.submit("0" * 16, run_s=1.0)
     site.run(3.0)
     assert site.ask_state("0" * 16) == "completed"
+
+
+def test_worker_that_is_silent_in_an_outage_keeps_its_runs(site):
+    """Guards against leases that end because a row cannot be removed."""
+    site.submit("0" * 16, run_s=25.0)
+    site.run(5.0)
+    worker_state = _find_busy_worker(site)
+    site.tables.down = True
+    site.run(0.5)
+    worker_state.reachable = False
+    site.run(3.0)
+    worker_state.reachable = True
+    site.run(5.5)
+    site.tables.down = False
+    site.run(20.0)
+    assert site.count_events("lapsed") == 0
+    assert site.count_events("start") == 1
+
+
+def test_lease_is_renewed_as_soon_as_a_silent_worker_answers(site):
+    """Guards against leases that end while an answer is waited for.
+
+    The request that followed the first answer waited for an end, and the
+    renewal was sent only after it.
+    """
+    site.submit("0" * 16, run_s=60.0)
+    site.run(4.0)
+    worker_state = _find_busy_worker(site)
+    worker_state.reachable = False
+    row = f"worker/{worker_state.worker_id}"
+    _run_until(site, lambda: row in site.tables.rows["leases"])
+    worker_state.reachable = True
+    _run_until(site, lambda: row not in site.tables.rows["leases"])
+    lease_end_ms = worker_state.lease_until_ms
+    site.run(0.02)
+    assert worker_state.lease_until_ms > lease_end_ms
