Allow for longer leases of a leader of the release before

During an upgrade a task could run twice (found by the review, not seen by users). A leader of the release before gives leases up to 12.2 s after its last commit, and its successor counted 10.3 s. And it renews the lease of a silent worker beside that worker's row: if the next leader was killed before it had removed the row, the one after it took the row for one of its predecessor.

A leader that finds no row of the epoch before its own adds the difference. It trusts rows of workers only if every epoch since the oldest row has one, and removes them before the rows of epochs. The row of a worker counts alone where it is trusted, and is_lease_expired follows from compute_lease_expiry_s.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -293,10 +293,7 @@
                 gave have expired; used if this leader has given none to the
                 process that answers.
         """
-        if not self.contacted or not self.lease_end_ms:
-            return now_s >= max(min(prior_leases_end_s, self.lapse_s),
-                                self.sent_leases_end_s)
-        return self._compute_earliest_clock_ms(now_s) > self.lease_end_ms
+        return now_s >= self.compute_lease_expiry_s(prior_leases_end_s)
 
     def compute_lease_expiry_s(self, prior_leases_end_s: float) -> float:
         """Returns when `is_lease_expired` becomes true if nothing is heard.
@@ -305,8 +302,9 @@
             prior_leases_end_s: See `is_lease_expired`.
         """
         if not self.contacted or not self.lease_end_ms:
-            return max(min(prior_leases_end_s, self.lapse_s),
-                       self.sent_leases_end_s)
+            earlier_end_s = (prior_leases_end_s
+                             if self.may_get_lease else self.lapse_s)
+            return max(earlier_end_s, self.sent_leases_end_s)
         left_s = max(0.0, self.lease_end_ms - self.clock_ms) / 1000.0
         return self.clock_s + LEASE_SLACK_S + left_s / (1 - MAX_CLOCK_DRIFT)
 
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -15,6 +15,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import structlog
@@ -141,18 +142,14 @@
         def convert(end_ms: float) -> float:
             return now_s + (end_ms - rows.store_ms) / 1000.0
 
-        for epoch, end_ms in recovered.epochs.items():
-            self._prior_leases_end_s = max(self._prior_leases_end_s,
-                                           convert(end_ms))
-            if epoch < self._epoch:
-                self._ledger.write_row(tables.get_epoch_lease_row_name(epoch),
-                                       None)
-        if recovered.epochs:
-            self._ledger.write_row(
-                tables.get_epoch_lease_row_name(self._epoch),
-                lapses.encode_end(max(recovered.epochs.values())))
-        # A leader of an older release renews leases without removing the rows.
-        trusted = self._epoch - 1 in recovered.epochs
+        # A leader of an older release writes no row of its epoch, renews leases
+        # beside the rows of workers, and gives longer ones without the store.
+        trusted = all(epoch in recovered.epochs for epoch in range(
+            min(recovered.epochs, default=self._epoch), self._epoch))
+        if self._epoch - 1 not in recovered.epochs:
+            self._prior_leases_end_s += max(
+                0.0, self._bounds.authority_s + self._bounds.lease_s -
+                self._bounds.bridge_s) / (1 - fleets.MAX_CLOCK_DRIFT)
         for worker_id, end_ms in recovered.workers.items():
             if not trusted:
                 self._ledger.write_row(
@@ -162,6 +159,31 @@
             tracked = self._fleet.tracked_workers.get(worker_id)
             if tracked is not None:
                 self._restore_lapse(tracked)
+        # After the rows of workers, which are trusted only beside these.
+        self._recover_epochs(
+            {
+                epoch: convert(end_ms)
+                for epoch, end_ms in recovered.epochs.items()
+            }, rows.store_ms - now_s * 1000.0)
+
+    def _recover_epochs(self, ends_s: Mapping[int, float],
+                        store_offset_ms: float) -> None:
+        """Keeps the latest end of leases that earlier leaders gave.
+
+        Args:
+            ends_s: End of the leases given before an epoch, by epoch.
+            store_offset_ms: Difference of the store's clock to this leader's.
+        """
+        self._prior_leases_end_s = max(self._prior_leases_end_s,
+                                       *ends_s.values())
+        for epoch in ends_s:
+            if epoch < self._epoch:
+                self._ledger.write_row(tables.get_epoch_lease_row_name(epoch),
+                                       None)
+        self._ledger.write_row(
+            tables.get_epoch_lease_row_name(self._epoch),
+            lapses.encode_end(store_offset_ms +
+                              self._prior_leases_end_s * 1000.0))
 
     def _restore_lapse(self, tracked: fleets.TrackedWorker) -> None:
         lapse_s = self._recovered_lapses.pop(tracked.worker.worker_id, None)
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -5,9 +5,11 @@
 from trefoilroad_jobs import dispatcher
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet
+from trefoilroad_jobs import leadership
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import rounds
+from trefoilroad_jobs import tables
 from trefoilroad_jobs import watch
 from trefoilroad_standins.jobs import site as sites
 from trefoilroad_standins.jobs import workers as worker_module
@@ -1244,3 +1246,92 @@
     lease_end_ms = worker_state.lease_until_ms
     site.run(0.02)
     assert worker_state.lease_until_ms > lease_end_ms
+
+
+def _make_previous_release(site_node):
+    """Makes a node write and read no rows of leases, as in the last release."""
+    store = site_node.store
+    commit, read_all = store.commit, store.read_all
+
+    def commit_without_leases(*, conditions, puts, removals, on_done):
+        commit(conditions=conditions,
+               puts={
+                   name: value
+                   for name, value in puts.items()
+                   if name[0] != tables.LEASES
+               },
+               removals=[name for name in removals if name[0] != tables.LEASES],
+               on_done=on_done)
+
+    def read_all_without_leases(*, table, on_done):
+
+        def handle(result):
+            if table == tables.LEASES and isinstance(result, ports.Rows):
+                result = result._replace(rows=[])
+            on_done(result)
+
+        read_all(table=table, on_done=handle)
+
+    store.commit = commit_without_leases
+    store.read_all = read_all_without_leases
+
+
+def test_leader_of_the_previous_release_gave_longer_leases():
+    """Guards against a second start in an upgrade, beside a leader cut off."""
+    site = sites.Site(node_count=0, bounds=limits.Limits(bridge_s=1000.0))
+    first = site.add_node("n0")
+    _make_previous_release(first)
+    site._bounds = limits.Limits()
+    site.run(1.0)
+    site.add_node("n1")
+    site.add_node("n2")
+    site.run(0.5)
+    site.submit("0" * 16, run_s=25.0)
+    site.run(5.0)
+    busy = _find_busy_worker(site)
+    first.store.cut = True
+    for name in ("n1", "n2"):
+        site.nodes[name].workers.cut.add(busy.worker_id)
+        site.cut_links.add(frozenset({first.name, name}))
+    site.run(40.0)
+    assert site.find_violations() == []
+
+
+def _read_epoch(site):
+    return leadership.decode_leader(
+        site.tables.rows["leader"]["leader"].value).epoch
+
+
+def test_row_of_a_worker_that_the_previous_release_passed_over():
+    """Guards against a second start after an upgrade in place.
+
+    A leader of the release before renewed the lease of a worker beside its row.
+    The next leader was killed before it had removed the row, and the one after
+    it took the row for one of its predecessor.
+    """
+    site = sites.Site(node_count=1)
+    site.run(1.0)
+    site.submit("0" * 16, run_s=200.0)
+    site.run(4.0)
+    worker_state = _find_busy_worker(site)
+    worker_state.reachable = False
+    row = f"worker/{worker_state.worker_id}"
+    _run_until(site, lambda: row in site.tables.rows["leases"])
+    site.kill("n0")
+    worker_state.reachable = True
+    _make_previous_release(site.add_node("n0"))
+    site.run(25.0)
+    for number in range(1, 60):
+        site.submit(f"{number:016x}", run_s=200.0)
+        site.run(0.5)
+        if worker_state.runs:
+            break
+    site.run(3.0)
+    epoch = _read_epoch(site)
+    site.kill("n0")
+    site.add_node("n0")
+    _run_until(site, lambda: _read_epoch(site) > epoch)
+    site.kill("n0")
+    site.add_node("n0").workers.cut.add(worker_state.worker_id)
+    site.run(15.0)
+    assert site.find_violations() == []
