Keep the end of leases also if no leader lives for two seconds

A worker counts as silent after two lost replies, 1.6 s after a takeover. Leaders that lived for less gave up no lost worker and wrote no row for it, so its tasks waited for as long as the series went on. One lost reply is enough for a worker that has not answered this leader, which has given it no lease.

--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -632,9 +632,11 @@
         leaders that follow. Without the store the row could not be removed, and
         the leases of a worker that answers again would end.
         """
-        silent_s = now_s - tracked.silent_since_s
-        if (not tracked.may_get_lease or not tracked.claims or
-                silent_s < LAPSE_RECORD_DELAY_S or self._ledger.store_failing):
+        if (not self._is_silent(tracked) or
+            (tracked.contacted and
+             now_s - tracked.silent_since_s < LAPSE_RECORD_DELAY_S) or
+                not tracked.may_get_lease or not tracked.claims or
+                self._ledger.store_failing):
             return
         tracked.lapse_s = max(self._prior_leases_end_s,
                               tracked.sent_leases_end_s)
@@ -843,8 +845,7 @@
             if not tracked.claims:
                 continue
             self._record_lapse(tracked, now_s)
-            silent = tracked.silent_since_s < float(
-                "inf") or not tracked.worker.address
+            silent = self._is_silent(tracked) or not tracked.worker.address
             if silent and tracked.is_lease_expired(now_s,
                                                    self._prior_leases_end_s):
                 self._resolve_lost_worker(tracked, now_s)
@@ -854,6 +855,15 @@
                     self._send_stop(claim)
         self._remove_gone_workers()
 
+    def _is_silent(self, tracked: fleets.TrackedWorker) -> bool:
+        """Returns whether a worker counts as silent for its leases.
+
+        One lost reply is enough for a worker that has not answered this leader,
+        which may not lead for long.
+        """
+        return (tracked.silent_since_s < float("inf") or
+                (not tracked.contacted and tracked.reply_time.is_missing))
+
     def _resolve_lost_worker(self, tracked: fleets.TrackedWorker,
                              now_s: float) -> None:
         """Ends the runs of a silent worker whose lease has expired.
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1335,3 +1335,25 @@
     site.add_node("n0").workers.cut.add(worker_state.worker_id)
     site.run(15.0)
     assert site.find_violations() == []
+
+
+def test_lost_worker_is_given_up_although_leaders_live_briefly():
+    """Guards against the same wait if no leader lives for two seconds."""
+    site = sites.Site(node_count=15)
+    site.run(1.0)
+    site.submit("0" * 16, run_s=60.0)
+    site.run(4.0)
+    worker_state = _find_busy_worker(site)
+    worker_state.reachable = False
+    cut_s = site.clock.now_s
+    for _ in range(10):
+        _run_until(site, lambda: site.find_leader() is not None)
+        site.run(1.5)
+        _kill_leader(site)
+    site.run(20.0)
+    starts = [event for event in site.history if event.kind == "start"]
+    # The first leader after the last one that reached the worker counts from
+    # its own takeover.
+    longest_lease_s = fleet.compute_lease_duration_s(limits.Limits().bridge_s)
+    assert starts[1].at_s - cut_s < longest_lease_s + 4.0
+    assert site.find_violations() == []
