Count the lease of a restarted worker as doubtful at a planned stop

A worker that restarts unnoticed takes the end of a lease for one on its new clock and holds it for 10 s. Its answer to the start settled the start, so the leader announced its release, and the successor counted on 6 s. The reading of its clock shows the restart: until the longest lease has ended, the release is not announced.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -147,6 +147,8 @@
         failures: Job id and time of its recent failures.
         reply_time: How long it takes to reply to commands.
         last_loss_s: When a call last got no reply.
+        longest_lease_end_s: When the longest lease has ended, if the worker
+            restarted unnoticed and may have got one on its new clock.
         lapse_s: When its leases have ended as written in the store, or infinity
             if nothing is written. No lease is given while it is written.
         lapse_removed: Whether the removal of that row is being written.
@@ -175,6 +177,7 @@
         self.failures: list[tuple[str, float]] = []
         self.reply_time = ReplyTime()
         self.last_loss_s = float("-inf")
+        self.longest_lease_end_s = float("-inf")
         self.lapse_s = float("inf")
         self.lapse_removed = False
 
@@ -218,6 +221,8 @@
                 self.lease_end_ms = longest_ms
         elif self.contacted and clock_ms < expected_ms - BOOT_CLOCK_SLACK_MS:
             self.maybe_restarted = True
+            self.longest_lease_end_s = now_s + compute_lease_duration_s(
+                max_lease_s)
             if clock_ms >= self.clock_ms:
                 longest_ms = max(longest_ms, self.lease_end_ms)
             self.lease_end_ms = longest_ms
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -222,7 +222,8 @@
                          fleets.compute_lease_duration_s(self._bounds.lease_s))
         for tracked in self._fleet.tracked_workers.values():
             for claim in tracked.claims.values():
-                lease_end_s = claim.longest_lease_end_s
+                lease_end_s = max(claim.longest_lease_end_s,
+                                  tracked.longest_lease_end_s)
                 if not tracked.contacted:
                     lease_end_s = max(lease_end_s, self._prior_leases_end_s)
                 if lease_end_s > assumed_end_s:
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1357,3 +1357,24 @@
     longest_lease_s = fleet.compute_lease_duration_s(limits.Limits().bridge_s)
     assert starts[1].at_s - cut_s < longest_lease_s + 4.0
     assert site.find_violations() == []
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 3.0])
+def test_planned_stop_after_an_unnoticed_restart_of_a_worker(site, silent_s):
+    """Guards against a release that tells nothing of a lease of 10 s.
+
+    The start was answered by the new process, which took the end of the lease
+    for one on its own clock.
+    """
+    site.run(30.0)
+    for worker_state in site.worker_states.values():
+        worker_state.restart()
+    site.submit("0" * 16, run_s=60.0)
+    _run_until(site, lambda: site.count_events("start"))
+    worker_state = _find_busy_worker(site)
+    site.run(0.5)
+    worker_state.reachable = False
+    site.run(silent_s)
+    _stop_leader(site)
+    site.run(20.0)
+    assert site.find_violations() == []
