Count times of the store from the call and not from its answer

A leader that was suspended between its claim and the answer took its authority and its leases from the moment it woke up, up to 2.6 s longer than its successor allows for, so a task could run twice. A reading of the store's clock that waited in the same way made the rows of leases end up to 2.4 s too early. Found by the review; both times are those of the call now.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -149,7 +149,8 @@
             lease_rows: All rows of leases.
             progress_rows: All rows of progress.
         """
-        self._ledger.update_store_clock(intake_rows.store_ms)
+        self._ledger.update_store_clock(progress_rows.store_ms,
+                                        self._timers.read_clock())
         states = {row.key: row.value for row in progress_rows.rows}
         now_s = self._timers.read_clock()
         for row in intake_rows.rows:
--- a/packages/jobs/src/trefoilroad_jobs/leadership.py
+++ b/packages/jobs/src/trefoilroad_jobs/leadership.py
@@ -76,6 +76,25 @@
         raise ValueError(f"invalid leader row: {error!r}") from error
 
 
+class Takeover(NamedTuple):
+    """A claim of the leadership that has succeeded.
+
+    Attributes:
+        epoch: Epoch of the new leader.
+        head_version: Version of the head row after the claim.
+        claimed_s: When the claim was sent, in seconds.
+        prior_leases_end_s: When the leases that the previous leader gave have
+            ended, in seconds.
+        prior_released: Whether the previous leader released the leadership.
+    """
+
+    epoch: int
+    head_version: int
+    claimed_s: float
+    prior_leases_end_s: float
+    prior_released: bool
+
+
 class HeadObservation(NamedTuple):
     """A version of the head row as seen by this node.
 
@@ -100,8 +119,8 @@
     def __init__(self, *, node_id: str, link: str, store: ports.Store,
                  timers: timer.Timers, rng: random.Random,
                  takeover_delay_s: float, bounds: limits.Limits,
-                 on_gain: Callable[[int, int, float, bool],
-                                   None], on_loss: Callable[[str], None]):
+                 on_gain: Callable[[Takeover], None], on_loss: Callable[[str],
+                                                                        None]):
         """Starts to watch the leader.
 
         Args:
@@ -114,10 +133,7 @@
                 node on a small VM has one, so that a node on a larger VM leads
                 if there is any.
             bounds: Time limits of leaders.
-            on_gain: Called when this node becomes the leader, with the epoch,
-                the version of the head row, the time at which the leases that
-                the previous leader gave have ended, and whether it released the
-                leadership.
+            on_gain: Called when this node becomes the leader.
             on_loss: Called with the reason when this node stops leading.
         """
         self.leader = NO_LEADER
@@ -146,6 +162,9 @@
         self._head: HeadObservation | None = None
         self._reading_head = False
         self._taking_over = False
+        # When the first claim of an epoch was sent; a lost answer leaves open
+        # which of them has taken effect.
+        self._first_claims_s: dict[int, float] = {}
         timers.call_every(LEADER_CHECK_INTERVAL_S, self._check)
 
     def update_leader_row(self, value: bytes | None, version: int) -> None:
@@ -305,7 +324,8 @@
         lease_s = REFUSED_LEASE_S if self._leader_refused else LEADER_LEASE_S
         if self._is_vacant(
                 now_s) or unchanged_s >= lease_s + self._takeover_delay_s:
-            self._try_takeover(version, since_s, result.store_ms)
+            self._try_takeover(version, since_s,
+                               result.store_ms + (now_s - sent_s) * 1000.0)
 
     def _try_takeover(self, head_version: int, since_s: float,
                       store_ms: float) -> None:
@@ -314,7 +334,8 @@
         Args:
             head_version: Version of the head row.
             since_s: When this node first saw that version, in seconds.
-            store_ms: Current time of the store's clock, in milliseconds.
+            store_ms: Current time of the store's clock in milliseconds, or
+                later.
         """
         if self._taking_over or self.leading or self._released:
             return
@@ -331,6 +352,10 @@
         end_ms = store_ms + (prior_leases_end_s - now_s) * 1000.0
         leader = Leader(self.leader.epoch + 1, self._node_id, self._link)
         head = ledger.Head(leader.epoch, 0)
+        claimed_s = self._first_claims_s.get(leader.epoch, now_s)
+        self._first_claims_s = {leader.epoch: claimed_s}
+        takeover = Takeover(leader.epoch, head_version, claimed_s,
+                            prior_leases_end_s, released)
         _log.info("taking the lead",
                   epoch=leader.epoch,
                   before=self.leader.node_id,
@@ -349,27 +374,24 @@
                            },
                            removals=[],
                            on_done=lambda result: self._handle_takeover_result(
-                               leader, prior_leases_end_s, released, result))
+                               leader, takeover, result))
 
-    def _handle_takeover_result(self, leader: Leader, prior_leases_end_s: float,
-                                released: bool,
+    def _handle_takeover_result(self, leader: Leader, takeover: Takeover,
                                 result: ports.CommitResult) -> None:
         self._taking_over = False
         self._head = None
         if isinstance(result, ports.Committed):
             self._row_version = result.version
-            self._become_leader(leader, result.version, prior_leases_end_s,
-                                released)
+            self._become_leader(leader,
+                                takeover._replace(head_version=result.version))
             return
         if isinstance(result, ports.Conflict):
-            self._handle_takeover_conflict(leader, prior_leases_end_s, released,
-                                           result)
+            self._handle_takeover_conflict(leader, takeover, result)
         else:
             _log.warning("taking the lead failed", reason=result.reason)
             self._next_try_s = self._timers.read_clock() + self._draw_delay_s()
 
-    def _handle_takeover_conflict(self, leader: Leader,
-                                  prior_leases_end_s: float, released: bool,
+    def _handle_takeover_conflict(self, leader: Leader, takeover: Takeover,
                                   result: ports.Conflict) -> None:
         """Checks whether an earlier attempt of this node has taken effect."""
         row = result.rows.get(tables.LEADER_ROW)
@@ -382,13 +404,14 @@
         if head is not None and head.value == ledger.encode_head(
                 ledger.Head(leader.epoch, 0)):
             self._row_version = row.version
-            self._become_leader(leader, head.version, prior_leases_end_s,
-                                released)
+            self._become_leader(leader,
+                                takeover._replace(head_version=head.version))
 
-    def _become_leader(self, leader: Leader, head_version: int,
-                       prior_leases_end_s: float, released: bool) -> None:
+    def _become_leader(self, leader: Leader, takeover: Takeover) -> None:
         self.leader = leader
         self.leading = True
         self._leader_active_s = self._timers.read_clock()
-        _log.info("leading", epoch=leader.epoch, prior_released=released)
-        self._on_gain(leader.epoch, head_version, prior_leases_end_s, released)
+        _log.info("leading",
+                  epoch=leader.epoch,
+                  prior_released=takeover.prior_released)
+        self._on_gain(takeover)
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -72,12 +72,13 @@
         head_version: Version of the head row after the last transaction.
         confirmed_s: When the last confirmed transaction was sent, in seconds.
         store_ms: Last reading of the store's clock, in milliseconds.
-        store_read_s: When that reading arrived, in seconds.
+        store_read_s: When the call was sent that returned it, in seconds.
         store_failing: Whether the last call to the store failed.
     """
 
     def __init__(self, *, store: ports.Store, timers: timer.Timers, epoch: int,
-                 head_version: int, on_newer_leader: Callable[[str], None]):
+                 head_version: int, claimed_s: float,
+                 on_newer_leader: Callable[[str], None]):
         """Starts the chain of transactions of an epoch.
 
         Args:
@@ -85,11 +86,12 @@
             timers: Source of time.
             epoch: Epoch of the leader.
             head_version: Version of the head row after the takeover.
+            claimed_s: When the claim of the leadership was sent, in seconds.
             on_newer_leader: Called with a reason when another leader has
                 written the head row.
         """
         self.head_version = head_version
-        self.confirmed_s = timers.read_clock()
+        self.confirmed_s = claimed_s
         self.store_ms = 0.0
         self.store_read_s = self.confirmed_s
         self.store_failing = False
@@ -140,10 +142,18 @@
         elapsed_s = self._timers.read_clock() - self.store_read_s
         return self.store_ms + elapsed_s * 1000.0
 
-    def update_store_clock(self, store_ms: float) -> None:
-        """Records a reading of the store's clock."""
+    def update_store_clock(self, store_ms: float, sent_s: float) -> None:
+        """Records a reading of the store's clock.
+
+        Its time is that of the call: the process may have been suspended before
+        it saw the answer. Times on the store's clock are then never too early.
+
+        Args:
+            store_ms: The store's clock in milliseconds.
+            sent_s: When the call was sent, in seconds.
+        """
         self.store_ms = store_ms
-        self.store_read_s = self._timers.read_clock()
+        self.store_read_s = sent_s
 
     def is_store_refusing(self) -> bool:
         """Returns whether the store has refused this node for some time."""
@@ -220,7 +230,7 @@
             return
         if isinstance(result, ports.Committed):
             self._confirm(batch, sent_s, result.version)
-            self.update_store_clock(result.store_ms)
+            self.update_store_clock(result.store_ms, sent_s)
         elif isinstance(result, ports.Conflict):
             self._handle_conflict(batch, sent_s, result)
         else:
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -278,17 +278,17 @@
 
     # Leading.
 
-    def _start_leading(self, epoch: int, head_version: int,
-                       prior_leases_end_s: float, prior_released: bool) -> None:
+    def _start_leading(self, takeover: leaderships.Takeover) -> None:
         self._links.set_addresses(set())
         self._followers = {}
         ledger = ledgers.Ledger(store=self._store,
                                 timers=self._timers,
-                                epoch=epoch,
-                                head_version=head_version,
+                                epoch=takeover.epoch,
+                                head_version=takeover.head_version,
+                                claimed_s=takeover.claimed_s,
                                 on_newer_leader=self._leadership.step_down)
         dispatcher = dispatchers.Dispatcher(
-            epoch=epoch,
+            epoch=takeover.epoch,
             store=self._store,
             workers=self._workers,
             timers=self._timers,
@@ -297,8 +297,8 @@
             bounds=self._bounds,
             round_planner=self._round_planner,
             metrics=self._metrics,
-            prior_leases_end_s=prior_leases_end_s,
-            prior_released=prior_released,
+            prior_leases_end_s=takeover.prior_leases_end_s,
+            prior_released=takeover.prior_released,
             on_newer_leader=self._leadership.step_down)
         self._ledger = ledger
         self._dispatcher = dispatcher
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -5,6 +5,7 @@
 from trefoilroad_jobs import dispatcher
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet
+from trefoilroad_jobs import lapses
 from trefoilroad_jobs import leadership
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import ports
@@ -1378,3 +1379,55 @@
     _stop_leader(site)
     site.run(20.0)
     assert site.find_violations() == []
+
+
+def test_leader_suspended_between_its_claim_and_the_answer(site):
+    """Guards against authority that counts from the end of a suspension.
+
+    The leader renewed leases for as long again as its successor allows for.
+    """
+    epoch = _read_epoch(site)
+    _kill_leader(site)
+    _run_until(site, lambda: _read_epoch(site) > epoch)
+    claimed_s = site.clock.now_s
+    claimant = next(
+        site_node for site_node in site.nodes.values()
+        if site_node.host.alive and site_node.node._node_id == leadership.
+        decode_leader(site.tables.rows["leader"]["leader"].value).node_id)
+    claimant.host.frozen = True
+    site.run(2.0)
+    claimant.store.cut = True
+    claimant.host.thaw()
+    assert claimant.node.leading
+    now_s = claimant.node._timers.read_clock()
+    age_s = now_s - claimant.node._ledger.confirmed_s
+    assert age_s >= site.clock.now_s - claimed_s
+
+
+def test_end_of_leases_is_not_early_after_a_suspension():
+    """Guards against a row that tells successors too early an end.
+
+    The answer with the store's clock waited while the leader was suspended, and
+    was taken for current.
+    """
+    site = sites.Site(node_count=1)
+    site.run(1.0)
+    site.submit("0" * 16, run_s=60.0)
+    site.run(4.0)
+    worker_state = _find_busy_worker(site)
+    worker_id = worker_state.worker_id
+    site_node = site.find_leader()
+    worker_state.crash()
+    tracked = site_node.node._dispatcher._fleet.tracked_workers[worker_id]
+    _run_until(site, lambda: tracked.silent_since_s < float("inf"))
+    version = site.tables.version
+    _run_until(site, lambda: site.tables.version != version)
+    site_node.host.frozen = True
+    site.run(2.4)
+    site_node.host.thaw()
+    _run_until(site,
+               lambda: f"worker/{worker_id}" in site.tables.rows[tables.LEASES])
+    rows = site.tables.rows[tables.LEASES].values()
+    end_ms = lapses.decode_rows(rows).workers[worker_id]
+    left_s = tracked.lapse_s - site_node.node._timers.read_clock()
+    assert (end_ms - site.tables.now_ms) / 1000.0 >= left_s - 0.01
