Bound the wait beside room that is held for other work

Racks, withheld workers and held room are waited for side by side, each since there has been such room.

Both new tests failed before (no start within 3 s).

--- a/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
+++ b/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
@@ -33,6 +33,9 @@
     def __contains__(self, key: units.UnitKey) -> bool:
         return key in self._workers
 
+    def __len__(self) -> int:
+        return len(self._workers)
+
     def retain(self, keys: Iterable[units.UnitKey]) -> None:
         """Drops the reservations of all units except the given ones."""
         waiting = set(keys)
@@ -137,7 +140,7 @@
 
 def block_room(unit: units.Unit,
                candidates: Sequence[placement.Candidate]) -> None:
-    """Subtracts what a unit will need, so that later units cannot use it."""
+    """Keeps what a unit will need, so that later units do not use it."""
     remaining_tasks = len(unit.indexes)
     for candidate in candidates:
         count = min(
@@ -145,4 +148,4 @@
             placement.count_fitting(unit.step.occupied, candidate.capacity))
         remaining_tasks -= count
         for _ in range(count):
-            candidate.room = candidate.room.minus(unit.step.occupied)
+            candidate.block(unit.step.occupied)
--- a/packages/jobs/src/trefoilroad_jobs/patience.py
+++ b/packages/jobs/src/trefoilroad_jobs/patience.py
@@ -17,6 +17,10 @@
 # How long a unit waits before it uses a worker on which runs fail. It is
 # longer, as a failed run counts against the job.
 WITHHELD_S = 1.5
+# How long a unit leaves room free that is kept for work expected soon, or for a
+# gang that is near its latest start. If that work has not come by then, the
+# unit does not stand beside the room for longer.
+HELD_ROOM_S = 2.0
 
 
 class Patience:
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -9,6 +9,8 @@
 
 Demand = workload.Demand
 
+NO_DEMAND = workload.Demand(0, 0, 0)
+
 # Count that stands for "any number" of tasks without demand on one worker.
 UNLIMITED_TASKS = 1_000
 
@@ -35,10 +37,12 @@
         capacity: Total resources.
         failing: Whether runs have failed there recently.
         withheld: How it may be used if it is withheld, else None.
+        blocked: Free resources that are not part of `room`, as they are kept
+            for a gang.
     """
 
-    __slots__ = ("capacity", "failing", "labels", "rack", "room", "withheld",
-                 "worker_id")
+    __slots__ = ("blocked", "capacity", "failing", "labels", "rack", "room",
+                 "withheld", "worker_id")
 
     def __init__(self,
                  *,
@@ -56,6 +60,22 @@
         self.capacity = capacity
         self.failing = failing
         self.withheld = withheld
+        self.blocked: Demand = NO_DEMAND
+
+    def block(self, demand: Demand) -> None:
+        """Keeps resources for a gang."""
+        self.room = self.room.minus(demand)
+        self.blocked = self.blocked.plus(demand)
+
+    def create_unblocked(self) -> "Candidate":
+        """Returns the same worker with nothing kept for gangs."""
+        return Candidate(worker_id=self.worker_id,
+                         rack=self.rack,
+                         labels=self.labels,
+                         room=self.room.plus(self.blocked),
+                         capacity=self.capacity,
+                         failing=self.failing,
+                         withheld=self.withheld)
 
 
 class PlacementRequest(NamedTuple):
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -32,9 +32,9 @@
 # the units behind it would not get their turn.
 FUTILE_SEARCH_DELAY_S = 0.002
 WORKERS_SEARCHED_IN_EACH_ROUND = 64
-# Time between two searches for room for a unit on workers that are withheld.
-# Rounds may follow each other within milliseconds, and hundreds of units wait.
-WITHHELD_SEARCH_INTERVAL_S = 0.25
+# Time between two searches for a unit in room that others do not use. Rounds
+# may follow each other within milliseconds, and hundreds of units wait.
+SEARCH_ELSEWHERE_INTERVAL_S = 0.25
 
 
 class CapacityHold(NamedTuple):
@@ -84,10 +84,14 @@
         self._order = order
         self._holds: dict[units.UnitKey, CapacityHold] = {}
         self._gang_reservations = gang_reservations.GangReservations()
-        self._patience = patience.Patience()
+        self._rack_patience = patience.Patience()
+        self._withheld_patience = patience.Patience()
+        self._held_patience = patience.Patience()
+        self._patiences = (self._rack_patience, self._withheld_patience,
+                           self._held_patience)
         self._headroom_workers: frozenset[str] = frozenset()
         self._next_search_s: dict[units.UnitKey, float] = {}
-        self._next_withheld_search_s: dict[units.UnitKey, float] = {}
+        self._next_search_elsewhere_s: dict[units.UnitKey, float] = {}
         self._lowest_priority: int | None = None
 
     def create_empty(self) -> "Planner":
@@ -146,7 +150,7 @@
             if workers:
                 self._start(unit, workers, round_state)
             elif unit.key in self._holds:
-                _allocate(by_id, unit, self._holds[unit.key].workers)
+                round_state.allocate(unit, self._holds[unit.key].workers)
             elif now_s >= unit.reclaim_s:
                 self._make_room(unit, round_state)
         return round_state.plan
@@ -161,10 +165,11 @@
                round_state: "_RoundState") -> None:
         """Adds the start of a unit, or of a part of it, to the plan."""
         round_state.plan.starts.append(units.Start(unit, tuple(workers)))
-        _allocate(round_state.candidates, unit, workers)
+        round_state.allocate(unit, workers)
         _allocate_withheld(round_state.withheld, unit, workers)
         self._holds.pop(unit.key, None)
-        self._patience.drop(unit.key)
+        for unit_patience in self._patiences:
+            unit_patience.drop(unit.key)
         self._gang_reservations.drop(unit.key)
 
     def _rank(self, unit: units.Unit, now_s: float) -> tuple[float, ...]:
@@ -185,8 +190,10 @@
         """Drops holds and reservations of units or workers that are gone."""
         waiting = {unit.key for unit in ready}
         self._gang_reservations.retain(waiting)
-        self._patience.retain({unit.key for unit in ready if unit.idle})
-        for searches in (self._next_search_s, self._next_withheld_search_s):
+        idle = {unit.key for unit in ready if unit.idle}
+        for unit_patience in self._patiences:
+            unit_patience.retain(idle)
+        for searches in (self._next_search_s, self._next_search_elsewhere_s):
             for key in [key for key in searches if key not in waiting]:
                 del searches[key]
         for key, hold in list(self._holds.items()):
@@ -232,46 +239,48 @@
 
         Only a unit of a job of which nothing runs is placed so, once it has
         waited for long enough beside the room. It leaves its preferred rack
-        before it uses a worker that is withheld.
+        before it uses a worker that is withheld or room that is held.
 
         Returns:
             The worker of each placed task; empty if the unit has to wait.
         """
-        prefers_rack = unit.step.data_rack or unit.step.one_rack
-        if (not unit.idle or unit.key in self._holds or
-                not (prefers_rack or round_state.withheld)):
+        if not unit.idle or unit.key in self._holds:
             return []
         request = units.build_placement_request(unit)
+        placed = self._place_off_rack(unit, request, round_state)
+        if placed or round_state.now_s < self._next_search_elsewhere_s.get(
+                unit.key, 0.0):
+            return placed
+        self._next_search_elsewhere_s[unit.key] = (round_state.now_s +
+                                                   SEARCH_ELSEWHERE_INTERVAL_S)
+        return (self._place_on_withheld(unit, request, round_state) or
+                self._place_in_held_room(unit, request, round_state))
+
+    def _place_off_rack(self, unit: units.Unit,
+                        request: placement.PlacementRequest,
+                        round_state: "_RoundState") -> list[str]:
+        """Places a unit outside the rack that it prefers.
+
+        Work that is spread or far from its data takes several times as long, so
+        that it needs ample room.
+        """
+        if (not (unit.step.data_rack or unit.step.one_rack) or
+                not round_state.may_fit(request)):
+            return []
         candidates = list(round_state.candidates.values())
-        if prefers_rack and round_state.may_fit(request):
-            # Work that is spread or far from its data takes several times as
-            # long, so that it needs room twice over.
-            twice = request._replace(
-                tasks=2 * (request.tasks if request.all_or_nothing else 1),
-                all_or_nothing=True)
-            if self._place_anywhere(unit, twice, candidates, spread=True):
-                waited_s = self._patience.measure(unit.key, round_state.now_s)
-                if waited_s < patience.PREFERENCE_S:
-                    return []
-                return self._place_anywhere(unit,
-                                            request,
-                                            candidates,
-                                            spread=True)
-        return self._place_on_withheld(unit, request, round_state)
+        if not self._place_anywhere(
+                unit, _build_ample_request(request), candidates, spread=True):
+            self._rack_patience.drop(unit.key)
+            return []
+        waited_s = self._rack_patience.measure(unit.key, round_state.now_s)
+        if waited_s < patience.PREFERENCE_S:
+            return []
+        return self._place_anywhere(unit, request, candidates, spread=True)
 
     def _place_on_withheld(self, unit: units.Unit,
                            request: placement.PlacementRequest,
                            round_state: "_RoundState") -> list[str]:
-        """Places a unit that fits nowhere else on workers that are withheld.
-
-        Returns:
-            The worker of each placed task; empty if the unit has to wait.
-        """
-        now_s = round_state.now_s
-        if now_s < self._next_withheld_search_s.get(unit.key, 0.0):
-            return []
-        self._next_withheld_search_s[unit.key] = (now_s +
-                                                  WITHHELD_SEARCH_INTERVAL_S)
+        """Places a unit that fits nowhere else on workers that are withheld."""
         withheld = list(round_state.withheld.values())
         candidates = []
         if request.all_or_nothing:
@@ -280,9 +289,9 @@
                 unit,
                 request._replace(avoid_failing=False), [*candidates, *withheld],
                 spread=True):
-            self._patience.drop(unit.key)
+            self._withheld_patience.drop(unit.key)
             return []
-        waited_s = self._patience.measure(unit.key, now_s)
+        waited_s = self._withheld_patience.measure(unit.key, round_state.now_s)
         if waited_s < patience.WITHHELD_S or unit.retry:
             return []
         open_workers = [
@@ -293,6 +302,22 @@
                                     request, [*candidates, *open_workers],
                                     spread=True)
 
+    def _place_in_held_room(self, unit: units.Unit,
+                            request: placement.PlacementRequest,
+                            round_state: "_RoundState") -> list[str]:
+        """Places a unit in room that is kept for other work, if it is ample."""
+        is_kept = self._gang_reservations or (self._headroom_workers and
+                                              unit.priority > 0)
+        unblocked = round_state.list_unblocked() if is_kept else []
+        if not placement.place(
+                _build_ample_request(request), unblocked, spread=True):
+            self._held_patience.drop(unit.key)
+            return []
+        waited_s = self._held_patience.measure(unit.key, round_state.now_s)
+        if waited_s < patience.HELD_ROOM_S:
+            return []
+        return placement.place(request, unblocked, spread=True)
+
     def _place_anywhere(self,
                         unit: units.Unit,
                         request: placement.PlacementRequest,
@@ -369,7 +394,7 @@
                                              STOP_S,
                                              until_s=round_state.now_s + HOLD_S,
                                              preempted=bool(preemption.victims))
-        _allocate(round_state.candidates, unit, preemption.workers)
+        round_state.allocate(unit, preemption.workers)
 
     def _start_part(self, unit: units.Unit, round_state: "_RoundState") -> None:
         """Starts, or makes room for, as many tasks of a unit as possible.
@@ -414,6 +439,7 @@
         self.now_s = now_s
         self.plan = units.Plan([], [])
         self.considered_units = 0
+        self._unblocked: list[placement.Candidate] = []
         self._task_limits: dict[int, int] = {}
 
     def may_fit(self, request: placement.PlacementRequest) -> bool:
@@ -435,6 +461,20 @@
             self._task_limits[accelerators] = limit
         return limit >= (request.tasks if request.all_or_nothing else 1)
 
+    def list_unblocked(self) -> list[placement.Candidate]:
+        """Returns the candidates with the room that is kept for gangs."""
+        if not self._unblocked:
+            self._unblocked = [
+                candidate.create_unblocked()
+                for candidate in self.candidates.values()
+            ]
+        return self._unblocked
+
+    def allocate(self, unit: units.Unit, workers: Sequence[str]) -> None:
+        """Subtracts what a unit uses."""
+        _allocate(self.candidates, unit, workers)
+        self._unblocked = []
+
     @functools.cached_property
     def running(self) -> reclaim.RunningTasks:
         """Tasks that are being stopped or may be preempted."""
@@ -463,6 +503,16 @@
             candidate.room = candidate.room.minus(unit.step.occupied)
 
 
+def _build_ample_request(
+        request: placement.PlacementRequest) -> placement.PlacementRequest:
+    """Returns a request for twice the room of a unit.
+
+    A unit whose tasks are placed one by one needs room for two of them.
+    """
+    tasks = 2 * (request.tasks if request.all_or_nothing else 1)
+    return request._replace(tasks=tasks, all_or_nothing=True)
+
+
 def _allocate_withheld(withheld: dict[str, placement.Candidate],
                        unit: units.Unit, workers: Sequence[str]) -> None:
     """Subtracts what a unit uses, and closes workers that only it may try."""
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -770,3 +770,41 @@
 
     assert not _plan_bulk({"w0", "w2"}).starts
     assert _plan_bulk({"w0", "w2", "w3"}).starts
+
+
+def test_headroom_is_used_by_work_that_has_waited():
+    """Guards against bulk work that stands beside room nobody comes for."""
+
+    def _leave_headroom_free():
+        candidates = _candidates()
+        for candidate in candidates[1:]:
+            candidate.room = candidate.room._replace(accelerators=0)
+        return candidates
+
+    start_s = _plan_rounds(_leave_headroom_free,
+                           _unit("a", priority=2, objective_s=-100.0,
+                                 idle=True),
+                           3.0,
+                           headroom_accelerators=8.0)
+    assert start_s is not None
+    assert 1.9 <= start_s <= 2.1
+
+
+def test_room_kept_for_a_gang_is_used_by_work_that_has_waited():
+    """Guards against work that stands beside room that a gang waits for."""
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    gang = _gang("a", 2, objective_s=10.0, remaining_s=5.0, idle=True)
+    small = _unit("b", priority=2, idle=True)
+    started_s = None
+    for number in range(40):
+        candidates = _candidates(count=12, used=8)
+        candidates[0].room = CAPACITY._replace(accelerators=4)
+        plan = _plan([gang, small],
+                     candidates,
+                     now_s=number / 10,
+                     round_planner=round_planner)
+        if plan.starts:
+            started_s = number / 10
+            break
+    assert started_s is not None
+    assert 1.9 <= started_s <= 2.1
