Count the room of jobs whose acceptance got lost

A job that ran although its caller got no answer took no room in the eyes of the judge, which then found others standing beside it. All submitted jobs are given now; one without a time of acceptance is not judged. The new test failed before.

--- a/packages/standins/src/trefoilroad_standins/jobs/idleness.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/idleness.py
@@ -57,20 +57,21 @@
 
 
 class Job(NamedTuple):
-    """An accepted job of one occurrence.
+    """A submitted job of one occurrence.
 
     Attributes:
         job_id: Identifier.
         steps: Its steps.
         accepted_s: When it was accepted, or is due if that is later, in
-            seconds.
+            seconds; None if its caller got no such answer. It is not judged
+            then, but its runs take room.
         cancelled_s: When its cancellation was sent, in seconds, or None.
         ended_s: When it was first known to be final, in seconds, or None.
     """
 
     job_id: str
     steps: tuple[workload.Step, ...]
-    accepted_s: float
+    accepted_s: float | None
     cancelled_s: float | None = None
     ended_s: float | None = None
 
@@ -96,7 +97,7 @@
         events: Events of all workers in order. "start" begins a run, "done"
             ends its task, "lapse" and "noted" are ignored and all other kinds
             end a run.
-        jobs: The accepted jobs.
+        jobs: The submitted jobs.
         disruptions: When disruptions were active, in any order.
         traffic_end_s: When the last job was submitted and the last disruption
             repaired.
@@ -338,6 +339,8 @@
             add(event.at_s, order, functools.partial(self._apply, event))
         for state in self._jobs.values():
             job = state.job
+            if job.accepted_s is None:
+                continue
             add(job.accepted_s, 3, functools.partial(self._open_job,
                                                      job.job_id))
             for closed_s in (job.cancelled_s, job.ended_s):
--- a/packages/standins/src/trefoilroad_standins/jobs/observer.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/observer.py
@@ -64,11 +64,11 @@
         failed_s = self._find_failed_jobs()
         jobs = [
             idleness.Job(job_id,
-                         site.workloads[job_id].steps,
-                         accepted_s,
+                         job.steps,
+                         site.accepted_s.get(job_id),
                          cancelled_s=site.cancelled_s.get(job_id),
                          ended_s=failed_s.get(job_id))
-            for job_id, accepted_s in site.accepted_s.items()
+            for job_id, job in site.workloads.items()
         ]
         return idleness.Record(workers=workers,
                                changes=self._changes,
--- a/packages/standins/tests/test_idleness.py
+++ b/packages/standins/tests/test_idleness.py
@@ -221,6 +221,18 @@
     assert "at the end" in at_end[0].text
 
 
+def test_unconfirmed_jobs_take_room():
+    """Guards against room where a job runs whose acceptance got lost."""
+    events = [
+        _make_event(1.0, "start", "b", worker=f"w{number // 4}", task=number)
+        for number in range(7)
+    ]
+    unconfirmed = _make_job("b", None, _STEP._replace(tasks=9))
+    assert _judge([unconfirmed]) == []
+    assert _judge([unconfirmed, _make_job()], events=events) == []
+    assert _judge([unconfirmed, _make_job()], events=events[1:])
+
+
 def test_others_that_stand_are_counted():
     """Guards against a finding that hides how many jobs stood so."""
     jobs = [_make_job(name) for name in "abc"]
