Judge idle jobs in the fault schedules too

The random fault schedules asked only whether jobs end; a job that stood beside free room for tens of seconds passed. Their outcome now contains the findings of the observer in calm stretches and at the end.

--- a/packages/standins/src/trefoilroad_standins/jobs/fault_schedule.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fault_schedule.py
@@ -5,6 +5,8 @@
 import random
 
 from trefoilroad_jobs import workload
+from trefoilroad_standins.jobs import idleness
+from trefoilroad_standins.jobs import observer as observers
 from trefoilroad_standins.jobs import site as sites
 
 JOB_COUNT = 24
@@ -13,6 +15,8 @@
 FAULT_PHASE_S = 20.0
 # All faults are then repaired; accepted jobs must end within this time.
 RECOVERY_S = 45.0
+# Longest time after which a call without an answer takes effect.
+LOST_CALL_DELAY_S = 3.0
 
 
 class FaultSchedule:
@@ -21,6 +25,7 @@
     Attributes:
         rng: Source of the random choices.
         site: The site under test.
+        observer: What is seen of the site from outside.
         log: What the schedule did, in order.
     """
 
@@ -35,6 +40,7 @@
                                node_count=3,
                                worker_count=6,
                                per_rack=3)
+        self.observer = observers.Observer(site=self.site)
         self.log: list[str] = []
         self._cancelled: set[str] = set()
         self._accepted_by_job: dict[str, bool] = {}
@@ -55,8 +61,16 @@
                            self._inject_fault)
         self.site.run(FAULT_PHASE_S)
         self._repair_all()
+        # Calls that were held up take effect until then.
+        self.observer.note_disruption(LOST_CALL_DELAY_S)
         self.site.run(RECOVERY_S)
-        return self._check_outcome()
+        idle_jobs = self.observer.find_idle_jobs(1.0 + FAULT_PHASE_S +
+                                                 LOST_CALL_DELAY_S +
+                                                 idleness.CALM_S)
+        return [
+            *self._check_outcome(),
+            *[finding.text for finding in idle_jobs],
+        ]
 
     def _record(self, text: str) -> None:
         self.log.append(f"{self.site.clock.now_s:.3f} {text}")
@@ -121,11 +135,18 @@
             self._drop_history, self._drain, self._fail_worker,
             self._hang_worker, self._slow_store, self._kill_all
         ])
+        self.observer.note_disruption(0.0)
         self._record(fault())
 
     def _call_later(self, callback: Callable[[], None]) -> None:
         """Calls a callback, which ends a fault, after a random delay."""
-        self.site.clock.schedule(self.rng.uniform(0.5, 6.0), callback)
+        self._end_after(self.rng.uniform(0.5, 6.0), callback)
+
+    def _end_after(self, duration_s: float, callback: Callable[[],
+                                                               None]) -> None:
+        """Calls a callback that ends a fault after its duration."""
+        self.observer.note_disruption(duration_s)
+        self.site.clock.schedule(duration_s, callback)
 
     def _kill_and_replace(self, name: str) -> None:
         self.site.kill(name)
@@ -133,7 +154,7 @@
         def start_successor() -> None:
             self.site.add_node(f"{name}'")
 
-        self.site.clock.schedule(0.5, start_successor)
+        self._end_after(0.5, start_successor)
 
     def _list_alive_nodes(self) -> list[str]:
         return [
@@ -195,7 +216,7 @@
         nodes = list(self.site.nodes.values())
         for node in nodes:
             node.workers.loss_probability, node.workers.lost_call_delay_s = (
-                0.3, 3.0)
+                0.3, LOST_CALL_DELAY_S)
 
         def end() -> None:
             for node in nodes:
@@ -250,7 +271,7 @@
             worker_state.draining = False
             self.site.register(worker_state)
 
-        self.site.clock.schedule(4.0, restart_undrained)
+        self._end_after(4.0, restart_undrained)
         return f"drain {worker_state.worker_id}"
 
     def _fail_worker(self) -> str:
