--- a/packages/jobs/tests/test_fault_schedule.py
+++ b/packages/jobs/tests/test_fault_schedule.py
@@ -3,6 +3,7 @@
 import pytest
 
 from trefoilroad_standins.jobs import fault_schedule
+from trefoilroad_standins.jobs import leader_series
 
 
 @pytest.mark.parametrize("seed", range(1, 41))
@@ -10,3 +11,10 @@
     """Guards against tasks that run twice, are lost, or run after a refusal."""
     simulation = fault_schedule.FaultSchedule(seed=seed)
     assert simulation.run() == [], "\n".join(simulation.log)
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_plain_jobs_run_after_leaders_are_lost_in_series(seed):
+    """Guards against jobs that stand although only leaders and workers fail."""
+    simulation = leader_series.LeaderSeries(seed=seed, plain=True)
+    assert simulation.run() == [], "\n".join(simulation.log)
