--- a/packages/jobs/tests/test_fault_schedule.py
+++ b/packages/jobs/tests/test_fault_schedule.py
@@ -18,3 +18,10 @@
     """Guards against jobs that stand although only leaders and workers fail."""
     simulation = leader_series.LeaderSeries(seed=seed, plain=True)
     assert simulation.run() == [], "\n".join(simulation.log)
+
+
+@pytest.mark.parametrize("seed", range(1, 14))
+def test_jobs_run_after_leaders_are_lost_in_series(seed):
+    """Guards against jobs that stand beside room that is kept for others."""
+    simulation = leader_series.LeaderSeries(seed=seed)
+    assert simulation.run() == [], "\n".join(simulation.log)
