Wake waiting calls of the simulated fleet by changes

The store and the workers checked each waiting call 100 times a second, and a watch read all changes since the start each time. With 41 nodes and 176 workers that would take more than a core, so that delays of the stand-ins could be mistaken for delays of the nodes. A watch now waits for the next change of its table, a report for the next end of a run, and a crash or restart of the worker still breaks the call at once. Demands of tasks, kinds of workers, the size of a rack and the time until an absent worker's registration is removed can be set.

--- a/packages/standins/src/trefoilroad_standins/jobs/fleet_server.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fleet_server.py
@@ -8,6 +8,9 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import itertools
 import json
 from typing import Any
 from urllib import parse
@@ -19,9 +22,10 @@
 from trefoilroad_standins.jobs import tables as row_tables
 from trefoilroad_standins.jobs import workers as worker_module
 
-# Interval at which the virtual clock follows the real time and calls that
-# wait are checked.
+# Interval at which the virtual clock follows the real time.
 POLL_INTERVAL_S = 0.01
+# Interval at which a watch checks whether the history has been dropped.
+HISTORY_CHECK_INTERVAL_S = 0.1
 REGISTRATION_INTERVAL_S = 0.5
 WORKER_CAPACITY = workload.Demand(64_000, 256_000, 8)
 
@@ -86,6 +90,7 @@
         history: Events of all workers in order.
         run_s: Run time of the tasks of a job in seconds, by job; 1 s if
             absent.
+        demands: Demand of a task of a job, by job; one accelerator if absent.
         ports: Port of each worker.
         registered_ports: Port under which each worker registers itself, which
             may be that of a proxy.
@@ -94,17 +99,27 @@
         store_port: Port of the store.
     """
 
-    def __init__(self, *, worker_count: int):
+    def __init__(self,
+                 *,
+                 worker_count: int,
+                 workers_per_rack: int = 3,
+                 kinds: Sequence[str] = ("a",),
+                 silence_s: float = 0.0):
         """Creates an empty store; `start` creates the workers.
 
         Args:
             worker_count: Number of workers.
+            workers_per_rack: Number of workers in a rack.
+            kinds: Labels of the kinds of workers, which take turns.
+            silence_s: Time after which the registration of an absent worker
+                is removed, in seconds.
         """
         self.clock = clock.Clock()
         self.tables = row_tables.Tables(virtual_clock=self.clock)
         self.worker_states: dict[str, worker_module.WorkerState] = {}
         self.history: list[worker_module.Event] = []
         self.run_s: dict[str, float] = {}
+        self.demands: dict[str, workload.Demand] = {}
         self.ports: dict[str, int] = {}
         self.registered_ports: dict[str, int] = {}
         self.store_delay_s = 0.0
@@ -112,17 +127,24 @@
         self.store_port = 0
         self._servers: list[asyncio.Server] = []
         self._names = [f"w{number:02}" for number in range(worker_count)]
+        self._workers_per_rack = workers_per_rack
+        self._kinds = kinds
+        self._silence_s = silence_s
+        self._last_heard_s: dict[str, float] = {}
+        # Set and dropped at the next change of the table with that name.
+        self._changes_by_name: dict[str, asyncio.Event] = {}
 
     async def start(self) -> None:
         """Binds all ports and starts the clock and the registrations."""
         self.started_s = asyncio.get_running_loop().time()
+        self.tables.add_watcher(self._wake_watches)
         server = await serve(self._serve_store)
         self._servers.append(server)
         self.store_port = get_port(server)
         for number, name in enumerate(self._names):
             worker_state = worker_module.WorkerState(
                 worker_id=name,
-                rack=f"r{number // 3}",
+                rack=f"r{number // self._workers_per_rack}",
                 virtual_clock=self.clock,
                 capacity=WORKER_CAPACITY,
                 history=self.history,
@@ -152,8 +174,9 @@
 
     def _get_behaviour(self, name: str) -> worker_module.Behaviour:
         job_id = name.partition(".")[0]
-        return worker_module.Behaviour(workload.Demand(4000, 4000, 1),
-                                       self.run_s.get(job_id, 1.0))
+        return worker_module.Behaviour(
+            self.demands.get(job_id, workload.Demand(4000, 4000, 1)),
+            self.run_s.get(job_id, 1.0))
 
     # Store.
 
@@ -163,12 +186,16 @@
 
     def _update_registrations(self) -> None:
         """Writes the changed registrations and removes absent workers."""
-        for name, worker_state in self.worker_states.items():
+        now_s = self.clock.now_s
+        for number, (name,
+                     worker_state) in enumerate(self.worker_states.items()):
             registered = self.tables.rows.get("servers|", {}).get(name)
             if not worker_state.alive or not worker_state.reachable:
-                if registered:
+                if (registered and
+                        now_s - self._last_heard_s[name] >= self._silence_s):
                     self.tables.put("servers|", name, None)
                 continue
+            self._last_heard_s[name] = now_s
             entry = json.dumps({
                 "service": "service",
                 "address": f"127.0.0.1:{self.registered_ports[name]}",
@@ -183,7 +210,9 @@
                     "memMb": 256000,
                     "gpu": 8
                 },
-                "labels": ["a", worker_state.rack],
+                "labels": [
+                    self._kinds[number % len(self._kinds)], worker_state.rack
+                ],
                 "born": worker_state.boot_ms
             }).encode()
             if registered is None or registered.value != entry:
@@ -263,21 +292,40 @@
 
     async def _watch(self, query: dict[str, str]) -> HttpAnswer:
         """Waits for changes of all parts of a table."""
-        after = int(query["after"])
-        deadline_s = (asyncio.get_running_loop().time() +
-                      int(query["waitMs"]) / 1000.0)
+        name, after = query["table"], int(query["after"])
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + int(query["waitMs"]) / 1000.0
+        read_version = after
         while True:
             if after < self.tables.oldest_version:
                 return 410, {}
+            newer = itertools.takewhile(
+                lambda change: change[1].version > read_version,
+                reversed(self.tables.changes))
             rows = [
                 self._encode_row(table, row)
-                for table, row in self.tables.changes
-                if table.partition("|")[0] == query["table"] and
-                row.version > after
-            ]
-            if rows or asyncio.get_running_loop().time() >= deadline_s:
+                for table, row in newer
+                if table.partition("|")[0] == name
+            ][::-1]
+            if rows or loop.time() >= deadline_s:
                 return self._answer_rows(rows)
-            await asyncio.sleep(POLL_INTERVAL_S)
+            read_version = self.tables.version
+            event = self._changes_by_name.setdefault(name, asyncio.Event())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                        min(HISTORY_CHECK_INTERVAL_S,
+                            deadline_s - loop.time())):
+                    await event.wait()
+
+    def _wake_watches(self) -> bool:
+        """Wakes the watches of all tables that the last transaction changed."""
+        for table, row in reversed(self.tables.changes):
+            if row.version < self.tables.version:
+                break
+            event = self._changes_by_name.pop(table.partition("|")[0], None)
+            if event:
+                event.set()
+        return False
 
     # Workers.
 
@@ -310,7 +358,11 @@
         while (isinstance(initial, ports.Report) and
                not worker_state.unacknowledged_ends and
                loop.time() < deadline_s):
-            await asyncio.sleep(POLL_INTERVAL_S)
+            ended = asyncio.Event()
+            worker_state.call_at_next_end(ended.set)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(deadline_s):
+                    await ended.wait()
             if not worker_state.alive or worker_state.boot_ms != boot_ms:
                 raise OSError("down")
         report = worker_state.renew(epoch, 0, None)
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -128,7 +128,6 @@
         self._clock.schedule(0.05, self._advance)
 
     def _start_process(self) -> None:
-        self._end_callbacks.clear()
         self.boot_ms = CLOCK_START_MS + int(self._clock.now_s * 1000)
         self.booted_s = self._clock.now_s
         self.highest_epoch = 0
@@ -162,12 +161,14 @@
         self.alive = False
         self._record_for_all_runs("crashed")
         self.runs = {}
+        self._call_end_callbacks()
 
     def restart(self) -> None:
         """Starts a new process, without runs, under the same identifier."""
         self._record_for_all_runs("crashed")
         self.alive = True
         self._start_process()
+        self._call_end_callbacks()
 
     def _record_for_all_runs(self, kind: str) -> None:
         for name, run in self.runs.items():
@@ -265,7 +266,7 @@
                             list(self.unacknowledged_ends), True)
 
     def call_at_next_end(self, callback: Callable[[], None]) -> None:
-        """Calls a callback once, when the next run ends."""
+        """Calls a callback once, when a run or this process ends."""
         self._end_callbacks.append(callback)
 
     def _extend_lease(self, until_ms: int) -> None:
@@ -306,6 +307,9 @@
         self.unacknowledged_ends.append(
             ports.EndedTask(self.end_count, name, run.run, end_state, ""))
         self._record(end_state.value, name, run.run)
+        self._call_end_callbacks()
+
+    def _call_end_callbacks(self) -> None:
         callbacks, self._end_callbacks = self._end_callbacks, []
         for callback in callbacks:
             callback()
