Add a series of lost leaders and workers with real processes

The soak uses 3 nodes and 6 workers for 9 s; the incident of the idle jobs took 41 nodes, 176 workers and three leaders hit ten seconds apart. The new run has that size by default: steady urgent gangs and bulk tasks, some with a data rack, a label or one rack, three hits of the leader (killed, restarted, paused or cut off from the store) and 5 to 15% of the workers lost, crashed or cut off around them. Jobs that stand beside free room are found by the judge of idle jobs, from answers and the history of the workers. The run measures the lag of its own event loop and prints it with each finding that it touches.

--- a/packages/jobs/tests/test_soak.py
+++ b/packages/jobs/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from trefoilroad_standins.jobs import series
 from trefoilroad_standins.jobs import soak
 
 
@@ -22,3 +23,8 @@
 def test_planned_stops(seed, tmp_path):
     """Guards against requests that a stopping node reads and never answers."""
     assert soak.run_seed(seed, tmp_path, planned=True) == []
+
+
+def test_series_of_lost_leaders(tmp_path):
+    """Guards against jobs that stand beside free room after takeovers."""
+    assert series.run_seed(1, tmp_path, series.SHORT_PLAN) == []
--- a/packages/standins/src/trefoilroad_standins/jobs/fleet_server.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fleet_server.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
-import itertools
 import json
 from typing import Any
 from urllib import parse
@@ -299,14 +298,11 @@
         while True:
             if after < self.tables.oldest_version:
                 return 410, {}
-            newer = itertools.takewhile(
-                lambda change: change[1].version > read_version,
-                reversed(self.tables.changes))
             rows = [
                 self._encode_row(table, row)
-                for table, row in newer
+                for table, row in self.tables.list_all_changes(read_version)
                 if table.partition("|")[0] == name
-            ][::-1]
+            ]
             if rows or loop.time() >= deadline_s:
                 return self._answer_rows(rows)
             read_version = self.tables.version
--- a/packages/standins/src/trefoilroad_standins/jobs/tables.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/tables.py
@@ -87,10 +87,15 @@
 
     def list_changes(self, table: str, after: int) -> list[ports.Row]:
         """Returns the changes of a table after a version."""
-        newer = itertools.takewhile(lambda change: change[1].version > after,
-                                    reversed(self.changes))
-        newest_first = [row for name, row in newer if name == table]
-        return newest_first[::-1]
+        return [
+            row for name, row in self.list_all_changes(after) if name == table
+        ]
+
+    def list_all_changes(self, after: int) -> list[tuple[str, ports.Row]]:
+        """Returns the changes of all tables after a version."""
+        newest_first = itertools.takewhile(
+            lambda change: change[1].version > after, reversed(self.changes))
+        return list(newest_first)[::-1]
 
     def drop_history(self) -> None:
         """Drops the past changes; a watch for them gets HistoryLost."""
