Let the short series of lost leaders show a job held at the end

Two leaders were hit after a worker had been lost, and the job on that worker stood for 21 s, but the traffic went on for so long that no rule could judge it. The traffic of the short run ends with the last fault now. Jobs whose acceptance got lost count with their room, and gangs end as the judge has it.

--- a/packages/standins/src/trefoilroad_standins/jobs/series.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/series.py
@@ -10,7 +10,6 @@
 
 import asyncio
 from collections.abc import Iterator
-from collections.abc import Sequence
 import contextlib
 import json
 import pathlib
@@ -80,8 +79,8 @@
                   worker_count=36,
                   warm_up_s=2.0,
                   hit_times_s=(4.0, 11.0, 18.0),
-                  traffic_s=28.0,
-                  settle_s=18.0)
+                  traffic_s=25.0,
+                  settle_s=16.0)
 
 
 def encode_step(step: workload.Step) -> dict[str, Any]:
@@ -100,29 +99,6 @@
     }
 
 
-def add_gang_ends(events: Sequence[worker_module.Event],
-                  jobs: Sequence[idleness.Job]) -> list[worker_module.Event]:
-    """Adds an end for each member where one member of a gang is done.
-
-    The members of a gang are done together, and one end represents them all.
-    """
-    jobs_by_id = {job.job_id: job for job in jobs}
-    result = []
-    for event in events:
-        result.append(event)
-        if event.kind != "done":
-            continue
-        name = idleness.parse_name(event.name)
-        job = jobs_by_id.get(name.job_id)
-        if job is not None and job.steps[name.step].gang:
-            prefix = event.name.rpartition(".")[0]
-            result += [
-                event._replace(name=f"{prefix}.{index}", run=0)
-                for index in range(job.steps[name.step].tasks)
-            ]
-    return result
-
-
 def build_configuration(worker_count: int) -> dict[str, Any]:
     """Returns a configuration with an urgent queue and one for bulk work.
 
@@ -178,9 +154,8 @@
         self._nodes = [f"n{number}" for number in range(plan.node_count)]
         self._processes: dict[str, soak.NodeProcess] = {}
         self._proxies: dict[str, proxies.Proxy] = {}
-        self._accepted: list[idleness.Job] = []
+        self._jobs: list[idleness.Job] = []
         self._prefixes: dict[str, str] = {}
-        self._refused = 0
         self._submissions: list[asyncio.Task[None]] = []
         self._changes: list[idleness.WorkerChange] = []
         self._disruptions: list[idleness.Interval] = []
@@ -200,8 +175,9 @@
             await asyncio.gather(self._submit_all(), self._harm_all())
             await asyncio.gather(*self._submissions)
             end_s = self._fleet.clock.now_s
-            self._record(f"traffic has ended, {len(self._accepted)} accepted, "
-                         f"{self._refused} not")
+            accepted = sum(job.accepted_s is not None for job in self._jobs)
+            self._record(f"traffic has ended, {accepted} jobs of "
+                         f"{len(self._jobs)} accepted")
             await asyncio.sleep(self._plan.settle_s)
             return await self._judge(end_s)
         finally:
@@ -291,15 +267,15 @@
                       steps: tuple[workload.Step, ...]) -> None:
         body = {"spec": "text", "steps": [encode_step(step) for step in steps]}
         self._prefixes[job_id] = prefix
+        accepted_s = None
         for _ in range(SUBMISSION_TRIES):
             status, _ = await soak.call(self._pick_node().port, "POST",
                                         prefix + job_id, body)
             if status == 200:
-                self._accepted.append(
-                    idleness.Job(job_id, steps, self._fleet.clock.now_s))
-                return
+                accepted_s = self._fleet.clock.now_s
+                break
             await asyncio.sleep(0.3)
-        self._refused += 1
+        self._jobs.append(idleness.Job(job_id, steps, accepted_s))
 
     def _pick_node(self) -> soak.NodeProcess:
         return self._job_rng.choice(
@@ -430,8 +406,8 @@
                          state) in enumerate(self._fleet.worker_states.items())
         ],
                                  changes=self._changes,
-                                 events=add_gang_ends(history, self._accepted),
-                                 jobs=self._accepted,
+                                 events=history,
+                                 jobs=self._jobs,
                                  disruptions=self._disruptions,
                                  traffic_end_s=traffic_end_s,
                                  end_s=self._fleet.clock.now_s)
@@ -441,7 +417,7 @@
         for job_id in sorted({finding.job_id for finding in findings}):
             _, answer = await soak.call(self._pick_node().port, "GET",
                                         self._prefixes[job_id] + job_id)
-            job = next(job for job in self._accepted if job.job_id == job_id)
+            job = next(job for job in self._jobs if job.job_id == job_id)
             self._record(f"{job_id} is {answer.get('state')}, accepted at "
                          f"{job.accepted_s:.2f} s: {job.steps}")
         return ([
