Load the jobs also if no row of an epoch can be read

A leader that found no readable row of leases failed to load the jobs and gave up the lead, as the latest of no ends was asked for. The two tests of mixed releases passed without the leader that they are about; they ask now that it leads, and failed before.

--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -174,8 +174,8 @@
             ends_s: End of the leases given before an epoch, by epoch.
             store_offset_ms: Difference of the store's clock to this leader's.
         """
-        self._prior_leases_end_s = max(self._prior_leases_end_s,
-                                       *ends_s.values())
+        self._prior_leases_end_s = max(
+            [self._prior_leases_end_s, *ends_s.values()])
         for epoch in ends_s:
             if epoch < self._epoch:
                 self._ledger.write_row(tables.get_epoch_lease_row_name(epoch),
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1287,6 +1287,7 @@
     site.add_node("n1")
     site.add_node("n2")
     site.run(0.5)
+    assert first.node.leading
     site.submit("0" * 16, run_s=25.0)
     site.run(5.0)
     busy = _find_busy_worker(site)
@@ -1320,8 +1321,10 @@
     _run_until(site, lambda: row in site.tables.rows["leases"])
     site.kill("n0")
     worker_state.reachable = True
-    _make_previous_release(site.add_node("n0"))
+    previous = site.add_node("n0")
+    _make_previous_release(previous)
     site.run(25.0)
+    assert previous.node.leading
     for number in range(1, 60):
         site.submit(f"{number:016x}", run_s=200.0)
         site.run(0.5)
