Write no row of leases for a worker whose id is too long for a key

The row of a silent worker has the key worker/ID. Such a worker has no row; its leases are waited for as without one. The new test failed before.

--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -639,13 +639,15 @@
                 not tracked.may_get_lease or not tracked.claims or
                 self._ledger.store_failing):
             return
+        row_name = tables.get_worker_lease_row_name(tracked.worker.worker_id)
+        if len(row_name[1].encode()) > tables.MAX_KEY_BYTES:
+            # The store would refuse the transaction, and all after it.
+            return
         tracked.lapse_s = max(self._prior_leases_end_s,
                               tracked.sent_leases_end_s)
         end_ms = (self._ledger.read_store_ms() +
                   (tracked.lapse_s - now_s) * 1000.0)
-        self._ledger.write_row(
-            tables.get_worker_lease_row_name(tracked.worker.worker_id),
-            lapses.encode_end(end_ms))
+        self._ledger.write_row(row_name, lapses.encode_end(end_ms))
         _log.info("leases of a silent worker recorded",
                   worker=tracked.worker.worker_id,
                   claims=len(tracked.claims),
--- a/packages/jobs/src/trefoilroad_jobs/tables.py
+++ b/packages/jobs/src/trefoilroad_jobs/tables.py
@@ -18,6 +18,9 @@
 """When the leases of workers have ended, for the next leaders; written by the
 leader."""
 
+MAX_KEY_BYTES = 200
+"""Longest key that the store accepts."""
+
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
 EPOCH_PREFIX = "epoch/"
--- a/packages/jobs/tests/test_recovery.py
+++ b/packages/jobs/tests/test_recovery.py
@@ -1434,3 +1434,19 @@
     end_ms = lapses.decode_rows(rows).workers[worker_id]
     left_s = tracked.lapse_s - site_node.node._timers.read_clock()
     assert (end_ms - site.tables.now_ms) / 1000.0 >= left_s - 0.01
+
+
+def test_no_row_is_written_for_a_worker_with_a_long_id(site):
+    """Guards against a transaction that the store refuses again and again."""
+    worker_id = "w" * 200
+    site.add_worker(worker_id, "r9")
+    site.run(1.0)
+    site.submit("0" * 16, run_s=30.0, label="r9")
+    site.run(3.0)
+    worker_state = site.worker_states[worker_id]
+    assert worker_state.runs
+    worker_state.reachable = False
+    site.run(6.0)
+    assert all(
+        len(key) <= tables.MAX_KEY_BYTES
+        for key in site.tables.rows[tables.LEASES])
