--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -340,7 +340,8 @@
         """
         job = self.jobs[claim.key.job_id]
         step = job.get_step(claim.key.occurrence, claim.key.step)
-        step.claims.pop(claim.key.task, None)
+        if step.claims.get(claim.key.task) is claim:
+            del step.claims[claim.key.task]
         if claim.checkpoint:
             step.checkpoints[claim.key.task] = claim.checkpoint
         now_s = self._timers.read_clock()
