Place work by the learned speed of workers

Cause: best fit takes no account of speed.

Change: worker_speeds estimates the slowness of each worker from the progress of the tasks on it; placement gives urgent work the fast workers and other work the slowest on which it ends in time; headroom and preemption for urgent work avoid slow workers. An even fleet is planned as before.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -22,6 +22,7 @@
 from trefoilroad_jobs import units
 from trefoilroad_jobs import wait_monitor
 from trefoilroad_jobs import waits
+from trefoilroad_jobs import worker_speeds
 from trefoilroad_jobs import workload
 from trefoilroad_node import metrics as sinks
 from trefoilroad_node import timer
@@ -35,6 +36,7 @@
 # Longest time between two rounds: work can become ready without any event.
 ROUND_INTERVAL_S = 0.5
 CLEANUP_INTERVAL_S = 10.0
+SPEEDS_LOG_INTERVAL_S = 10.0
 
 _log = structlog.get_logger()
 
@@ -90,9 +92,11 @@
         self._fleet = fleet.Fleet()
         self._health = health.Health()
         self._estimator = estimate.Estimator()
+        self._speeds = worker_speeds.WorkerSpeeds()
         self._rounds = rounds.RoundScheduler(estimator=self._estimator,
                                              round_planner=round_planner,
-                                             bounds=bounds)
+                                             bounds=bounds,
+                                             speeds=self._speeds)
         self._runs = runs.RunTracker(epoch=epoch,
                                      fleet=self._fleet,
                                      workers=workers,
@@ -103,6 +107,7 @@
                                      prior_released=prior_released,
                                      find_job=self.jobs.get,
                                      on_end=self._handle_run_end,
+                                     on_progress=self._handle_progress,
                                      on_change=self._request_round,
                                      on_newer_leader=on_newer_leader)
         self._wait_monitor = wait_monitor.WaitMonitor(metrics=metrics,
@@ -115,6 +120,7 @@
             timers.call_every(TICK_INTERVAL_S, self._tick),
             timers.call_every(CLEANUP_INTERVAL_S, self._remove_expired_jobs),
             timers.call_every(wait_monitor.CHECK_INTERVAL_S, self._check_waits),
+            timers.call_every(SPEEDS_LOG_INTERVAL_S, self._log_speeds),
         ]
 
     def close(self) -> None:
@@ -354,6 +360,11 @@
                   how=str(end_state) if end_state else "not run",
                   why=why,
                   ran_s=round(now_s - claim.started_s, 3))
+        self._speeds.record_end((claim.key, claim.run),
+                                self._find_speed_group(job, claim),
+                                claim.worker_id,
+                                done=end_state is ports.EndState.DONE,
+                                now_s=now_s)
         if end_state is ports.EndState.DONE:
             self._handle_completed_run(job, step, claim, now_s)
         elif end_state is ports.EndState.FAILED:
@@ -363,6 +374,44 @@
         self._record_change(job)
         self._request_round()
 
+    def _handle_progress(self, claim: progress.Claim) -> None:
+        """Learns the speed of a worker from the progress of a run."""
+        job = self.jobs[claim.key.job_id]
+        if job.workload.steps[claim.key.step].long_running:
+            return
+        is_fresh = claim.starts_sent == 1 and not claim.resumed
+        self._speeds.record_progress(
+            (claim.key, claim.run),
+            self._find_speed_group(job, claim),
+            claim.worker_id,
+            claim.percent,
+            started_s=claim.started_s if is_fresh else None,
+            now_s=claim.percent_s)
+
+    def _log_speeds(self) -> None:
+        slownesses = self._speeds.list_slownesses()
+        self._metrics.set_gauge(
+            "workers.slow", sum(value > 1.0 for value in slownesses.values()))
+        self._metrics.set_gauge(
+            "workers.fast", sum(value < 1.0 for value in slownesses.values()))
+        if slownesses:
+            _log.info("worker speeds",
+                      slownesses={
+                          worker_id: round(value, 2)
+                          for worker_id, value in slownesses.items()
+                      })
+
+    def _find_speed_group(self, job: progress.Job,
+                          claim: progress.Claim) -> worker_speeds.Group:
+        step = job.workload.steps[claim.key.step]
+        tracked = self._fleet.tracked_workers.get(claim.worker_id)
+        rack = tracked.worker.rack if tracked is not None else ""
+        return worker_speeds.Group(job_id=claim.key.job_id,
+                                   occurrence=claim.key.occurrence,
+                                   step=claim.key.step,
+                                   in_data_rack=rack == step.data_rack,
+                                   gang=step.gang)
+
     def _handle_completed_run(self, job: progress.Job,
                               step: progress.StepProgress,
                               claim: progress.Claim, now_s: float) -> None:
@@ -467,6 +516,7 @@
             return
         self._wait_monitor.record_round(started_s)
         self._health.update(started_s, len(self._fleet.tracked_workers))
+        self._speeds.update(started_s)
         plan = self._rounds.run(
             rounds.RoundInput(now_s=started_s,
                               wall_ms=self._wall_clock.read_wall_ms(),
--- a/packages/jobs/src/trefoilroad_jobs/headroom.py
+++ b/packages/jobs/src/trefoilroad_jobs/headroom.py
@@ -75,7 +75,8 @@
 
     Workers are taken rack by rack and always in the same order: urgent gangs
     often need whole workers of one rack, and these become free where only
-    short work runs.
+    short work runs. Slow workers are taken last, as urgent work has little time
+    to spare.
 
     Args:
         candidates: Workers that may be used.
@@ -93,9 +94,10 @@
     capacity = sum(candidate.capacity.accelerators for candidate in candidates)
     chosen = []
     left = min(accelerators, MAX_HEADROOM_SHARE * capacity)
-    for candidate in sorted(candidates,
-                            key=lambda candidate:
-                            (candidate.rack, candidate.worker_id)):
+    for candidate in sorted(
+            candidates,
+            key=lambda candidate:
+        (max(0, candidate.speed_class), candidate.rack, candidate.worker_id)):
         if left <= 0:
             break
         chosen.append(candidate.worker_id)
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -36,13 +36,14 @@
         room: Free resources.
         capacity: Total resources.
         failing: Whether runs have failed there recently.
+        speed_class: Class of its speed: 0 is usual, higher ones are slower.
         withheld: How it may be used if it is withheld, else None.
         blocked: Free resources that are not part of `room`, as they are kept
             for a gang.
     """
 
     __slots__ = ("blocked", "capacity", "failing", "labels", "rack", "room",
-                 "withheld", "worker_id")
+                 "speed_class", "withheld", "worker_id")
 
     def __init__(self,
                  *,
@@ -52,6 +53,7 @@
                  room: Demand,
                  capacity: Demand,
                  failing: bool = False,
+                 speed_class: int = 0,
                  withheld: Access | None = None):
         self.worker_id = worker_id
         self.rack = rack
@@ -59,6 +61,7 @@
         self.room = room
         self.capacity = capacity
         self.failing = failing
+        self.speed_class = speed_class
         self.withheld = withheld
         self.blocked: Demand = NO_DEMAND
 
@@ -75,6 +78,7 @@
                          room=self.room.plus(self.blocked),
                          capacity=self.capacity,
                          failing=self.failing,
+                         speed_class=self.speed_class,
                          withheld=self.withheld)
 
 
@@ -88,6 +92,9 @@
         used_by_worker: Number of tasks of the step that each worker already
             runs, if the step limits their number; else empty.
         avoid_failing: Whether workers with recent failures are excluded.
+        max_speed_class: Slowest class of workers on which the tasks end in
+            time.
+        prefers_fast: Whether faster workers come first.
     """
 
     step: workload.Step
@@ -95,6 +102,8 @@
     all_or_nothing: bool
     used_by_worker: dict[str, int]
     avoid_failing: bool = False
+    max_speed_class: int = 0
+    prefers_fast: bool = False
 
     def allows(self, candidate: Candidate) -> bool:
         """Returns whether a worker may be used, apart from free resources."""
@@ -102,6 +111,17 @@
             return False
         return not self.step.label or self.step.label in candidate.labels
 
+    def rank_speed(self, speed_class: int) -> tuple[bool, int]:
+        """Returns the rank of workers of a class; lower ones come first.
+
+        The slowest workers on which the tasks end in time come first, so that
+        faster ones stay free for work with less time to spare. If none is left,
+        the faster the better.
+        """
+        if self.prefers_fast or speed_class > self.max_speed_class:
+            return (True, speed_class)
+        return (False, -speed_class)
+
 
 def count_fitting(demand: Demand, room: Demand) -> int:
     """Returns how many tasks of a demand fit into free resources."""
@@ -135,15 +155,17 @@
          candidates: Sequence[Candidate]) -> list[str]:
     """Places tasks on the workers with the least free resources first.
 
-    Best fit keeps whole workers free for tasks that need one.
+    Best fit keeps whole workers free for tasks that need one. It applies among
+    workers of one speed.
 
     Returns:
         The worker of each task that could be placed.
     """
     fitting = [(candidate, count) for candidate in candidates if (
         count := _count_on_candidate(request, candidate, candidate.room)) > 0]
-    fitting.sort(key=lambda entry: (entry[0].room.accelerators, entry[0].room.
-                                    milli_cores, entry[0].worker_id))
+    fitting.sort(key=lambda entry:
+                 (request.rank_speed(entry[0].speed_class), entry[0].room.
+                  accelerators, entry[0].room.milli_cores, entry[0].worker_id))
     placed: list[str] = []
     for candidate, count in fitting:
         placed += [candidate.worker_id] * min(count,
@@ -238,10 +260,11 @@
                        racks: Sequence[Sequence[Candidate]]) -> list[str]:
     """Places all tasks in one rack, the one with the fewest accelerators free.
 
-    The rack of the step's data takes precedence.
+    The rack of the step's data takes precedence, then one with workers of a
+    suitable speed. The slowest worker sets the pace of a gang.
     """
     best: list[str] = []
-    best_key: tuple[bool, int] | None = None
+    best_key: tuple[bool, tuple[bool, int], int] | None = None
     for rack in racks:
         if not _has_room(request, rack):
             continue
@@ -249,7 +272,14 @@
         if len(placed) < request.tasks:
             continue
         free = _count_free(rack)
-        key = (rack[0].rack != request.step.data_rack, free)
+        used = set(placed)
+        slowest = max([
+            candidate.speed_class
+            for candidate in rack
+            if candidate.worker_id in used
+        ])
+        key = (rack[0].rack
+               != request.step.data_rack, request.rank_speed(slowest), free)
         if best_key is None or key < best_key:
             best, best_key = placed, key
     return best
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -84,14 +84,15 @@
         percent_s: When the progress last changed.
         checkpoint: Latest checkpoint, or empty.
         demand: Resources that it uses on its worker.
+        resumed: Whether it began from a checkpoint, or its start is not known.
         why: Reason of the stop, for logs.
     """
 
     __slots__ = ("boot_ms", "checkpoint", "demand", "key",
                  "longest_lease_end_s", "percent", "percent_s", "phase",
-                 "retry_s", "run", "since_s", "start_settled", "started_ms",
-                 "started_s", "starts_sent", "stop_acked_s", "tries", "why",
-                 "worker_id")
+                 "resumed", "retry_s", "run", "since_s", "start_settled",
+                 "started_ms", "started_s", "starts_sent", "stop_acked_s",
+                 "tries", "why", "worker_id")
 
     def __init__(self,
                  *,
@@ -122,6 +123,7 @@
         self.percent = 0
         self.percent_s = now_s
         self.checkpoint = checkpoint
+        self.resumed = bool(checkpoint) or phase is Phase.RECOVERING
         self.why = ""
 
     def settle_start(self) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -322,6 +322,35 @@
         The preemption, or None if no preemption makes enough room.
     """
     request = units.build_placement_request(unit)
+    suitable = select_by_speed(unit, candidates)
+    if len(suitable) < len(candidates):
+        preemption = _choose_preemption(unit, request, suitable, running,
+                                        spread)
+        if preemption is not None:
+            return preemption
+    return _choose_preemption(unit, request, candidates, running, spread)
+
+
+def select_by_speed(
+        unit: units.Unit, candidates: Sequence[placement.Candidate]
+) -> Sequence[placement.Candidate]:
+    """Returns the workers on which an urgent unit ends in time.
+
+    The slowest worker sets the pace of a gang. Other units have time to spare
+    and are late rather by waiting.
+    """
+    if unit.priority != workload.URGENT_PRIORITY:
+        return candidates
+    return [
+        candidate for candidate in candidates
+        if candidate.speed_class <= unit.max_speed_class
+    ]
+
+
+def _choose_preemption(unit: units.Unit, request: placement.PlacementRequest,
+                       candidates: Sequence[placement.Candidate],
+                       running: RunningTasks,
+                       spread: bool) -> Preemption | None:
     accelerators = request.step.occupied.accelerators * request.tasks
     groups = [
         (_sum_supply(group_candidates, running,
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -22,6 +22,7 @@
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import trials
 from trefoilroad_jobs import units
+from trefoilroad_jobs import worker_speeds
 from trefoilroad_jobs import workload
 
 Phase = progress.Phase
@@ -59,16 +60,22 @@
 class RoundScheduler:
     """Plans rounds for all services."""
 
-    def __init__(self, *, estimator: estimate.Estimator,
-                 round_planner: planner.Planner, bounds: limits.Limits):
+    def __init__(self,
+                 *,
+                 estimator: estimate.Estimator,
+                 round_planner: planner.Planner,
+                 bounds: limits.Limits,
+                 speeds: worker_speeds.WorkerSpeeds | None = None):
         """Creates a scheduler without holds.
 
         Args:
             estimator: Estimates run times and sizes of jobs.
             round_planner: Its order is used for the planner of each service.
             bounds: Time limits of the leader.
+            speeds: Speeds of the workers; all are usual if absent.
         """
         self._estimator = estimator
+        self._speeds = speeds or worker_speeds.WorkerSpeeds()
         self._new_planner = round_planner.create_empty
         self._planners: dict[str, planner.Planner] = {}
         self._bounds = bounds
@@ -207,6 +214,9 @@
         extra_ms = job_workload.objective_ms
         if queue is not None:
             extra_ms = queue.objective_ms
+        priority = self._find_priority(inputs, job)
+        objective_s = eligible_s + slack * critical_path_s + extra_ms / 1000.0
+        remaining_s = self._estimate_remaining_s(job, occurrence, number)
         return units.Unit(
             job_id=job.job_id,
             occurrence=occurrence,
@@ -217,11 +227,10 @@
             if step.max_per_worker else {},
             service=job_workload.service if queue is None else queue.service,
             team=job_workload.team,
-            priority=job_workload.priority if queue is None else queue.priority,
+            priority=priority,
             accepted_s=eligible_s,
-            objective_s=eligible_s + slack * critical_path_s +
-            extra_ms / 1000.0,
-            remaining_s=self._estimate_remaining_s(job, occurrence, number),
+            objective_s=objective_s,
+            remaining_s=remaining_s,
             remaining_core_s=self._estimate_remaining_core_s(job, occurrence),
             size_ratio=self._estimator.compare_size(job_workload),
             guaranteed=False,
@@ -231,7 +240,11 @@
             retry=any(
                 self._avoids_failing(state, index, inputs.now_s)
                 for index in waiting),
-            idle=not _is_running(inputs, job))
+            idle=not _is_running(inputs, job),
+            max_speed_class=worker_speeds.find_max_class(
+                objective_s - inputs.now_s,
+                remaining_s,
+                is_urgent=priority == workload.URGENT_PRIORITY))
 
     def _avoids_failing(self, state: progress.StepProgress, index: int,
                         now_s: float) -> bool:
@@ -302,14 +315,15 @@
             if worker.worker_id in withheld:
                 access = service_trials.find_access(tracked, inputs.now_s)
             candidates.append(
-                placement.Candidate(worker_id=worker.worker_id,
-                                    rack=worker.rack,
-                                    labels=worker.labels,
-                                    room=worker.capacity.minus(
-                                        tracked.occupied),
-                                    capacity=worker.capacity,
-                                    failing=tracked.has_failed(inputs.now_s),
-                                    withheld=access))
+                placement.Candidate(
+                    worker_id=worker.worker_id,
+                    rack=worker.rack,
+                    labels=worker.labels,
+                    room=worker.capacity.minus(tracked.occupied),
+                    capacity=worker.capacity,
+                    failing=tracked.has_failed(inputs.now_s),
+                    speed_class=self._speeds.get_class(worker.worker_id),
+                    withheld=access))
         return candidates
 
     # Possible victims.
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -67,6 +67,7 @@
 })
 
 OnEnd = Callable[[progress.Claim, ports.EndState | None, str], None]
+OnProgress = Callable[[progress.Claim], None]
 
 _log = structlog.get_logger()
 
@@ -79,9 +80,8 @@
                  ledger: ledgers.Ledger, bounds: limits.Limits,
                  prior_leases_end_s: float, prior_released: bool,
                  find_job: Callable[[str], progress.Job | None], on_end: OnEnd,
-                 on_change: Callable[[],
-                                     None], on_newer_leader: Callable[[str],
-                                                                      None]):
+                 on_progress: OnProgress, on_change: Callable[[], None],
+                 on_newer_leader: Callable[[str], None]):
         """Creates a tracker without runs; `begin_polling` starts the calls.
 
         Args:
@@ -97,6 +97,7 @@
                 which it does only if no start of its runs is in doubt.
             find_job: Finds a job by id.
             on_end: Called with each run that has provably ended.
+            on_progress: Called with each run whose progress has changed.
             on_change: Called when a new round may be needed.
             on_newer_leader: Called with a reason when a worker has been called
                 by a newer leader.
@@ -113,6 +114,7 @@
             bounds.max_lease_s)
         self._find_job = find_job
         self._on_end = on_end
+        self._on_progress = on_progress
         self._on_change = on_change
         self._on_newer_leader = on_newer_leader
         self._closed = False
@@ -739,6 +741,7 @@
         if task.percent != claim.percent:
             claim.percent = task.percent
             claim.percent_s = now_s
+            self._on_progress(claim)
         if claim.phase is Phase.RUNNING:
             self._check_progress(tracked, claim, now_s)
 
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -54,6 +54,7 @@
             with recent failures are avoided.
         idle: Whether nothing of the job runs, so that it does not wait long
             for workers that it only prefers.
+        max_speed_class: Slowest class of workers on which it ends in time.
     """
 
     job_id: str
@@ -74,6 +75,7 @@
     reclaim_s: float = 0.0
     retry: bool = False
     idle: bool = False
+    max_speed_class: int = 0
 
     @property
     def key(self) -> UnitKey:
@@ -140,12 +142,14 @@
     A unit that a guarantee covers is placed whole as long as it can be, so that
     what is preempted for it lets all of it start.
     """
-    return placement.PlacementRequest(step=unit.step,
-                                      tasks=len(unit.indexes),
-                                      all_or_nothing=unit.step.gang or
-                                      unit.guaranteed,
-                                      used_by_worker=unit.used_by_worker,
-                                      avoid_failing=unit.retry)
+    return placement.PlacementRequest(
+        step=unit.step,
+        tasks=len(unit.indexes),
+        all_or_nothing=unit.step.gang or unit.guaranteed,
+        used_by_worker=unit.used_by_worker,
+        avoid_failing=unit.retry,
+        max_speed_class=unit.max_speed_class,
+        prefers_fast=unit.priority == workload.URGENT_PRIORITY)
 
 
 def compute_worth(priority: int, size_ratio: float) -> float:
--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -101,6 +101,7 @@
         guaranteed_share: Share of the accelerators of the fleet that is
             guaranteed to teams.
         team_count: Number of teams.
+        slownesses: Factors of the run times on the workers, in turn.
     """
 
     kinds: tuple[JobKind, ...]
@@ -110,6 +111,7 @@
     per_rack: int = 8
     guaranteed_share: float = 0.62
     team_count: int = 4
+    slownesses: tuple[float, ...] = (1.0,)
 
 
 def _make_queue(name: str, priority: int, slack: float,
@@ -234,6 +236,14 @@
                     (Burst(1, 4.4, 6.0, 2.3),),
                     1.0,
                     worker_count=16),
+    # Workers of three speeds, and urgent work with little time to spare.
+    "uneven-workers":
+        LoadPattern((DETECT._replace(rate_per_s=0.2, initial_jobs=4),
+                     RENDER._replace(rate_per_s=0.8, estimate_error=0.2),
+                     INDEX._replace(rate_per_s=0.2, initial_jobs=4)), (),
+                    1.0,
+                    per_rack=12,
+                    slownesses=(0.6, 1.0, 1.6)),
     "bulk-flood":
         LoadPattern(KINDS, (Burst(2, 2.0, 6.6, 5.0),), 1.0),
 }
@@ -402,6 +412,9 @@
         site_node.workers.command_loss_probability = command_loss
         site_node.workers.report_loss_probability = report_loss
         site_node.workers.lost_call_delay_s = LATE_EXECUTION_S
+    for number, worker_state in enumerate(site.worker_states.values()):
+        worker_state.slowness = pattern.slownesses[number %
+                                                   len(pattern.slownesses)]
     for job in jobs:
         site.clock.schedule(
             1.0 + job.at_s,
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -83,6 +83,7 @@
         percent: Progress that all runs report in percent; None to report
             the progress of each run.
         clock_rate: Seconds of the worker's clock in a second.
+        slowness: Factor of the run times of all tasks.
         draining: Whether the worker registers itself as draining.
         boot_ms: Start of the worker process in Unix milliseconds.
         runs: Runs in progress by the name of the task.
@@ -119,6 +120,7 @@
         self.hangs = False
         self.percent: int | None = None
         self.clock_rate = 0.99
+        self.slowness = 1.0
         self.draining = False
         self._clock = virtual_clock
         self._history = history
@@ -209,7 +211,7 @@
             return self._answer(ports.Verdict.NO_ROOM)
         self._extend_lease(command.lease_until_ms)
         now_s = self._clock.now_s
-        duration_s = 0.2 if self.fails else behaviour.run_s
+        duration_s = (0.2 if self.fails else behaviour.run_s * self.slowness)
         self.runs[name] = _Run(run=command.run,
                                demand=behaviour.demand,
                                started_s=now_s,
