Send no starts into evacuated domains, or to workers that have changed

Cause: nothing kept tasks from the workers of a failure domain that operators empty.

Change: each node keeps the set of evacuated domains with the age of its last reading; the leader gets both after each reading. Rounds leave out workers of these domains, also from resting ones, and drop reservations on them; suspects are counted among the other workers. If no start was sent, the claim ends as not run, without a failure; else the run is stopped, with its gang. The claims of one transaction are checked before any of them is sent, so that no part of a gang is started. With evacuation_s, nothing starts while the last reading is older. Log lines, gauges and the reason "evacuated" of withheld workers show what is held up. test_workers_withheld covers the new reason.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -10,6 +10,7 @@
 from trefoilroad_jobs import admission
 from trefoilroad_jobs import configuration as configurations
 from trefoilroad_jobs import estimate
+from trefoilroad_jobs import evacuation_monitor
 from trefoilroad_jobs import fleet
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
@@ -102,11 +103,15 @@
                                      prior_leases_end_s=prior_leases_end_s,
                                      prior_released=prior_released,
                                      find_job=self.jobs.get,
+                                     check_start=self._check_start,
                                      on_end=self._handle_run_end,
                                      on_change=self._request_round,
                                      on_newer_leader=on_newer_leader)
         self._wait_monitor = wait_monitor.WaitMonitor(metrics=metrics,
                                                       now_s=timers.read_clock())
+        self._evacuation_monitor = evacuation_monitor.EvacuationMonitor(
+            metrics=metrics, timers=timers, max_age_s=bounds.evacuation_s)
+        self._evacuations = self._evacuation_monitor.evacuations
         self._starting = True
         self._round_planned = False
         self._last_round_s = float("-inf")
@@ -125,6 +130,7 @@
         self._runs.close()
         self._ledger.close()
         self._wait_monitor.close()
+        self._evacuation_monitor.close()
 
     def stop_starting(self) -> None:
         """Places no more tasks; running ones are still tracked."""
@@ -261,6 +267,22 @@
         self._queues = configuration.index_queues()
         self._request_round()
 
+    def update_evacuations(self,
+                           domains: frozenset[str],
+                           fresh_s: float,
+                           version: int = 0) -> None:
+        """Replaces the evacuated failure domains.
+
+        Args:
+            domains: The evacuated failure domains.
+            fresh_s: Time up to which all changes of them are known, in seconds.
+            version: Version of the store that was read.
+        """
+        if self._evacuations.update(domains, fresh_s, version,
+                                    self._timers.read_clock()):
+            self._check_evacuations()
+            self._request_round()
+
     # Queries.
 
     def get_state(self, job_id: str) -> progress.JobState | None:
@@ -463,7 +485,8 @@
             return
         started_s = self._timers.read_clock()
         self._last_round_s = started_s
-        if self._ledger.store_failing:
+        if (self._ledger.store_failing or
+                self._evacuations.find_obstacle(started_s)):
             return
         self._wait_monitor.record_round(started_s)
         self._health.update(started_s, len(self._fleet.tracked_workers))
@@ -475,7 +498,8 @@
                               configuration=self._configuration,
                               queues=self._queues,
                               quarantined=self._health.find_workers(
-                                  health.Status.QUARANTINED)))
+                                  health.Status.QUARANTINED),
+                              evacuated=self._evacuations.domains))
         for start in plan.starts:
             self._start_unit(start, started_s)
         for victim in plan.stops:
@@ -483,8 +507,20 @@
         self._round_duration_s = self._timers.read_clock() - started_s
         self._metrics.time("round", self._round_duration_s)
 
+    def _check_start(self, tracked: fleet.TrackedWorker,
+                     claim: progress.Claim) -> str:
+        """Returns why the start of a claim must not be sent now, or nothing."""
+        job = self.jobs[claim.key.job_id]
+        return self._evacuation_monitor.check_start(tracked, claim,
+                                                    job.workload, self._queues)
+
+    def _check_evacuations(self) -> None:
+        if self.ready:
+            self._evacuation_monitor.check(self._fleet, self._configuration)
+
     def _check_waits(self) -> None:
         """Logs and counts the jobs that have nothing running."""
+        self._check_evacuations()
         self._wait_monitor.check(
             self._active_jobs,
             waits.Snapshot(now_s=self._timers.read_clock(),
@@ -498,7 +534,10 @@
                            quarantined=self._health.find_workers(
                                health.Status.QUARANTINED),
                            prior_leases_end_s=self._runs.prior_leases_end_s,
-                           held=self._rounds.list_held_room()))
+                           held=self._rounds.list_held_room(),
+                           evacuated=self._evacuations.domains,
+                           start_obstacle=self._evacuations.find_obstacle(
+                               self._timers.read_clock())))
 
     def _start_unit(self, start: units.Start, now_s: float) -> None:
         unit = start.unit
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -1,5 +1,6 @@
 """The leader's view of the workers: leases, restarts and failures."""
 
+from collections.abc import Container
 from collections.abc import Iterator
 
 from trefoilroad_jobs import ports
@@ -407,14 +408,23 @@
             del self.tracked_workers[tracked.worker.worker_id]
         return removed
 
-    def find_suspects(self, service: str, now_s: float) -> frozenset[str]:
+    def find_suspects(
+        self, service: str, now_s: float,
+        evacuated: Container[str] = ()) -> frozenset[str]:
         """Returns the ids of suspected workers, which get no new runs.
 
         Returns none if too many workers of the service are suspected.
+
+        Args:
+            service: The service.
+            now_s: Current time in seconds.
+            evacuated: Evacuated failure domains. Their workers get no new runs
+                in any case, so they are not counted.
         """
         tracked_workers = [
             tracked for tracked in self.list_tracked_workers(service)
-            if tracked.registered
+            if tracked.registered and
+            tracked.worker.failure_domain not in evacuated
         ]
         suspected = frozenset(tracked.worker.worker_id
                               for tracked in tracked_workers
--- a/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
+++ b/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
@@ -6,6 +6,7 @@
 reservations, while a worker that is about to leave the fleet drains on its own.
 """
 
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -43,6 +44,12 @@
             if key not in waiting:
                 del self._workers[key]
 
+    def release_workers(self, workers: Container[str]) -> None:
+        """Drops the reservations that include one of some workers."""
+        for key, reserved in list(self._workers.items()):
+            if any(worker in workers for worker in reserved):
+                del self._workers[key]
+
     def drop(self, key: units.UnitKey) -> None:
         """Drops the reservation of a unit, if it has one."""
         self._workers.pop(key, None)
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -1,6 +1,7 @@
 """A node without its sockets: intake for callers, dispatcher if it leads."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import itertools
 import random
 from typing import Any
@@ -58,6 +59,8 @@
         workers_table: Table of the registered workers.
         decode_configuration: Decodes the rows of the configuration table;
             returns None if there is no configuration yet.
+        decode_evacuations: Returns the failure domains that the rows of the
+            configuration table ask to evacuate.
         decode_worker: Decodes a registration; returns None if it is not that of
             a worker.
     """
@@ -66,10 +69,13 @@
                  decode_configuration: Callable[[dict[str, bytes]],
                                                 configurations.Configuration |
                                                 None],
+                 decode_evacuations: Callable[[Mapping[str, bytes]],
+                                              frozenset[str]],
                  decode_worker: Callable[[str, bytes], ports.Worker | None]):
         self.config_table = config_table
         self.workers_table = workers_table
         self.decode_configuration = decode_configuration
+        self.decode_evacuations = decode_evacuations
         self.decode_worker = decode_worker
 
 
@@ -130,6 +136,7 @@
         self._metrics = metrics
         self._rng = rng
         self._config_rows: dict[str, bytes] = {}
+        self._evacuations: frozenset[str] = frozenset()
         self._store_ms = 0.0
         self._store_read_s = timers.read_clock()
         self._pending: dict[str, int] = {}
@@ -161,7 +168,8 @@
         self._config_watch = self._start_watch(platform_tables.config_table,
                                                CONFIG_WATCH_WAIT_S,
                                                self._handle_config_snapshot,
-                                               self._handle_config_change)
+                                               self._handle_config_change,
+                                               self._forward_evacuations)
         self._leader_watch = self._start_watch(tables.LEADER_ROW[0],
                                                LEADER_WATCH_WAIT_S,
                                                self._handle_leader_snapshot,
@@ -219,15 +227,20 @@
             _log.warning("leadership not handed over, starts are unanswered")
         self._leadership.release(on_done, announce=not doubtful)
 
-    def _start_watch(self, table: str, wait_s: float, on_snapshot: watch.OnRows,
-                     on_change: watch.OnRows) -> watch.Watch:
+    def _start_watch(self,
+                     table: str,
+                     wait_s: float,
+                     on_snapshot: watch.OnRows,
+                     on_change: watch.OnRows,
+                     on_fresh: watch.OnFresh | None = None) -> watch.Watch:
         table_watch = watch.Watch(table=table,
                                   store=self._store,
                                   timers=self._timers,
                                   rng=self._rng,
                                   wait_s=wait_s,
                                   on_snapshot=on_snapshot,
-                                  on_change=on_change)
+                                  on_change=on_change,
+                                  on_fresh=on_fresh)
         table_watch.begin()
         return table_watch
 
@@ -248,6 +261,8 @@
     def _handle_config_change(self, rows: ports.Rows) -> None:
         self._update_store_clock(rows)
         watch.merge_rows(self._config_rows, rows.rows)
+        self._evacuations = self._platform_tables.decode_evacuations(
+            self._config_rows)
         configuration = self._platform_tables.decode_configuration(
             self._config_rows)
         if (configuration is None or
@@ -263,6 +278,12 @@
         if self._dispatcher is not None:
             self._dispatcher.update_configuration(configuration)
 
+    def _forward_evacuations(self, fresh_s: float, version: int) -> None:
+        """Passes on the evacuations, also if a reading shows no change."""
+        if self._dispatcher is not None:
+            self._dispatcher.update_evacuations(self._evacuations, fresh_s,
+                                                version)
+
     def _handle_leader_snapshot(self, rows: ports.Rows) -> None:
         if not rows.rows:
             self._leadership.update_leader_row(None, 0)
@@ -303,6 +324,8 @@
         self._ledger = ledger
         self._dispatcher = dispatcher
         dispatcher.update_configuration(self.configuration)
+        self._forward_evacuations(self._config_watch.fresh_s,
+                                  self._config_watch.version)
         self._read_jobs(dispatcher)
 
     def _read_jobs(self, dispatcher: dispatchers.Dispatcher) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -98,14 +98,17 @@
         """Returns a planner of the same order, without holds."""
         return Planner(order=self._order)
 
-    def plan(self,
-             ready: Sequence[units.Unit],
-             candidates: Sequence[placement.Candidate],
-             list_running: Callable[[], reclaim.RunningTasks],
-             now_s: float,
-             headroom_accelerators: float = 0.0,
-             resting: Container[str] = (),
-             lowest_priority: int | None = None) -> units.Plan:
+    def plan(
+        self,
+        ready: Sequence[units.Unit],
+        candidates: Sequence[placement.Candidate],
+        list_running: Callable[[], reclaim.RunningTasks],
+        now_s: float,
+        headroom_accelerators: float = 0.0,
+        resting: Container[str] = (),
+        lowest_priority: int | None = None,
+        evacuated: Container[str] = ()
+    ) -> units.Plan:
         """Plans a round for one service.
 
         Args:
@@ -123,6 +126,9 @@
                 again. Holds on them are kept.
             lowest_priority: Priority of the least urgent queue of the service,
                 None if it is not known. Its units preempt nothing.
+            evacuated: Ids of workers that stay excluded until an operator
+                allows them again. Gang reservations on them are dropped at
+                once.
 
         Returns:
             The plan.
@@ -139,6 +145,7 @@
         self._headroom_workers = headroom.choose_workers(
             usable, headroom_accelerators, list(withheld.values()))
         self._lowest_priority = lowest_priority
+        self._gang_reservations.release_workers(evacuated)
         self._drop_stale_holds(ready, by_id, resting, now_s)
         round_state = _RoundState(candidates=by_id,
                                   withheld=withheld,
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -13,6 +13,7 @@
 
 from trefoilroad_jobs import configuration as configurations
 from trefoilroad_jobs import estimate
+from trefoilroad_jobs import evacuation
 from trefoilroad_jobs import fleet as fleets
 from trefoilroad_jobs import headroom
 from trefoilroad_jobs import limits
@@ -45,6 +46,7 @@
         configuration: Configuration in force.
         queues: Queues of the configuration, by name.
         quarantined: Ids of workers that are withheld, as runs fail there.
+        evacuated: Evacuated failure domains.
     """
 
     now_s: float
@@ -54,6 +56,7 @@
     configuration: configurations.Configuration
     queues: Mapping[str, configurations.Queue]
     quarantined: frozenset[str]
+    evacuated: frozenset[str] = frozenset()
 
 
 class RoundScheduler:
@@ -94,6 +97,8 @@
         """Plans one round for each service and joins the plans."""
         self._densities = {}
         ready: dict[str, list[units.Unit]] = collections.defaultdict(list)
+        evacuated_workers = evacuation.find_workers(inputs.fleet,
+                                                    inputs.evacuated)
         for unit in self._collect_ready_units(inputs):
             ready[unit.service].append(unit)
         combined_plan = units.Plan([], [])
@@ -118,7 +123,8 @@
                 lowest_priority=max((queue.priority
                                      for queue in inputs.queues.values()
                                      if queue.service == service),
-                                    default=None))
+                                    default=None),
+                evacuated=evacuated_workers)
             tried = {
                 worker_id for start in plan.starts
                 for worker_id in start.workers
@@ -288,7 +294,7 @@
                           service: str) -> list[placement.Candidate]:
         candidates = []
         withheld = inputs.quarantined | inputs.fleet.find_suspects(
-            service, inputs.now_s)
+            service, inputs.now_s, inputs.evacuated)
         service_trials = self._trials[service]
         service_trials.retain(withheld)
         for tracked in inputs.fleet.list_tracked_workers(service):
@@ -296,7 +302,8 @@
             if (not tracked.registered or worker.draining or
                     not tracked.contacted or not tracked.may_get_lease or
                     tracked.silent_since_s < float("inf") or
-                    tracked.paused_until_s > inputs.now_s):
+                    tracked.paused_until_s > inputs.now_s or
+                    worker.failure_domain in inputs.evacuated):
                 continue
             access = None
             if worker.worker_id in withheld:
@@ -380,7 +387,8 @@
     """Returns the ids of workers that get no runs for a moment only."""
     return frozenset(tracked.worker.worker_id
                      for tracked in inputs.fleet.list_tracked_workers(service)
-                     if tracked.is_resting(inputs.now_s))
+                     if tracked.is_resting(inputs.now_s) and
+                     tracked.worker.failure_domain not in inputs.evacuated)
 
 
 def _is_running(inputs: RoundInput, job: progress.Job) -> bool:
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -67,6 +67,7 @@
 })
 
 OnEnd = Callable[[progress.Claim, ports.EndState | None, str], None]
+CheckStart = Callable[[fleets.TrackedWorker, progress.Claim], str]
 
 _log = structlog.get_logger()
 
@@ -78,7 +79,8 @@
                  workers: ports.Workers, timers: timer.Timers,
                  ledger: ledgers.Ledger, bounds: limits.Limits,
                  prior_leases_end_s: float, prior_released: bool,
-                 find_job: Callable[[str], progress.Job | None], on_end: OnEnd,
+                 find_job: Callable[[str], progress.Job | None],
+                 check_start: CheckStart, on_end: OnEnd,
                  on_change: Callable[[],
                                      None], on_newer_leader: Callable[[str],
                                                                       None]):
@@ -96,6 +98,8 @@
             prior_released: Whether the leader before released the leadership,
                 which it does only if no start of its runs is in doubt.
             find_job: Finds a job by id.
+            check_start: Returns why the start of a claim must not be
+                sent now, or an empty text.
             on_end: Called with each run that has provably ended.
             on_change: Called when a new round may be needed.
             on_newer_leader: Called with a reason when a worker has been called
@@ -112,6 +116,7 @@
         self._longest_lease_s = fleets.compute_lease_duration_s(
             bounds.max_lease_s)
         self._find_job = find_job
+        self._check_start = check_start
         self._on_end = on_end
         self._on_change = on_change
         self._on_newer_leader = on_newer_leader
@@ -336,10 +341,15 @@
             return
         now_s = self._timers.read_clock()
         for claim in claims:
-            tracked = self._fleet.tracked_workers.get(claim.worker_id)
-            if tracked is None or tracked.claims.get(claim.key) is not claim:
-                # Its worker was lost before the claim was durable.
+            # Before any start is sent: if one task of a gang is withheld, its
+            # others are then stopped unsent.
+            if claim.phase is Phase.CLAIMING and self._is_tracked(claim):
+                self._withhold_start(claim)
+        for claim in claims:
+            if not self._is_tracked(claim):
+                # Withheld, or its worker was lost before the claim was durable.
                 continue
+            tracked = self._fleet.tracked_workers[claim.worker_id]
             if claim.phase is Phase.CLAIMING:
                 self._keys_by_name[self._workers.format_name(
                     claim.key)] = claim.key
@@ -352,7 +362,39 @@
             elif claim.phase is Phase.STOPPING:
                 self._end_run(claim, None, claim.why)
 
+    def _is_tracked(self, claim: progress.Claim) -> bool:
+        tracked = self._fleet.tracked_workers.get(claim.worker_id)
+        return tracked is not None and tracked.claims.get(claim.key) is claim
+
+    def _withhold_start(self, claim: progress.Claim) -> bool:
+        """Ends or stops a run whose start must not be sent now.
+
+        Returns:
+            Whether the start is withheld.
+        """
+        tracked = self._fleet.tracked_workers[claim.worker_id]
+        obstacle = self._check_start(tracked, claim)
+        if not obstacle:
+            return False
+        if claim.starts_sent:
+            # An earlier start may have taken effect, or may still do so.
+            for member in self._list_gang(claim):
+                self.stop(member, obstacle)
+        else:
+            self._end_run(claim, None, obstacle)
+        return True
+
+    def _list_gang(self, claim: progress.Claim) -> list[progress.Claim]:
+        """Returns the runs that make sense only together with a run."""
+        job = self._find_job(claim.key.job_id)
+        if job is None or not job.workload.steps[claim.key.step].gang:
+            return [claim]
+        step = job.get_step(claim.key.occurrence, claim.key.step)
+        return list(step.claims.values())
+
     def _send_start(self, claim: progress.Claim, payload: str) -> None:
+        if self._withhold_start(claim):
+            return
         tracked = self._fleet.tracked_workers[claim.worker_id]
         now_s = self._timers.read_clock()
         claim.tries += 1
--- a/packages/jobs/src/trefoilroad_jobs/waits.py
+++ b/packages/jobs/src/trefoilroad_jobs/waits.py
@@ -37,6 +37,7 @@
     """Why a registered worker gets no new runs."""
 
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     NOT_CONTACTED = "not contacted"
     SILENT = "silent"
     LEASES_RECORDED = "leases recorded"
@@ -77,6 +78,8 @@
         quarantined: Ids of workers that get no new runs, as runs fail there.
         prior_leases_end_s: When the leases of earlier leaders have ended.
         held: Room that is kept for some units, by service.
+        evacuated: Evacuated failure domains.
+        start_obstacle: Why nothing may start at all, or empty.
     """
 
     now_s: float
@@ -90,6 +93,8 @@
     quarantined: frozenset[str]
     prior_leases_end_s: float
     held: Mapping[str, planner.HeldRoom]
+    evacuated: frozenset[str] = frozenset()
+    start_obstacle: str = ""
 
 
 class ServiceWorkers(NamedTuple):
@@ -124,8 +129,8 @@
 
 
 def find_withholding(tracked: fleets.TrackedWorker, now_s: float,
-                     quarantined: frozenset[str],
-                     suspected: frozenset[str]) -> Withholding | None:
+                     quarantined: frozenset[str], suspected: frozenset[str],
+                     evacuated: frozenset[str]) -> Withholding | None:
     """Returns why a registered worker gets no new runs, or None if it may.
 
     Args:
@@ -133,10 +138,13 @@
         now_s: Current time in seconds.
         quarantined: Ids of the workers in quarantine.
         suspected: Ids of the suspected workers that are not used.
+        evacuated: Evacuated failure domains.
     """
     worker = tracked.worker
     if worker.draining:
         return Withholding.DRAINING
+    if worker.failure_domain in evacuated:
+        return Withholding.EVACUATED
     if tracked.silent_since_s < float("inf"):
         return Withholding.SILENT
     if not tracked.contacted:
@@ -155,7 +163,7 @@
 def list_workers(snapshot: Snapshot, service: str) -> ServiceWorkers:
     """Returns the registered workers of a service."""
     now_s = snapshot.now_s
-    suspected = snapshot.fleet.find_suspects(service, now_s)
+    suspected = snapshot.fleet.find_suspects(service, now_s, snapshot.evacuated)
     workers = ServiceWorkers([], {}, [])
     for tracked in snapshot.fleet.list_tracked_workers(service):
         if not tracked.registered:
@@ -170,7 +178,7 @@
                                         failing=tracked.has_failed(now_s))
         workers.candidates.append(candidate)
         withholding = find_withholding(tracked, now_s, snapshot.quarantined,
-                                       suspected)
+                                       suspected, snapshot.evacuated)
         if withholding is None:
             workers.usable.append(candidate)
         else:
@@ -262,6 +270,8 @@
             return Reason.ROUNDS_SUSPENDED, {"why": "the store does not answer"}
         if not snapshot.starting:
             return Reason.ROUNDS_SUSPENDED, {"why": "planned stop"}
+        if snapshot.start_obstacle:
+            return Reason.ROUNDS_SUSPENDED, {"why": snapshot.start_obstacle}
         service = self.get_service(job)
         held = snapshot.held.get(service, planner.NOTHING_HELD)
         if (job.job_id, occurrence, number) in held.holds:
--- a/packages/jobs/src/trefoilroad_jobs/watch.py
+++ b/packages/jobs/src/trefoilroad_jobs/watch.py
@@ -14,6 +14,7 @@
 WATCH_RETRY_MAX_S = 0.6
 
 OnRows = Callable[[ports.Rows], None]
+OnFresh = Callable[[float, int], None]
 
 _log = structlog.get_logger()
 
@@ -26,9 +27,16 @@
             minus infinity before the first result.
     """
 
-    def __init__(self, *, table: str, store: ports.Store, timers: timer.Timers,
-                 rng: random.Random, wait_s: float, on_snapshot: OnRows,
-                 on_change: OnRows):
+    def __init__(self,
+                 *,
+                 table: str,
+                 store: ports.Store,
+                 timers: timer.Timers,
+                 rng: random.Random,
+                 wait_s: float,
+                 on_snapshot: OnRows,
+                 on_change: OnRows,
+                 on_fresh: OnFresh | None = None):
         """Creates a watch; `begin` starts it.
 
         Args:
@@ -40,6 +48,8 @@
             on_snapshot: Gets all rows, at the start and after the store has
                 dropped the changes since the last result.
             on_change: Gets changed rows.
+            on_fresh: Gets the new `fresh_s` and the version of the store after
+                each result, also one without rows.
         """
         self.fresh_s = float("-inf")
         self._table = table
@@ -49,6 +59,7 @@
         self._wait_s = wait_s
         self._on_snapshot = on_snapshot
         self._on_change = on_change
+        self._on_fresh = on_fresh
         self._version: int | None = None
         self._failures = 0
         self._rejections = 0
@@ -58,6 +69,11 @@
         """Requests the content of the table."""
         self._request_rows()
 
+    @property
+    def version(self) -> int:
+        """Version of the store up to which changes are known; 0 before."""
+        return self._version or 0
+
     def close(self) -> None:
         """Ends the watch; no callback is called any more."""
         self._closed = True
@@ -94,27 +110,30 @@
             self._retry(result)
         else:
             self._record_answer()
-            if self._process(result, is_snapshot):
-                self.fresh_s = sent_s
+            if self._process(result, is_snapshot, sent_s):
                 self._version = max(result.version, self._version or 0)
                 self._rejections = 0
                 self._request_rows()
 
-    def _process(self, result: ports.Rows, is_snapshot: bool) -> bool:
-        """Passes rows to the callback.
+    def _process(self, result: ports.Rows, is_snapshot: bool,
+                 sent_s: float) -> bool:
+        """Passes rows to the callbacks.
 
         After an exception, which may have come in the middle of the rows, the
         whole table is read anew after a delay. Otherwise the watch would end
         and its node would act on what it knows by then for ever.
 
         Returns:
-            Whether the callback has processed them.
+            Whether the callbacks have processed them.
         """
         try:
             if is_snapshot:
                 self._on_snapshot(result)
             elif result.rows:
                 self._on_change(result)
+            self.fresh_s = sent_s
+            if self._on_fresh is not None:
+                self._on_fresh(sent_s, result.version)
         except Exception as error:
             self._rejections += 1
             _log.exception("rows cannot be processed, reading anew",
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -203,6 +203,30 @@
     assert len(plan.starts) == len(reservable) - 2
 
 
+def test_reservation_on_an_evacuated_worker_is_dropped():
+    """Guards against a reservation that outlasts the evacuation of a worker.
+
+    It counted against the number of reservations and gave its unit precedence
+    although the unit could not start there.
+    """
+    round_planner = planner.Planner(order=ordering.WorthDensityOrder())
+    gang = _gang("a", 2, objective_s=10.0, remaining_s=5.0)
+    _plan([gang], _candidates(count=24, used=7), round_planner=round_planner)
+    (reserved,) = round_planner.list_held_room().reservations.values()
+    # Its turn does not come in this round, so it reserves no other workers.
+    later = gang._replace(reclaim_s=5.0)
+    candidates = [
+        candidate for candidate in _candidates(count=24, used=7)
+        if candidate.worker_id != reserved[0]
+    ]
+    round_planner.plan([later],
+                       candidates,
+                       lambda: reclaim.RunningTasks(ending=(), victims=()),
+                       1.0,
+                       evacuated=frozenset({reserved[0]}))
+    assert not round_planner.list_held_room().reservations
+
+
 def test_worth_density_order_prefers_dense_work():
     """Guards against large or late units that delay small punctual ones."""
     order = ordering.WorthDensityOrder()
--- a/packages/jobs/tests/test_waits.py
+++ b/packages/jobs/tests/test_waits.py
@@ -186,6 +186,9 @@
     reason, details = _explain(_make_job(), workers, starting=False)
     assert reason is waits.Reason.ROUNDS_SUSPENDED
     assert details["why"] == "planned stop"
+    reason, details = _explain(_make_job(), workers, start_obstacle="not read")
+    assert reason is waits.Reason.ROUNDS_SUSPENDED
+    assert details["why"] == "not read"
 
 
 @pytest.mark.parametrize("gang", [False, True])
@@ -247,7 +250,12 @@
             quarantined = frozenset({"w0"})
         case waits.Withholding.SUSPECTED:
             tracked.suspect_until_s = NOW_S + 1.0
-    snapshot = _make_snapshot([tracked, *others], quarantined=quarantined)
+        case waits.Withholding.EVACUATED:
+            tracked.worker = tracked.worker._replace(failure_domain="a")
+    evacuated = frozenset({"a"})
+    snapshot = _make_snapshot([tracked, *others],
+                              quarantined=quarantined,
+                              evacuated=evacuated)
     wait = waits.Explainer(snapshot=snapshot).explain(_make_job())
     assert wait.reason is waits.Reason.WORKERS_WITHHELD
     assert wait.details == {"workers": 4, "withheld": {str(withholding): 1}}
@@ -263,7 +271,8 @@
                           fleet=snapshot.fleet,
                           configuration=configurations.EMPTY,
                           queues={},
-                          quarantined=quarantined), "service")
+                          quarantined=quarantined,
+                          evacuated=evacuated), "service")
     assert [
         candidate.worker_id
         for candidate in candidates
--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from trefoilroad_jobs import configuration as configurations
+from trefoilroad_jobs import evacuation
 from trefoilroad_jobs import intake
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import node as nodes
@@ -102,6 +103,7 @@
                 config_table="config",
                 workers_table="workers",
                 decode_configuration=site.decode_configuration,
+                decode_evacuations=site.decode_evacuations,
                 decode_worker=site.decode_worker),
             store=self.store,
             workers=self.workers,
@@ -230,6 +232,22 @@
             return None
         return self.configuration._replace(version=int(content["config"]))
 
+    def decode_evacuations(self, content: Mapping[str,
+                                                  bytes]) -> frozenset[str]:
+        """Decodes the requests to evacuate failure domains."""
+        return frozenset(
+            key.removeprefix(evacuation.KEY_PREFIX)
+            for key in content
+            if key.startswith(evacuation.KEY_PREFIX))
+
+    def evacuate(self, domain: str) -> None:
+        """Asks the nodes to evacuate a failure domain."""
+        self.tables.put("config", evacuation.KEY_PREFIX + domain, b"")
+
+    def withdraw_evacuation(self, domain: str) -> None:
+        """Takes back a request to evacuate a failure domain."""
+        self.tables.put("config", evacuation.KEY_PREFIX + domain, None)
+
     def decode_worker(self, key: str, value: bytes) -> ports.Worker | None:
         """Decodes the registration of a worker."""
         draining, boot_ms = cbor2.loads(value)
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -84,6 +84,8 @@
             the progress of each run.
         clock_rate: Seconds of the worker's clock in a second.
         draining: Whether the worker registers itself as draining.
+        service: Service that the worker belongs to.
+        failure_domain: Failure domain of the worker.
         boot_ms: Start of the worker process in Unix milliseconds.
         runs: Runs in progress by the name of the task.
         unacknowledged_ends: Ends of runs that no leader has acknowledged.
@@ -120,6 +122,8 @@
         self.percent: int | None = None
         self.clock_rate = 0.99
         self.draining = False
+        self.service = "service"
+        self.failure_domain = "zone"
         self._clock = virtual_clock
         self._history = history
         self._get_behaviour = get_behaviour
@@ -147,8 +151,8 @@
         """Returns the registration of the worker."""
         return ports.Worker(worker_id=self.worker_id,
                             address=f"{self.worker_id}:1",
-                            service="service",
-                            failure_domain="zone",
+                            service=self.service,
+                            failure_domain=self.failure_domain,
                             rack=self.rack,
                             labels=self.labels | {self.rack},
                             capacity=self.capacity,
