Keep images that slow each other down on different workers

Cause: tasks of some images slow each other down on one worker, and placement packs them together. Change: interference estimates the slow-down of each pair of images from the progress of runs; pack puts workers with the other image last, before the last whole workers. Steps without an image are not affected.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -11,6 +11,8 @@
 from trefoilroad_jobs import configuration as configurations
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet
+from trefoilroad_jobs import interference
+from trefoilroad_jobs import interference_monitor
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import planner
@@ -90,9 +92,17 @@
         self._fleet = fleet.Fleet()
         self._health = health.Health()
         self._estimator = estimate.Estimator()
+        disturbances = interference.InterferenceEstimator()
+        self._interference = interference_monitor.InterferenceMonitor(
+            estimator=disturbances,
+            fleet=self._fleet,
+            metrics=metrics,
+            find_job=self.jobs.get,
+            enabled=bounds.keep_images_apart)
         self._rounds = rounds.RoundScheduler(estimator=self._estimator,
                                              round_planner=round_planner,
-                                             bounds=bounds)
+                                             bounds=bounds,
+                                             disturbances=disturbances)
         self._runs = runs.RunTracker(epoch=epoch,
                                      fleet=self._fleet,
                                      workers=workers,
@@ -104,6 +114,7 @@
                                      find_job=self.jobs.get,
                                      on_end=self._handle_run_end,
                                      on_change=self._request_round,
+                                     on_progress=self._interference.observe,
                                      on_newer_leader=on_newer_leader)
         self._wait_monitor = wait_monitor.WaitMonitor(metrics=metrics,
                                                       now_s=timers.read_clock())
@@ -125,6 +136,7 @@
         self._runs.close()
         self._ledger.close()
         self._wait_monitor.close()
+        self._interference.close()
 
     def stop_starting(self) -> None:
         """Places no more tasks; running ones are still tracked."""
@@ -228,6 +240,7 @@
         self.jobs[job_id] = job
         self._estimator.record_job(accepted)
         self._rounds.record_job(job)
+        self._interference.record_job(accepted)
         if not job.is_final:
             self._active_jobs[job_id] = job
             if self.ready:
@@ -354,6 +367,7 @@
                   how=str(end_state) if end_state else "not run",
                   why=why,
                   ran_s=round(now_s - claim.started_s, 3))
+        self._interference.record_end(claim, end_state, now_s)
         if end_state is ports.EndState.DONE:
             self._handle_completed_run(job, step, claim, now_s)
         elif end_state is ports.EndState.FAILED:
@@ -484,7 +498,8 @@
         self._metrics.time("round", self._round_duration_s)
 
     def _check_waits(self) -> None:
-        """Logs and counts the jobs that have nothing running."""
+        """Logs and counts waiting jobs, and images that are kept apart."""
+        self._interference.check(self._timers.read_clock())
         self._wait_monitor.check(
             self._active_jobs,
             waits.Snapshot(now_s=self._timers.read_clock(),
@@ -505,6 +520,7 @@
         job = self._active_jobs[unit.job_id]
         step = job.get_step(unit.occurrence, unit.step_number)
         indexes = unit.indexes[:len(start.workers)]
+        self._interference.record_start(start)
         run = max(step.last_runs) + 1 if unit.step.gang else 0
         claims = []
         started_ms = round(self._ledger.read_store_ms())
@@ -526,7 +542,8 @@
                 demand=unit.step.occupied,
                 started_ms=started_ms,
                 checkpoint=checkpoint or
-                (step.checkpoints.get(index, "") if not unit.step.gang else ""))
+                (step.checkpoints.get(index, "") if not unit.step.gang else ""),
+                image=unit.step.image)
             step.claims[index] = claim
             tracked.add_claim(claim)
             claims.append(claim)
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -192,6 +192,11 @@
         self.claims[claim.key] = claim
         self.occupied = self.occupied.plus(claim.demand)
 
+    def list_images(self) -> frozenset[str]:
+        """Returns the images of its runs."""
+        return frozenset(
+            [claim.image for claim in self.claims.values() if claim.image])
+
     def remove_claim(self, claim: progress.Claim | None) -> None:
         """Removes a run, unless another one of its task has replaced it."""
         if claim is not None and self.claims.get(claim.key) is claim:
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -52,6 +52,9 @@
         reclaim_lead_s: Time from the stop of a task to the start of another
             on the freed resources: the stop, its report, a commit and the
             start.
+        keep_images_apart: Whether images that slow each other down are placed
+            on different workers where there is room. Steps without an image
+            are not affected.
     """
 
     lease_s: float = 6.0
@@ -76,6 +79,7 @@
     retention_s: float = 150.0
     reclaim_patience_s: float = 0.0
     reclaim_lead_s: float = 0.4
+    keep_images_apart: bool = True
 
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Sequence
 import enum
+import math
 from typing import NamedTuple
 
 from trefoilroad_jobs import workload
@@ -11,6 +12,12 @@
 
 NO_DEMAND = workload.Demand(0, 0, 0)
 
+# Part of the workers at hand, and one at least, that stay whole rather than
+# being broken to keep images apart. A task that needs a whole worker waits for
+# a run time or more if there is none, while images that share a worker lose a
+# quarter of their time or somewhat more.
+WHOLE_WORKERS_KEPT = 1 / 8
+
 # Count that stands for "any number" of tasks without demand on one worker.
 UNLIMITED_TASKS = 1_000
 
@@ -37,12 +44,13 @@
         capacity: Total resources.
         failing: Whether runs have failed there recently.
         withheld: How it may be used if it is withheld, else None.
+        images: Images of its runs; empty if no images disturb each other.
         blocked: Free resources that are not part of `room`, as they are kept
             for a gang.
     """
 
-    __slots__ = ("blocked", "capacity", "failing", "labels", "rack", "room",
-                 "withheld", "worker_id")
+    __slots__ = ("blocked", "capacity", "failing", "images", "labels", "rack",
+                 "room", "withheld", "worker_id")
 
     def __init__(self,
                  *,
@@ -52,7 +60,8 @@
                  room: Demand,
                  capacity: Demand,
                  failing: bool = False,
-                 withheld: Access | None = None):
+                 withheld: Access | None = None,
+                 images: frozenset[str] = frozenset()):
         self.worker_id = worker_id
         self.rack = rack
         self.labels = labels
@@ -60,6 +69,7 @@
         self.capacity = capacity
         self.failing = failing
         self.withheld = withheld
+        self.images = images
         self.blocked: Demand = NO_DEMAND
 
     def block(self, demand: Demand) -> None:
@@ -75,7 +85,8 @@
                          room=self.room.plus(self.blocked),
                          capacity=self.capacity,
                          failing=self.failing,
-                         withheld=self.withheld)
+                         withheld=self.withheld,
+                         images=self.images)
 
 
 class PlacementRequest(NamedTuple):
@@ -88,6 +99,8 @@
         used_by_worker: Number of tasks of the step that each worker already
             runs, if the step limits their number; else empty.
         avoid_failing: Whether workers with recent failures are excluded.
+        avoided_images: Images whose workers come last, as they disturb the
+            step or are disturbed by it.
     """
 
     step: workload.Step
@@ -95,6 +108,7 @@
     all_or_nothing: bool
     used_by_worker: dict[str, int]
     avoid_failing: bool = False
+    avoided_images: frozenset[str] = frozenset()
 
     def allows(self, candidate: Candidate) -> bool:
         """Returns whether a worker may be used, apart from free resources."""
@@ -135,7 +149,8 @@
          candidates: Sequence[Candidate]) -> list[str]:
     """Places tasks on the workers with the least free resources first.
 
-    Best fit keeps whole workers free for tasks that need one.
+    Best fit keeps whole workers free for tasks that need one. Workers that run
+    an image to be avoided come after others.
 
     Returns:
         The worker of each task that could be placed.
@@ -144,6 +159,8 @@
         count := _count_on_candidate(request, candidate, candidate.room)) > 0]
     fitting.sort(key=lambda entry: (entry[0].room.accelerators, entry[0].room.
                                     milli_cores, entry[0].worker_id))
+    if request.avoided_images:
+        fitting = _put_disturbing_last(request, fitting, len(candidates))
     placed: list[str] = []
     for candidate, count in fitting:
         placed += [candidate.worker_id] * min(count,
@@ -153,6 +170,31 @@
     return placed
 
 
+def _put_disturbing_last(request: PlacementRequest,
+                         fitting: list[tuple[Candidate, int]],
+                         worker_count: int) -> list[tuple[Candidate, int]]:
+    """Moves workers that run an avoided image behind others.
+
+    The last whole workers come even after these, unless the task needs a whole
+    one. The order inside the groups stays.
+    """
+    others: list[tuple[Candidate, int]] = []
+    disturbing: list[tuple[Candidate, int]] = []
+    whole: list[tuple[Candidate, int]] = []
+    for entry in fitting:
+        candidate = entry[0]
+        if not request.avoided_images.isdisjoint(candidate.images):
+            disturbing.append(entry)
+        elif (request.step.demand.accelerators < candidate.capacity.accelerators
+              == candidate.room.accelerators):
+            whole.append(entry)
+        else:
+            others.append(entry)
+    kept = max(1, math.ceil(worker_count * WHOLE_WORKERS_KEPT))
+    spare = max(0, len(whole) - kept)
+    return others + whole[:spare] + disturbing + whole[spare:]
+
+
 def fits_when_idle(request: PlacementRequest,
                    candidates: Sequence[Candidate]) -> bool:
     """Returns whether all tasks would fit if the workers were idle."""
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -501,6 +501,8 @@
         candidate = candidates.get(worker_id)
         if candidate is not None:
             candidate.room = candidate.room.minus(unit.step.occupied)
+            if unit.avoided_images:
+                candidate.images |= {unit.step.image}
 
 
 def _build_ample_request(
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -85,9 +85,10 @@
         checkpoint: Latest checkpoint, or empty.
         demand: Resources that it uses on its worker.
         why: Reason of the stop, for logs.
+        image: Image of its step, or empty.
     """
 
-    __slots__ = ("boot_ms", "checkpoint", "demand", "key",
+    __slots__ = ("boot_ms", "checkpoint", "demand", "image", "key",
                  "longest_lease_end_s", "percent", "percent_s", "phase",
                  "retry_s", "run", "since_s", "start_settled", "started_ms",
                  "started_s", "starts_sent", "stop_acked_s", "tries", "why",
@@ -103,8 +104,10 @@
                  now_s: float,
                  demand: workloads.Demand,
                  started_ms: int = 0,
-                 checkpoint: str = ""):
+                 checkpoint: str = "",
+                 image: str = ""):
         self.key = key
+        self.image = image
         self.demand = demand
         self.run = run
         self.worker_id = worker_id
@@ -371,7 +374,8 @@
                               now_s=now_s,
                               demand=job.workload.steps[number].occupied,
                               started_ms=started_ms,
-                              checkpoint=checkpoints.get(index, ""))
+                              checkpoint=checkpoints.get(index, ""),
+                              image=job.workload.steps[number].image)
                 if started_ms:
                     claim.started_s -= max(0.0, store_ms - started_ms) / 1000.0
                 step.claims[index] = claim
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -15,6 +15,7 @@
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import fleet as fleets
 from trefoilroad_jobs import headroom
+from trefoilroad_jobs import interference
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
@@ -59,15 +60,23 @@
 class RoundScheduler:
     """Plans rounds for all services."""
 
-    def __init__(self, *, estimator: estimate.Estimator,
-                 round_planner: planner.Planner, bounds: limits.Limits):
+    def __init__(self,
+                 *,
+                 estimator: estimate.Estimator,
+                 round_planner: planner.Planner,
+                 bounds: limits.Limits,
+                 disturbances: interference.InterferenceEstimator |
+                 None = None):
         """Creates a scheduler without holds.
 
         Args:
             estimator: Estimates run times and sizes of jobs.
             round_planner: Its order is used for the planner of each service.
             bounds: Time limits of the leader.
+            disturbances: Estimates which images disturb each other.
         """
+        self._disturbances = (disturbances or
+                              interference.InterferenceEstimator())
         self._estimator = estimator
         self._new_planner = round_planner.create_empty
         self._planners: dict[str, planner.Planner] = {}
@@ -231,7 +240,8 @@
             retry=any(
                 self._avoids_failing(state, index, inputs.now_s)
                 for index in waiting),
-            idle=not _is_running(inputs, job))
+            idle=not _is_running(inputs, job),
+            avoided_images=self._disturbances.find_partners(step.image))
 
     def _avoids_failing(self, state: progress.StepProgress, index: int,
                         now_s: float) -> bool:
@@ -301,6 +311,9 @@
             access = None
             if worker.worker_id in withheld:
                 access = service_trials.find_access(tracked, inputs.now_s)
+            images: frozenset[str] = frozenset()
+            if self._disturbances.has_pairs:
+                images = tracked.list_images()
             candidates.append(
                 placement.Candidate(worker_id=worker.worker_id,
                                     rack=worker.rack,
@@ -309,7 +322,8 @@
                                         tracked.occupied),
                                     capacity=worker.capacity,
                                     failing=tracked.has_failed(inputs.now_s),
-                                    withheld=access))
+                                    withheld=access,
+                                    images=images))
         return candidates
 
     # Possible victims.
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -79,9 +79,10 @@
                  ledger: ledgers.Ledger, bounds: limits.Limits,
                  prior_leases_end_s: float, prior_released: bool,
                  find_job: Callable[[str], progress.Job | None], on_end: OnEnd,
-                 on_change: Callable[[],
-                                     None], on_newer_leader: Callable[[str],
-                                                                      None]):
+                 on_change: Callable[[], None],
+                 on_progress: Callable[[fleets.TrackedWorker, float],
+                                       None], on_newer_leader: Callable[[str],
+                                                                        None]):
         """Creates a tracker without runs; `begin_polling` starts the calls.
 
         Args:
@@ -98,6 +99,8 @@
             find_job: Finds a job by id.
             on_end: Called with each run that has provably ended.
             on_change: Called when a new round may be needed.
+            on_progress: Called with a worker and the time when a report has
+                been processed.
             on_newer_leader: Called with a reason when a worker has been called
                 by a newer leader.
         """
@@ -114,6 +117,7 @@
         self._find_job = find_job
         self._on_end = on_end
         self._on_change = on_change
+        self._on_progress = on_progress
         self._on_newer_leader = on_newer_leader
         self._closed = False
         self._ready = False
@@ -725,6 +729,7 @@
             present.add(key)
             claim.boot_ms = tracked.boot_ms
             self._update_progress(tracked, claim, task, now_s)
+        self._on_progress(tracked, now_s)
         return present
 
     def _update_progress(self, tracked: fleets.TrackedWorker,
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -54,6 +54,7 @@
             with recent failures are avoided.
         idle: Whether nothing of the job runs, so that it does not wait long
             for workers that it only prefers.
+        avoided_images: Images that are better not beside its tasks.
     """
 
     job_id: str
@@ -74,6 +75,7 @@
     reclaim_s: float = 0.0
     retry: bool = False
     idle: bool = False
+    avoided_images: frozenset[str] = frozenset()
 
     @property
     def key(self) -> UnitKey:
@@ -145,7 +147,8 @@
                                       all_or_nothing=unit.step.gang or
                                       unit.guaranteed,
                                       used_by_worker=unit.used_by_worker,
-                                      avoid_failing=unit.retry)
+                                      avoid_failing=unit.retry,
+                                      avoided_images=unit.avoided_images)
 
 
 def compute_worth(priority: int, size_ratio: float) -> float:
--- a/packages/jobs/src/trefoilroad_jobs/workload.py
+++ b/packages/jobs/src/trefoilroad_jobs/workload.py
@@ -62,8 +62,8 @@
         speculative: Whether copies of a task may run; not used yet.
         long_running: Whether the tasks run until the job is cancelled.
         uses_idle_cores: Whether the tasks use only idle processor time.
-        image: What the tasks run; tasks of one image behave alike. Not used
-            yet.
+        image: What the tasks run; tasks of one image behave alike. Images that
+            slow each other down are kept apart where there is room.
         max_unavailable: Most long-running tasks that may be stopped at the same
             time; not used yet.
     """
--- a/packages/standins/src/trefoilroad_standins/jobs/load.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/load.py
@@ -6,9 +6,11 @@
 """
 
 import collections
+from collections.abc import Mapping
 import functools
 import math
 import random
+import statistics
 from typing import NamedTuple
 
 from trefoilroad_jobs import configuration as configurations
@@ -55,6 +57,7 @@
         rate_per_s: Jobs a second.
         initial_jobs: Number of jobs that are submitted before the traffic.
         max_per_worker: Most tasks of a job on one worker, 0 without a limit.
+        image: Image of the tasks, or empty.
     """
 
     queue: configurations.Queue
@@ -71,6 +74,7 @@
     rate_per_s: float
     initial_jobs: int
     max_per_worker: int = 0
+    image: str = ""
 
 
 class Burst(NamedTuple):
@@ -101,6 +105,8 @@
         guaranteed_share: Share of the accelerators of the fleet that is
             guaranteed to teams.
         team_count: Number of teams.
+        slowdowns: Factor of the run time of tasks of an image beside another
+            one, by image and other image.
     """
 
     kinds: tuple[JobKind, ...]
@@ -110,6 +116,7 @@
     per_rack: int = 8
     guaranteed_share: float = 0.62
     team_count: int = 4
+    slowdowns: Mapping[str, dict[str, float]] = {}
 
 
 def _make_queue(name: str, priority: int, slack: float,
@@ -234,6 +241,27 @@
                     (Burst(1, 4.4, 6.0, 2.3),),
                     1.0,
                     worker_count=16),
+    # A fleet with free room, and two images that double the run time of
+    # each other.
+    "disturbing-images":
+        LoadPattern((DETECT._replace(gang=False,
+                                     one_rack_share=0.0,
+                                     accelerators=(1, 2),
+                                     checkpoint_share=0.0,
+                                     initial_jobs=2,
+                                     image="detect"), RENDER,
+                     INDEX._replace(
+                         checkpoint_share=0.0, initial_jobs=2, image="index")),
+                    (),
+                    0.6,
+                    slowdowns={
+                        "detect": {
+                            "index": 2.0
+                        },
+                        "index": {
+                            "detect": 2.0
+                        }
+                    }),
     "bulk-flood":
         LoadPattern(KINDS, (Burst(2, 2.0, 6.6, 5.0),), 1.0),
 }
@@ -301,6 +329,7 @@
                              estimate_ms=int(declared_s * 1000),
                              gang=kind.gang,
                              max_per_worker=kind.max_per_worker,
+                             image=kind.image,
                              one_rack=rng.random() < kind.one_rack_share,
                              checkpoints=rng.random() < kind.checkpoint_share)
         team = rng.choices(range(pattern.team_count), weights)[0]
@@ -350,6 +379,8 @@
         served: Part of the jobs that earned anything.
         wasted: Core-seconds of work that were thrown away.
         stopped: Number of runs that were stopped.
+        run_s: Mean time of the completed runs of each kind in seconds, by
+            queue.
     """
 
     worth: float
@@ -361,6 +392,7 @@
     served: float
     wasted: float
     stopped: int
+    run_s: dict[str, float]
 
 
 def simulate(pattern: LoadPattern,
@@ -398,6 +430,7 @@
                       queues=tuple(kind.queue for kind in pattern.kinds),
                       round_planner=round_planner,
                       bounds=bounds)
+    site.slowdowns = dict(pattern.slowdowns)
     for site_node in site.nodes.values():
         site_node.workers.command_loss_probability = command_loss
         site_node.workers.report_loss_probability = report_loss
@@ -426,6 +459,7 @@
     ended_s: dict[str, float] = {}
     started_s: dict[tuple[str, int], float] = {}
     wasted, stopped = 0.0, 0
+    run_times_s: dict[str, list[float]] = collections.defaultdict(list)
     jobs_by_id = {job.job_id: job for job in jobs}
     for event in site.history:
         job_id = event.name.partition(".")[0]
@@ -434,6 +468,10 @@
         elif event.kind == "done":
             done[job_id].add(event.name)
             ended_s[job_id] = event.at_s
+            kind = pattern.kinds[jobs_by_id[job_id].kind_index]
+            run_times_s[kind.queue.name].append(event.at_s -
+                                                started_s[event.name,
+                                                          event.run])
         elif event.kind == "stopped":
             stopped += 1
             step = jobs_by_id[job_id].step
@@ -497,4 +535,7 @@
              0.15 * min(kinds.values()) + 0.2 * worst_team) / 1.2 - waste_share
     return Result(worth, all_jobs,
                   sum(worst_windows) / 2, kinds, worst_team, largest_jobs,
-                  served, wasted, stopped)
+                  served, wasted, stopped, {
+                      queue: statistics.mean(times)
+                      for queue, times in run_times_s.items()
+                  })
--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -123,6 +123,8 @@
         history: Events of all workers in order.
         worker_states: Workers by identifier.
         behaviours: Behaviour of tasks by "job_id.step".
+        slowdowns: Factor of the run time of tasks of an image beside another
+            one, by image and other image; for jobs submitted later.
         nodes: Nodes by name, also those that were killed.
         replies: Reply to the last call about a job, by job.
         cut_links: Pairs of nodes that cannot reach each other.
@@ -162,6 +164,7 @@
         self.history: list[worker_module.Event] = []
         self.worker_states: dict[str, worker_module.WorkerState] = {}
         self.behaviours: dict[str, worker_module.Behaviour] = {}
+        self.slowdowns: dict[str, dict[str, float]] = {}
         self.nodes: dict[str, SiteNode] = {}
         self.replies: dict[str, intake.Reply] = {}
         self.cut_links: set[frozenset[str]] = set()
@@ -339,7 +342,11 @@
         """
         for number, step in enumerate(steps):
             self.behaviours[f"{job_id}.{number}"] = worker_module.Behaviour(
-                step.occupied, run_s[number], fails)
+                step.occupied,
+                run_s[number],
+                fails,
+                image=step.image,
+                slowdowns=self.slowdowns.get(step.image, {}))
         job = intake.build_workload(queue, team, job_id, "payload",
                                     tuple(steps))
         self.workloads[job_id] = job
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -1,6 +1,7 @@
 """Simulated workers: leases, fencing by epochs, and runs."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import random
 from typing import Any
@@ -15,6 +16,8 @@
 CALL_DELAY_S = 0.001
 # Time between a stop command and the end of the run.
 STOP_DURATION_S = 0.1
+# Time between two steps of the simulation of a worker.
+ADVANCE_INTERVAL_S = 0.05
 # Unix time at the start of the virtual clock, in milliseconds.
 CLOCK_START_MS = 1_700_000_000_000
 
@@ -44,8 +47,10 @@
     """A run in progress on a worker."""
 
     def __init__(self, *, run: int, demand: workload.Demand, started_s: float,
-                 ends_s: float, gang: int):
+                 ends_s: float, gang: int, behaviour: "Behaviour"):
         self.run = run
+        self.behaviour = behaviour
+        self.lost_s = 0.0
         self.demand = demand
         self.started_s = started_s
         self.ends_s = ends_s
@@ -61,11 +66,16 @@
         demand: Resources that a task occupies.
         run_s: Run time of a task in seconds.
         fails: Whether each run ends as failed.
+        image: Image of the step, or empty.
+        slowdowns: Factor of the run time while a run of another image is on the
+            worker, by that image.
     """
 
     demand: workload.Demand
     run_s: float
     fails: bool = False
+    image: str = ""
+    slowdowns: Mapping[str, float] = {}
 
 
 class WorkerState:
@@ -80,6 +90,7 @@
         alive: Whether the worker runs; False after a crash.
         fails: Whether all runs fail soon after their start.
         hangs: Whether runs make no progress.
+        slowness: Factor of the run time of all runs.
         percent: Progress that all runs report in percent; None to report
             the progress of each run.
         clock_rate: Seconds of the worker's clock in a second.
@@ -117,6 +128,7 @@
         self.alive = True
         self.fails = False
         self.hangs = False
+        self.slowness = 1.0
         self.percent: int | None = None
         self.clock_rate = 0.99
         self.draining = False
@@ -125,7 +137,7 @@
         self._get_behaviour = get_behaviour
         self._end_callbacks: list[Callable[[], None]] = []
         self._start_process()
-        self._clock.schedule(0.05, self._advance)
+        self._clock.schedule(ADVANCE_INTERVAL_S, self._advance)
 
     def _start_process(self) -> None:
         self.boot_ms = CLOCK_START_MS + int(self._clock.now_s * 1000)
@@ -214,7 +226,8 @@
                                demand=behaviour.demand,
                                started_s=now_s,
                                ends_s=now_s + duration_s,
-                               gang=0)
+                               gang=0,
+                               behaviour=behaviour)
         self.highest_run[name] = command.run
         self._record("start", name, command.run)
         return self._answer(ports.Verdict.DONE)
@@ -278,13 +291,29 @@
             return self.percent
         if self.hangs:
             return 0
-        total_s = max(0.01, run.ends_s - run.started_s)
-        return min(99, int(100 * (self._clock.now_s - run.started_s) / total_s))
+        total_s = max(0.01, run.ends_s - run.started_s - run.lost_s)
+        worked_s = self._clock.now_s - run.started_s - run.lost_s
+        return min(99, int(100 * worked_s / total_s))
+
+    def _slow_runs(self) -> None:
+        """Delays runs that are slow or beside an image that disturbs them."""
+        images = {run.behaviour.image for run in self.runs.values()}
+        for run in self.runs.values():
+            slowdown = self.slowness * max([
+                factor for image, factor in run.behaviour.slowdowns.items()
+                if image in images
+            ],
+                                           default=1.0)
+            if slowdown != 1.0 and not run.stopping:
+                lost_s = ADVANCE_INTERVAL_S * (1.0 - 1.0 / slowdown)
+                run.lost_s += lost_s
+                run.ends_s += lost_s
 
     def _advance(self) -> None:
-        self._clock.schedule(0.05, self._advance)
+        self._clock.schedule(ADVANCE_INTERVAL_S, self._advance)
         if not self.alive:
             return
+        self._slow_runs()
         now_s = self._clock.now_s
         lapsed = self.clock_ms > self.lease_until_ms
         if lapsed and not self._lease_lapsed:
