Let the test of slow workers show the correction that it guards

Cause: test_slow_workers_are_no_pair passed without the correction for the worker's mean ratio, as it had too few runs. Change: 300 runs, two thirds of them of the judged image.

--- a/packages/jobs/tests/test_interference.py
+++ b/packages/jobs/tests/test_interference.py
@@ -207,10 +207,10 @@
     without it.
     """
     player = _Player(seed=seed)
-    for number in range(150):
+    for number in range(300):
         worker = f"w{number % 4}"
         is_slow = worker in ("w0", "w1")
-        image = player.choose(["a", "c", "d"])
+        image = player.choose(["a", "a", "c"])
         beside = B if is_slow and image == "a" else NONE
         player.play(worker, [(beside, 0.0)],
                     image=image,
