--- a/packages/jobs/src/trefoilroad_jobs/ports.py
+++ b/packages/jobs/src/trefoilroad_jobs/ports.py
@@ -197,12 +197,16 @@
         run: Number of the run.
         checkpoint: Latest checkpoint, or empty.
         percent: Progress in percent.
+        figure: Rough figure for the last half second, or None: tail latency of
+            a serving task in milliseconds, milli-cores in use by any other.
+            Not used yet.
     """
 
     name: str
     run: int
     checkpoint: str
     percent: int
+    figure: int | None = None
 
 
 class EndState(enum.StrEnum):
