--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -12,6 +12,8 @@
 from trefoilroad_jobs import estimate
 from trefoilroad_jobs import evacuation_monitor
 from trefoilroad_jobs import fleet
+from trefoilroad_jobs import interference
+from trefoilroad_jobs import interference_monitor
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import planner
@@ -94,9 +96,17 @@
         self._health = health.Health()
         self._estimator = estimate.Estimator()
         self._speeds = worker_speeds.WorkerSpeeds()
+        disturbances = interference.InterferenceEstimator()
+        self._interference = interference_monitor.InterferenceMonitor(
+            estimator=disturbances,
+            fleet=self._fleet,
+            metrics=metrics,
+            find_job=self.jobs.get,
+            enabled=bounds.keep_images_apart)
         self._rounds = rounds.RoundScheduler(estimator=self._estimator,
                                              round_planner=round_planner,
                                              bounds=bounds,
+                                             disturbances=disturbances,
                                              speeds=self._speeds)
         self._runs = runs.RunTracker(epoch=epoch,
                                      fleet=self._fleet,
@@ -111,6 +121,7 @@
                                      on_end=self._handle_run_end,
                                      on_progress=self._handle_progress,
                                      on_change=self._request_round,
+                                     on_report=self._interference.observe,
                                      on_newer_leader=on_newer_leader)
         self._wait_monitor = wait_monitor.WaitMonitor(metrics=metrics,
                                                       now_s=timers.read_clock())
@@ -137,6 +148,7 @@
         self._ledger.close()
         self._wait_monitor.close()
         self._evacuation_monitor.close()
+        self._interference.close()
 
     def stop_starting(self) -> None:
         """Places no more tasks; running ones are still tracked."""
@@ -240,6 +252,7 @@
         self.jobs[job_id] = job
         self._estimator.record_job(accepted)
         self._rounds.record_job(job)
+        self._interference.record_job(accepted)
         if not job.is_final:
             self._active_jobs[job_id] = job
             if self.ready:
@@ -387,6 +400,7 @@
                                 claim.worker_id,
                                 done=end_state is ports.EndState.DONE,
                                 now_s=now_s)
+        self._interference.record_end(claim, end_state, now_s)
         if end_state is ports.EndState.DONE:
             self._handle_completed_run(job, step, claim, now_s)
         elif end_state is ports.EndState.FAILED:
@@ -569,8 +583,9 @@
             self._evacuation_monitor.check(self._fleet, self._configuration)
 
     def _check_waits(self) -> None:
-        """Logs and counts the jobs that have nothing running."""
+        """Logs and counts waiting jobs, evacuations and images kept apart."""
         self._check_evacuations()
+        self._interference.check(self._timers.read_clock())
         self._wait_monitor.check(
             self._active_jobs,
             waits.Snapshot(now_s=self._timers.read_clock(),
@@ -594,6 +609,7 @@
         job = self._active_jobs[unit.job_id]
         step = job.get_step(unit.occurrence, unit.step_number)
         indexes = unit.indexes[:len(start.workers)]
+        self._interference.record_start(start)
         run = max(step.last_runs) + 1 if unit.step.gang else 0
         claims = []
         started_ms = round(self._ledger.read_store_ms())
@@ -615,7 +631,8 @@
                 demand=unit.step.occupied,
                 started_ms=started_ms,
                 checkpoint=checkpoint or
-                (step.checkpoints.get(index, "") if not unit.step.gang else ""))
+                (step.checkpoints.get(index, "") if not unit.step.gang else ""),
+                image=unit.step.image)
             step.claims[index] = claim
             tracked.add_claim(claim)
             claims.append(claim)
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -55,6 +55,9 @@
         evacuation_s: Time after which a request to evacuate a failure domain
             must be obeyed. Nothing starts while the last reading of these
             requests is older; 0 for no limit.
+        keep_images_apart: Whether images that slow each other down are placed
+            on different workers where there is room. Steps without an image
+            are not affected.
     """
 
     lease_s: float = 6.0
@@ -80,6 +83,7 @@
     reclaim_patience_s: float = 0.0
     reclaim_lead_s: float = 0.4
     evacuation_s: float = 0.0
+    keep_images_apart: bool = True
 
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Sequence
 import enum
+import math
 from typing import NamedTuple
 
 from trefoilroad_jobs import workload
@@ -11,6 +12,12 @@
 
 NO_DEMAND = workload.Demand(0, 0, 0)
 
+# Part of the workers at hand, and one at least, that stay whole rather than
+# being broken to keep images apart. A task that needs a whole worker waits for
+# a run time or more if there is none, while images that share a worker lose a
+# quarter of their time or somewhat more.
+WHOLE_WORKERS_KEPT = 1 / 8
+
 # Count that stands for "any number" of tasks without demand on one worker.
 UNLIMITED_TASKS = 1_000
 
@@ -38,12 +45,13 @@
         failing: Whether runs have failed there recently.
         speed_class: Class of its speed: 0 is usual, higher ones are slower.
         withheld: How it may be used if it is withheld, else None.
+        images: Images of its runs; empty if no images disturb each other.
         blocked: Free resources that are not part of `room`, as they are kept
             for a gang.
     """
 
-    __slots__ = ("blocked", "capacity", "failing", "labels", "rack", "room",
-                 "speed_class", "withheld", "worker_id")
+    __slots__ = ("blocked", "capacity", "failing", "images", "labels", "rack",
+                 "room", "speed_class", "withheld", "worker_id")
 
     def __init__(self,
                  *,
@@ -54,7 +62,8 @@
                  capacity: Demand,
                  failing: bool = False,
                  speed_class: int = 0,
-                 withheld: Access | None = None):
+                 withheld: Access | None = None,
+                 images: frozenset[str] = frozenset()):
         self.worker_id = worker_id
         self.rack = rack
         self.labels = labels
@@ -63,6 +72,7 @@
         self.failing = failing
         self.speed_class = speed_class
         self.withheld = withheld
+        self.images = images
         self.blocked: Demand = NO_DEMAND
 
     def block(self, demand: Demand) -> None:
@@ -79,7 +89,8 @@
                          capacity=self.capacity,
                          failing=self.failing,
                          speed_class=self.speed_class,
-                         withheld=self.withheld)
+                         withheld=self.withheld,
+                         images=self.images)
 
 
 class PlacementRequest(NamedTuple):
@@ -95,6 +106,8 @@
         max_speed_class: Slowest class of workers on which the tasks end in
             time.
         prefers_fast: Whether faster workers come first.
+        avoided_images: Images whose workers come last, as they disturb the
+            step or are disturbed by it.
     """
 
     step: workload.Step
@@ -104,6 +117,7 @@
     avoid_failing: bool = False
     max_speed_class: int = 0
     prefers_fast: bool = False
+    avoided_images: frozenset[str] = frozenset()
 
     def allows(self, candidate: Candidate) -> bool:
         """Returns whether a worker may be used, apart from free resources."""
@@ -156,7 +170,7 @@
     """Places tasks on the workers with the least free resources first.
 
     Best fit keeps whole workers free for tasks that need one. It applies among
-    workers of one speed.
+    workers of one speed. Workers that run an image to be avoided come last.
 
     Returns:
         The worker of each task that could be placed.
@@ -166,6 +180,8 @@
     fitting.sort(key=lambda entry:
                  (request.rank_speed(entry[0].speed_class), entry[0].room.
                   accelerators, entry[0].room.milli_cores, entry[0].worker_id))
+    if request.avoided_images:
+        fitting = _put_disturbing_last(request, fitting, len(candidates))
     placed: list[str] = []
     for candidate, count in fitting:
         placed += [candidate.worker_id] * min(count,
@@ -175,6 +191,31 @@
     return placed
 
 
+def _put_disturbing_last(request: PlacementRequest,
+                         fitting: list[tuple[Candidate, int]],
+                         worker_count: int) -> list[tuple[Candidate, int]]:
+    """Moves workers that run an avoided image behind others.
+
+    The last whole workers come even after these, unless the task needs a whole
+    one. The order inside the groups stays.
+    """
+    others: list[tuple[Candidate, int]] = []
+    disturbing: list[tuple[Candidate, int]] = []
+    whole: list[tuple[Candidate, int]] = []
+    for entry in fitting:
+        candidate = entry[0]
+        if not request.avoided_images.isdisjoint(candidate.images):
+            disturbing.append(entry)
+        elif (request.step.demand.accelerators < candidate.capacity.accelerators
+              == candidate.room.accelerators):
+            whole.append(entry)
+        else:
+            others.append(entry)
+    kept = max(1, math.ceil(worker_count * WHOLE_WORKERS_KEPT))
+    spare = max(0, len(whole) - kept)
+    return others + whole[:spare] + disturbing + whole[spare:]
+
+
 def fits_when_idle(request: PlacementRequest,
                    candidates: Sequence[Candidate]) -> bool:
     """Returns whether all tasks would fit if the workers were idle."""
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -16,6 +16,7 @@
 from trefoilroad_jobs import evacuation
 from trefoilroad_jobs import fleet as fleets
 from trefoilroad_jobs import headroom
+from trefoilroad_jobs import interference
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
@@ -68,7 +69,9 @@
                  estimator: estimate.Estimator,
                  round_planner: planner.Planner,
                  bounds: limits.Limits,
-                 speeds: worker_speeds.WorkerSpeeds | None = None):
+                 speeds: worker_speeds.WorkerSpeeds | None = None,
+                 disturbances: interference.InterferenceEstimator |
+                 None = None):
         """Creates a scheduler without holds.
 
         Args:
@@ -76,7 +79,10 @@
             round_planner: Its order is used for the planner of each service.
             bounds: Time limits of the leader.
             speeds: Speeds of the workers; all are usual if absent.
+            disturbances: Estimates which images disturb each other.
         """
+        self._disturbances = (disturbances or
+                              interference.InterferenceEstimator())
         self._estimator = estimator
         self._speeds = speeds or worker_speeds.WorkerSpeeds()
         self._new_planner = round_planner.create_empty
@@ -250,7 +256,8 @@
             max_speed_class=worker_speeds.find_max_class(
                 objective_s - inputs.now_s,
                 remaining_s,
-                is_urgent=priority == workload.URGENT_PRIORITY))
+                is_urgent=priority == workload.URGENT_PRIORITY),
+            avoided_images=self._disturbances.find_partners(step.image))
 
     def _avoids_failing(self, state: progress.StepProgress, index: int,
                         now_s: float) -> bool:
@@ -321,6 +328,9 @@
             access = None
             if worker.worker_id in withheld:
                 access = service_trials.find_access(tracked, inputs.now_s)
+            images: frozenset[str] = frozenset()
+            if self._disturbances.has_pairs:
+                images = tracked.list_images()
             candidates.append(
                 placement.Candidate(
                     worker_id=worker.worker_id,
@@ -330,7 +340,8 @@
                     capacity=worker.capacity,
                     failing=tracked.has_failed(inputs.now_s),
                     speed_class=self._speeds.get_class(worker.worker_id),
-                    withheld=access))
+                    withheld=access,
+                    images=images))
         return candidates
 
     # Possible victims.
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -68,6 +68,7 @@
 
 OnEnd = Callable[[progress.Claim, ports.EndState | None, str], None]
 OnProgress = Callable[[progress.Claim], None]
+OnReport = Callable[[fleets.TrackedWorker, float], None]
 CheckStart = Callable[[fleets.TrackedWorker, progress.Claim], str]
 
 _log = structlog.get_logger()
@@ -83,7 +84,7 @@
                  find_job: Callable[[str], progress.Job | None],
                  check_start: CheckStart, on_end: OnEnd,
                  on_progress: OnProgress, on_change: Callable[[], None],
-                 on_newer_leader: Callable[[str], None]):
+                 on_report: OnReport, on_newer_leader: Callable[[str], None]):
         """Creates a tracker without runs; `begin_polling` starts the calls.
 
         Args:
@@ -103,6 +104,8 @@
             on_end: Called with each run that has provably ended.
             on_progress: Called with each run whose progress has changed.
             on_change: Called when a new round may be needed.
+            on_report: Called with a worker and the time when a report has
+                been processed.
             on_newer_leader: Called with a reason when a worker has been called
                 by a newer leader.
         """
@@ -121,6 +124,7 @@
         self._on_end = on_end
         self._on_progress = on_progress
         self._on_change = on_change
+        self._on_report = on_report
         self._on_newer_leader = on_newer_leader
         self._closed = False
         self._ready = False
@@ -769,6 +773,7 @@
             present.add(key)
             claim.boot_ms = tracked.boot_ms
             self._update_progress(tracked, claim, task, now_s)
+        self._on_report(tracked, now_s)
         return present
 
     def _update_progress(self, tracked: fleets.TrackedWorker,
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -55,6 +55,7 @@
         idle: Whether nothing of the job runs, so that it does not wait long
             for workers that it only prefers.
         max_speed_class: Slowest class of workers on which it ends in time.
+        avoided_images: Images that are better not beside its tasks.
     """
 
     job_id: str
@@ -76,6 +77,7 @@
     retry: bool = False
     idle: bool = False
     max_speed_class: int = 0
+    avoided_images: frozenset[str] = frozenset()
 
     @property
     def key(self) -> UnitKey:
@@ -149,7 +151,8 @@
         used_by_worker=unit.used_by_worker,
         avoid_failing=unit.retry,
         max_speed_class=unit.max_speed_class,
-        prefers_fast=unit.priority == workload.URGENT_PRIORITY)
+        prefers_fast=unit.priority == workload.URGENT_PRIORITY,
+        avoided_images=unit.avoided_images)
 
 
 def compute_worth(priority: int, size_ratio: float) -> float:
