--- a/packages/standins/src/trefoilroad_standins/jobs/series.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/series.py
@@ -27,6 +27,7 @@
 from trefoilroad_jobs import workload
 from trefoilroad_standins.jobs import fleet_server
 from trefoilroad_standins.jobs import idleness
+from trefoilroad_standins.jobs import node_process
 from trefoilroad_standins.jobs import proxy as proxies
 from trefoilroad_standins.jobs import soak
 from trefoilroad_standins.jobs import workers as worker_module
@@ -152,7 +153,7 @@
             kinds=KINDS,
             silence_s=SILENCE_S)
         self._nodes = [f"n{number}" for number in range(plan.node_count)]
-        self._processes: dict[str, soak.NodeProcess] = {}
+        self._processes: dict[str, node_process.NodeProcess] = {}
         self._proxies: dict[str, proxies.Proxy] = {}
         self._jobs: list[idleness.Job] = []
         self._prefixes: dict[str, str] = {}
@@ -204,9 +205,9 @@
             self._fleet.registered_ports[name] = self._proxies[name].port
         self._fleet.publish(build_configuration(self._plan.worker_count))
         for name in self._nodes:
-            node = soak.NodeProcess(name=name,
-                                    folder=self._folder,
-                                    store_port=self._fleet.store_port)
+            node = node_process.NodeProcess(name=name,
+                                            folder=self._folder,
+                                            store_port=self._fleet.store_port)
             self._processes[name] = node
             await node.prepare()
             await node.start()
@@ -277,7 +278,7 @@
             await asyncio.sleep(0.3)
         self._jobs.append(idleness.Job(job_id, steps, accepted_s))
 
-    def _pick_node(self) -> soak.NodeProcess:
+    def _pick_node(self) -> node_process.NodeProcess:
         return self._job_rng.choice(
             [node for node in self._processes.values() if not node.has_ended])
 
@@ -324,7 +325,7 @@
         with self._disrupt():
             await hit(node, duration_s)
 
-    async def _find_leader(self) -> soak.NodeProcess | None:
+    async def _find_leader(self) -> node_process.NodeProcess | None:
         """Returns the process that the leader row names, once it runs."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LEADER_TIMEOUT_S):
@@ -351,21 +352,22 @@
             idleness.WorkerChange(self._fleet.clock.now_s, worker, up,
                                   reachable))
 
-    async def _kill_and_restart(self, node: soak.NodeProcess,
+    async def _kill_and_restart(self, node: node_process.NodeProcess,
                                 duration_s: float) -> None:
         await node.stop(signal.SIGKILL)
         await asyncio.sleep(duration_s)
         await node.start()
 
-    async def _kill(self, node: soak.NodeProcess, _: float) -> None:
+    async def _kill(self, node: node_process.NodeProcess, _: float) -> None:
         await node.stop(signal.SIGKILL)
 
-    async def _pause(self, node: soak.NodeProcess, duration_s: float) -> None:
+    async def _pause(self, node: node_process.NodeProcess,
+                     duration_s: float) -> None:
         node.send_signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
         node.send_signal(signal.SIGCONT)
 
-    async def _cut_store(self, node: soak.NodeProcess,
+    async def _cut_store(self, node: node_process.NodeProcess,
                          duration_s: float) -> None:
         node.proxy.set_fault(proxies.Fault.SILENT)
         await asyncio.sleep(duration_s)
