Bound what a process holds of incomplete requests

Cause: RequestGuard bounded a single connection and the number of connections (2,048), but not the sum. Parsers and bodies of connections that ended before their request was whole were kept for ever, heads were bounded by the limit of bodies, and each piece of a body was an object of its own.

--- a/packages/node/src/trefoilroad_node/httpserver.py
+++ b/packages/node/src/trefoilroad_node/httpserver.py
@@ -15,6 +15,8 @@
 from circuits.web import servers
 import structlog
 
+from trefoilroad_node import listener
+
 _log = structlog.get_logger()
 
 
@@ -36,7 +38,19 @@
 
 
 class QuietServer(servers.BaseServer):
-    """Server without circuits.web's banner, which is not a log line."""
+    """Server on a bounded listener and without circuits.web's banner."""
+
+    def __init__(self, bind: tuple[str, int], *, channel: str):
+        """Binds the address.
+
+        Args:
+            bind: Host and port.
+            channel: Channel of its events.
+        """
+        # The constructor of the base class would create another listener.
+        circuits.BaseComponent.__init__(self, channel=channel)
+        self.server = listener.Listener(bind, channel=channel).register(self)
+        self.http = web_http.HTTP(self, channel=channel).register(self)
 
     @circuits.handler("ready", override=True)
     def _on_ready(self, *_: Any) -> None:
@@ -61,9 +75,7 @@
         """
         super().__init__(channel=channel or self.channel)
         host, _, port = listen.rpartition(":")
-        self._server = QuietServer((host, int(port)),
-                                   channel=self.channel,
-                                   display_banner=False)
+        self._server = QuietServer((host, int(port)), channel=self.channel)
         self._server.register(self)
         self._open_responds: set[Respond] = set()
         self.stopping = False
