Bound links, replies and the shares of connections

Links between nodes, messages to a node that does not read and replies of the store and the workers had a bound each, or none, but not their sum.

Change: half of the budget is divided into shares, the other half is for what connections hold beyond them. Acceptor bounds the number of links, handshakes and all incomplete messages; Dialler closes a link whose messages are not taken; HttpClient bounds a reply and all replies, and opens no second connection to an address while descriptors are short. The first line of a message is found also if it comes byte by byte.

--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -222,13 +222,13 @@
         if bounds is None:
             bounds = request_budget.Bounds(
                 max(DEFAULT_BUDGET_BYTES,
-                    4 * max_body_bytes), request_budget.MAX_CONNECTIONS,
+                    8 * max_body_bytes), request_budget.MAX_CONNECTIONS,
                 request_budget.MAX_RECEIVE_BUFFER_BYTES)
         self._budget = request_budget.RequestBudget(bounds=bounds)
         self._report = report or refusals.Report(
             name=channel, metrics=metrics_module.NullMetrics())
         self._listener.gate = self
-        self._listener.set_receive_buffer(bounds.receive_buffer_bytes)
+        self._listener.set_buffers(bounds.receive_buffer_bytes)
         timers.call_every(TIMEOUT_CHECK_INTERVAL_S, self._close_overdue)
 
     @property
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -6,14 +6,17 @@
 from typing import Any
 from typing import NamedTuple
 
-from circuits.web import parsers
-
+from trefoilroad_node import messageparser
 from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
 # Default limit of connections to one address.
 MAX_CONNECTIONS_PER_ADDRESS = 4
+# Default limits of a reply, and of all replies that are being received. A page
+# of the store has at most 500 rows of 65,536 bytes, 44 MB in base64.
+MAX_REPLY_BYTES = 64 << 20
+MAX_HELD_BYTES = 128 << 20
 
 
 class Reply(NamedTuple):
@@ -71,6 +74,21 @@
         self.on_done(result)
 
 
+class ReplyBounds:
+    """Limits of what a client holds of incomplete replies.
+
+    Attributes:
+        max_reply_bytes: Maximum size of a reply with its headers.
+        max_held_bytes: Maximum size of all incomplete replies.
+        held_bytes: Size of all incomplete replies.
+    """
+
+    def __init__(self, *, max_reply_bytes: int, max_held_bytes: int):
+        self.max_reply_bytes = max_reply_bytes
+        self.max_held_bytes = max_held_bytes
+        self.held_bytes = 0
+
+
 class Connection(streams.Listener):
     """A keep-alive connection that carries one request at a time.
 
@@ -82,13 +100,15 @@
     """
 
     def __init__(self, *, on_idle: Callable[[], Any],
-                 byte_counter: traffic.ByteCounter):
+                 byte_counter: traffic.ByteCounter, reply_bounds: ReplyBounds):
         self.closed = False
+        self._reply_bounds = reply_bounds
+        self._reply_bytes = 0
         self._on_idle = on_idle
         self._byte_counter = byte_counter
         self._stream: streams.Stream | None = None
         self._exchange: Exchange | None = None
-        self._parser = parsers.HttpParser(1, True)
+        self._parser = messageparser.MessageParser(1, True)
 
     @property
     def idle(self) -> bool:
@@ -111,7 +131,7 @@
     def send(self, exchange: Exchange) -> None:
         """Sends a request, at once or when the connection is established."""
         self._exchange = exchange
-        self._parser = parsers.HttpParser(1, True)
+        self._parser = messageparser.MessageParser(1, True)
         if self._stream is None or self.closed:
             self._fail("unreachable")
         elif self._stream.connected:
@@ -128,6 +148,7 @@
     def close(self) -> None:
         """Closes the connection."""
         self.closed = True
+        self._hold(-self._reply_bytes)
         if self._stream is not None:
             self._stream.close()
 
@@ -142,6 +163,10 @@
             # Data without a request would be taken for the next response.
             self.close()
             return
+        self._hold(len(data))
+        if not self._keeps_bounds():
+            self._fail("answer too large")
+            return
         self._parser.execute(data, len(data))
         if self._parser.errno is not None:
             self._fail("malformed answer")
@@ -162,6 +187,15 @@
             exchange.sent = True
             self._stream.write(exchange.data)
 
+    def _hold(self, count: int) -> None:
+        self._reply_bytes += count
+        self._reply_bounds.held_bytes += count
+
+    def _keeps_bounds(self) -> bool:
+        bounds = self._reply_bounds
+        return (self._reply_bytes <= bounds.max_reply_bytes and
+                bounds.held_bytes <= bounds.max_held_bytes)
+
     def _fail(self, reason: str) -> None:
         self.close()
         if self._exchange is not None:
@@ -170,6 +204,7 @@
     def _finish(self, result: Reply | NoReply) -> None:
         exchange = self._exchange
         self._exchange = None
+        self._hold(-self._reply_bytes)
         self._on_idle()
         if exchange is not None:
             exchange.end(result)
@@ -192,7 +227,10 @@
                  timers: timer.Timers,
                  headers: Mapping[str, str],
                  byte_counter: traffic.ByteCounter,
-                 max_connections: int = MAX_CONNECTIONS_PER_ADDRESS):
+                 max_connections: int = MAX_CONNECTIONS_PER_ADDRESS,
+                 max_reply_bytes: int = MAX_REPLY_BYTES,
+                 max_held_bytes: int = MAX_HELD_BYTES,
+                 may_connect: Callable[[], bool] = lambda: True):
         """Creates a client without connections.
 
         Args:
@@ -201,8 +239,15 @@
             headers: Headers added to every request.
             byte_counter: Counts the bytes sent and received.
             max_connections: Maximum number of connections to one address.
+            max_reply_bytes: Maximum size of a reply with its headers.
+            max_held_bytes: Maximum size of all incomplete replies.
+            may_connect: Returns whether there are descriptors for more than
+                one connection to an address.
         """
         self._max_connections = max_connections
+        self._reply_bounds = ReplyBounds(max_reply_bytes=max_reply_bytes,
+                                         max_held_bytes=max_held_bytes)
+        self._may_connect = may_connect
         self._connector = connector
         self._timers = timers
         self._headers = dict(headers)
@@ -281,7 +326,10 @@
                 return connection
         if len(pool.connections) >= self._max_connections:
             return None
+        if pool.connections and not self._may_connect():
+            return None
         connection = Connection(
+            reply_bounds=self._reply_bounds,
             byte_counter=self._byte_counter,
             on_idle=lambda: self._timers.call_later(
                 0, lambda: self._send_queued(address, pool)))
--- a/packages/node/src/trefoilroad_node/httpserver.py
+++ b/packages/node/src/trefoilroad_node/httpserver.py
@@ -96,6 +96,11 @@
         for respond in list(self._open_responds):
             respond(result)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that hold a descriptor."""
+        return self._server.server.open_connections
+
     @property
     def http(self) -> web_http.HTTP:
         """Component that parses the requests."""
--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -24,6 +24,8 @@
 from websockets import uri as ws_uri
 
 from trefoilroad_core import errors
+from trefoilroad_node import listener
+from trefoilroad_node import request_budget
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
@@ -33,6 +35,19 @@
 # An accepted link without data for this time is closed, and the other node
 # dials again; each node sends a heartbeat twice a second.
 LINK_IDLE_TIMEOUT_S = 5.0
+# A handshake of another node has some 300 bytes.
+MAX_HANDSHAKE_BYTES = 16 << 10
+# More than twice the nodes of the largest deployment, as links that a node has
+# lost are closed only after a while.
+MAX_LINKS = 256
+# Default limit of all incomplete messages on accepted links. The largest usual
+# ones carry a job, 262,144 bytes.
+MAX_HELD_BYTES = 16 << 20
+# What may wait to be sent on a link to a node that does not read.
+MAX_UNSENT_BYTES = 4 << 20
+MAX_UNSENT_MESSAGES = 4096
+# The other node sends only control frames on a link that it has accepted.
+MAX_CONTROL_BYTES = 16 << 10
 
 _log = structlog.get_logger()
 
@@ -106,10 +121,21 @@
         """
         if not self.is_open or self._protocol is None:
             return False
+        if self._is_congested():
+            _log.warning("link closed, messages are not read",
+                         address=self.address)
+            self._protocol = None
+            self._socket._close()
+            return False
         self._protocol.send_binary(cbor2.dumps(message))
         self._flush()
         return True
 
+    def _is_congested(self) -> bool:
+        unsent = self._socket._buffer
+        return (len(unsent) > MAX_UNSENT_MESSAGES or
+                sum(map(len, unsent)) > MAX_UNSENT_BYTES)
+
     def _flush(self) -> None:
         if self._protocol is None:
             return
@@ -122,7 +148,8 @@
     def _on_connected(self, *_: Any) -> None:
         self._dialling = False
         target = ws_uri.parse_uri(f"ws://{self.address}/link")
-        self._protocol = ws_client.ClientProtocol(target)
+        self._protocol = ws_client.ClientProtocol(target,
+                                                  max_size=MAX_CONTROL_BYTES)
         request = self._protocol.connect()
         request.headers["Authorization"] = f"Bearer {self._secret}"
         self._protocol.send_request(request)
@@ -152,8 +179,14 @@
 
     channel = "links"
 
-    def __init__(self, *, listen: str, secret: str, on_message: OnMessage,
-                 timers: timer.Timers, byte_counter: traffic.ByteCounter):
+    def __init__(self,
+                 *,
+                 listen: str,
+                 secret: str,
+                 on_message: OnMessage,
+                 timers: timer.Timers,
+                 byte_counter: traffic.ByteCounter,
+                 max_held_bytes: int = MAX_HELD_BYTES):
         """Binds the address.
 
         Args:
@@ -162,8 +195,12 @@
             on_message: Called with each message.
             timers: Schedules the closing of idle links.
             byte_counter: Counts the bytes received.
+            max_held_bytes: Limit of all incomplete messages in bytes.
         """
         super().__init__()
+        self._max_held_bytes = max_held_bytes
+        self._held_bytes: dict[Any, int] = {}
+        self._total_held_bytes = 0
         host, _, port = listen.rpartition(":")
         self._secret = secret
         self._on_message = on_message
@@ -171,8 +208,9 @@
         self._timers = timers
         self._protocols: dict[Any, ws_server.ServerProtocol] = {}
         self._last_read_s: dict[Any, float] = {}
-        self._server = sockets.TCPServer((host, int(port)),
+        self._server = listener.Listener((host, int(port)),
                                          channel=self.channel)
+        self._server.set_buffers(request_budget.MAX_RECEIVE_BUFFER_BYTES)
         self._server.register(self)
         timers.call_every(LINK_IDLE_TIMEOUT_S / 2, self._close_idle)
 
@@ -181,17 +219,54 @@
         """Port that was bound."""
         return int(self._server.port)
 
+    @property
+    def open_links(self) -> int:
+        """Number of links that hold a descriptor."""
+        return self._server.open_connections
+
     @circuits.handler("connect")
     def _on_connect(self, sock: Any, *_: Any) -> None:
+        if len(self._protocols) >= MAX_LINKS:
+            # Nodes send twice a second, so the oldest is the least needed.
+            oldest = min(self._last_read_s, key=self._last_read_s.__getitem__)
+            self._drop(oldest, "too many links")
+        self._held_bytes[sock] = 0
         self._protocols[sock] = ws_server.ServerProtocol(
             max_size=MAX_MESSAGE_BYTES)
         self._last_read_s[sock] = self._timers.read_clock()
 
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock: Any) -> None:
+        self._forget(sock)
+
+    def _forget(self, sock: Any) -> None:
+        self._total_held_bytes -= self._held_bytes.pop(sock, 0)
         self._protocols.pop(sock, None)
         self._last_read_s.pop(sock, None)
 
+    def _drop(self, sock: Any, reason: str) -> None:
+        _log.warning("link closed", reason=reason)
+        self._forget(sock)
+        self._server.drop(sock)
+
+    def _check_held(self, sock: Any, link: ws_server.ServerProtocol,
+                    count: int) -> None:
+        """Drops links once they hold too much of incomplete messages."""
+        if sock not in self._held_bytes:
+            return
+        held_bytes = len(link.reader.buffer)
+        if link.state is protocol.State.CONNECTING:
+            # The lines of the handshake have left the buffer.
+            held_bytes = self._held_bytes[sock] + count
+        self._total_held_bytes += held_bytes - self._held_bytes[sock]
+        self._held_bytes[sock] = held_bytes
+        if (link.state is protocol.State.CONNECTING and
+                held_bytes > MAX_HANDSHAKE_BYTES):
+            self._drop(sock, "the handshake is too large")
+        elif self._total_held_bytes > self._max_held_bytes:
+            largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
+            self._drop(largest, "too much of incomplete messages")
+
     @circuits.handler("read")
     def _on_read(self, sock: Any, data: bytes) -> None:
         link = self._protocols.get(sock)
@@ -207,6 +282,7 @@
                 self.fire(net_events.write(sock, chunk), self.channel)
             else:
                 self.fire(net_events.close(sock), self.channel)
+        self._check_held(sock, link, len(data))
 
     def _handle_event(self, link: ws_server.ServerProtocol, event: Any) -> None:
         if isinstance(event, http11.Request):
@@ -239,6 +315,7 @@
             link.fail(frames.CloseCode.INVALID_DATA, "malformed message")
 
     def _close_idle(self) -> None:
+        self._server.resume_accepting()
         now_s = self._timers.read_clock()
         for sock, last_s in list(self._last_read_s.items()):
             if now_s - last_s > LINK_IDLE_TIMEOUT_S:
@@ -301,6 +378,11 @@
         for dialler in self._diallers.values():
             dialler.send(message)
 
+    @property
+    def open_links(self) -> int:
+        """Number of links that may hold a descriptor."""
+        return len(self._diallers)
+
     def _redial(self) -> None:
         for dialler in self._diallers.values():
             dialler.dial()
--- a/packages/node/src/trefoilroad_node/listener.py
+++ b/packages/node/src/trefoilroad_node/listener.py
@@ -23,6 +23,8 @@
 # with unread data resets the connection, and the client may lose the refusal.
 LINGER_BYTES = 1 << 20
 LINGER_S = 1.0
+# Holds any usual response, and the metrics.
+SEND_BUFFER_BYTES = 32 << 10
 _OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -62,18 +64,28 @@
         # Remaining bytes and deadline of refused connections.
         self._lingering: dict[Any, tuple[int, float]] = {}
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that hold a descriptor."""
+        return len(self._clients)
+
     @property
     def lingering_connections(self) -> int:
         """Number of refused connections that are not closed yet."""
         return len(self._lingering)
 
-    def set_receive_buffer(self, size: int) -> None:
-        """Sets the receive buffer of connections accepted from now on.
+    def set_buffers(self, size: int) -> None:
+        """Sets the kernel's buffers of connections accepted from now on.
 
-        Without it the kernel lets the buffer of a connection that is not read
-        grow up to some megabytes.
+        Without it they grow up to some megabytes for a connection that is not
+        read, or whose client does not read.
+
+        Args:
+            size: Size of the receive buffer in bytes.
         """
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF,
+                              SEND_BUFFER_BYTES)
 
     def resume(self, sock: Any) -> None:
         """Reads from a connection again; may be repeated."""
--- a/packages/node/src/trefoilroad_node/messageparser.py
+++ b/packages/node/src/trefoilroad_node/messageparser.py
@@ -25,6 +25,8 @@
         """
         super().__init__(kind, decompress)
         self._joined_body: bytearray | None = None
+        # None once it is complete.
+        self._first_line: bytes | None = b""
 
     def execute(self, data: bytes, length: int) -> int:
         """Parses a piece of the message.
@@ -45,7 +47,14 @@
             if self._clen_rest <= 0:
                 super().execute(_END_OF_MESSAGE, 0)
             return length
-        parsed = int(super().execute(data, length))
+        if self._first_line is not None and length:
+            # The base class finds the end of the line only within a piece.
+            data = self._first_line + data
+            if b"\r\n" not in data:
+                self._first_line = data
+                return length
+            self._first_line = None
+        parsed = int(super().execute(data, len(data)))
         if len(self._buf) > 1:
             self._buf = [b"".join(self._buf)]
         if self.is_headers_complete() and self._can_join():
--- a/packages/node/src/trefoilroad_node/request_budget.py
+++ b/packages/node/src/trefoilroad_node/request_budget.py
@@ -5,12 +5,12 @@
 exceeds its memory although each client keeps the limits of one request. The
 tests replay it. There is no I/O and no clock here.
 
-Each connection has a share of the budget. What a connection holds within its
-share is always read and never refused for lack of memory, as the shares of all
-connections together fit into the budget; ordinary requests are that small.
-Connections beyond their share use what is left. When little is left they are
-not read on, and after a while those that have stood longest without progress
-are refused, then the largest ones.
+Half of the budget is divided into equal shares, one for each connection. What a
+connection holds within its share is always read and never refused for lack of
+memory; ordinary requests are that small. What connections hold beyond their
+shares has the other half. When little of it is left they are not read on, and
+after a while those that have stood longest without progress are refused, then
+the largest ones.
 """
 
 from collections.abc import Hashable
@@ -22,7 +22,7 @@
 REST_MB = 40
 REQUEST_SHARE = 4
 # A single request of the listener's own limit, 1 MiB, fits with its work.
-MIN_BUDGET_BYTES = 4 << 20
+MIN_BUDGET_BYTES = 8 << 20
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 # Removal from the poller's lists takes time in proportion to the connections.
@@ -36,8 +36,8 @@
 BACKLOG = 512
 # Cost of a connection (socket, records of the guard and the poller), and of a
 # request on it (parser, headers, events on their way).
-CONNECTION_BYTES = 4 << 10
-REQUEST_BYTES = 8 << 10
+CONNECTION_BYTES = 2 << 10
+REQUEST_BYTES = 6 << 10
 # A bytearray that grows allocates an eighth more.
 GROWTH_DIVISOR = 8
 # A complete body is copied, decoded and encoded again for the store.
@@ -49,6 +49,10 @@
 # A connection without progress for this time may be closed for a new one. It
 # is longer than an ordinary caller takes between two parts of a request.
 MIN_EVICTION_AGE_S = 2.0
+# The same for connections that an ordinary caller does not have: those that
+# never had a request, and large requests that stand.
+MIN_UNUSUAL_EVICTION_AGE_S = 0.5
+LARGE_REQUEST_BYTES = 16 << 10
 # Shortest time between two searches for connections to close, if the first one
 # found none.
 EVICTION_RETRY_S = 0.1
@@ -85,7 +89,7 @@
     # A connection needs room for a small request within its share.
     max_connections = min(
         max_connections, MAX_CONNECTIONS,
-        budget_bytes // (2 * (CONNECTION_BYTES + REQUEST_BYTES)))
+        budget_bytes // (4 * (CONNECTION_BYTES + REQUEST_BYTES)))
     buffer_bytes = budget_bytes // (2 * (max_connections + BACKLOG))
     return Bounds(
         budget_bytes, max_connections,
@@ -108,7 +112,7 @@
     """
 
     def __init__(self, *, now_s: float):
-        self.held_bytes = CONNECTION_BYTES
+        self.held_bytes = 0
         self.request_bytes = 0
         self.progress_bytes = 0
         self.progress_s = now_s
@@ -137,9 +141,10 @@
         self._pressure_since_s: float | None = None
         self._next_eviction_s = 0.0
         self._used_bytes = 0
-        self._share_bytes = bounds.budget_bytes // bounds.max_connections
-        self._pause_bytes = bounds.budget_bytes * 3 // 4
-        self._resume_bytes = bounds.budget_bytes // 2
+        # What connections hold beyond their shares.
+        self._excess_bytes = 0
+        self._share_bytes = bounds.budget_bytes // 2 // bounds.max_connections
+        self._max_excess_bytes = bounds.budget_bytes // 2
 
     @property
     def used_bytes(self) -> int:
@@ -176,8 +181,7 @@
         candidates = [(_rank_eviction(holding, now_s), number, key)
                       for number, (key,
                                    holding) in enumerate(self._holdings.items())
-                      if not holding.working and now_s -
-                      holding.progress_s >= MIN_EVICTION_AGE_S]
+                      if _can_evict(holding, now_s)]
         if not candidates:
             self._next_eviction_s = now_s + EVICTION_RETRY_S
         candidates.sort()
@@ -197,8 +201,9 @@
         count = len(self._holdings) + extra_connections
         if count >= self.bounds.max_connections:
             return False
-        self._holdings[key] = _Holding(now_s=now_s)
-        self._used_bytes += CONNECTION_BYTES
+        holding = _Holding(now_s=now_s)
+        self._holdings[key] = holding
+        self._add(holding, CONNECTION_BYTES)
         return True
 
     def forget(self, key: Hashable) -> None:
@@ -206,11 +211,11 @@
         holding = self._holdings.pop(key, None)
         self._paused.pop(key, None)
         if holding is not None:
-            self._used_bytes -= holding.held_bytes
+            self._add(holding, -holding.held_bytes)
 
     def may_read(self, key: Hashable, now_s: float) -> bool:
         """Returns whether a connection is read now; else it is paused."""
-        if self._used_bytes <= self._pause_bytes:
+        if self._excess_bytes <= self._max_excess_bytes * 3 // 4:
             return True
         holding = self._holdings.get(key)
         if holding is None or holding.held_bytes <= self._share_bytes:
@@ -239,7 +244,7 @@
             holding.progress_bytes = holding.request_bytes
             holding.progress_s = now_s
         self._add(holding, cost)
-        return self._free(self.bounds.budget_bytes, now_s)
+        return self._free(self._max_excess_bytes, now_s)
 
     def begin_work(self, key: Hashable, body_bytes: int,
                    now_s: float) -> list[Hashable]:
@@ -254,8 +259,8 @@
         holding = self._holdings[key]
         self._add(holding, WORK_FACTOR * body_bytes)
         holding.working = True
-        refused = self._free(self.bounds.budget_bytes, now_s)
-        if (self._used_bytes > self.bounds.budget_bytes and
+        refused = self._free(self._max_excess_bytes, now_s)
+        if (self._excess_bytes > self._max_excess_bytes and
                 holding.held_bytes > self._share_bytes):
             self.forget(key)
             refused.append(key)
@@ -283,11 +288,12 @@
         if since_s is None or now_s - since_s < MAX_PRESSURE_S:
             return []
         self._pressure_since_s = now_s
-        return self._free(self._resume_bytes, now_s)
+        return self._free(self._max_excess_bytes // 2, now_s)
 
     def take_resumable(self) -> list[Hashable]:
         """Returns the paused connections if they can be read again."""
-        if not self._paused or self._used_bytes > self._resume_bytes:
+        if (not self._paused or
+                self._excess_bytes > self._max_excess_bytes // 2):
             return []
         resumed = list(self._paused)
         self._paused.clear()
@@ -295,16 +301,20 @@
         return resumed
 
     def _add(self, holding: _Holding, cost: int) -> None:
+        share_bytes = self._share_bytes
+        excess_before = max(0, holding.held_bytes - share_bytes)
         holding.held_bytes += cost
         self._used_bytes += cost
+        excess = max(0, holding.held_bytes - share_bytes)
+        self._excess_bytes += excess - excess_before
 
     def _free(self, limit_bytes: int, now_s: float) -> list[Hashable]:
-        """Forgets the requests to refuse until the limit is kept.
+        """Forgets the requests to refuse until the excess is within a limit.
 
         Once it is exceeded a sixteenth more is freed, so that not every piece
         has all requests compared.
         """
-        if self._used_bytes <= limit_bytes:
+        if self._excess_bytes <= limit_bytes:
             return []
         target_bytes = limit_bytes - limit_bytes // 16
         candidates = [
@@ -315,7 +325,7 @@
         candidates.sort()
         refused = []
         for _, _, key in candidates:
-            if self._used_bytes <= target_bytes:
+            if self._excess_bytes <= target_bytes:
                 break
             self.forget(key)
             refused.append(key)
@@ -327,6 +337,16 @@
     return -int(now_s - holding.progress_s), -holding.held_bytes
 
 
+def _can_evict(holding: _Holding, now_s: float) -> bool:
+    """Returns whether a connection may be closed for a new one."""
+    if holding.working:
+        return False
+    is_unusual = (holding.request_bytes > LARGE_REQUEST_BYTES or
+                  not (holding.receiving or holding.served))
+    min_age_s = MIN_UNUSUAL_EVICTION_AGE_S if is_unusual else MIN_EVICTION_AGE_S
+    return now_s - holding.progress_s >= min_age_s
+
+
 def _rank_eviction(holding: _Holding, now_s: float) -> tuple[int, float]:
     """Ranks a connection; the lowest is closed first."""
     age_s = now_s - holding.progress_s
--- a/packages/node/src/trefoilroad_node/streams.py
+++ b/packages/node/src/trefoilroad_node/streams.py
@@ -75,6 +75,11 @@
         self._poller = poller
         self._streams: dict[socket.socket, Stream] = {}
 
+    @property
+    def open_streams(self) -> int:
+        """Number of streams that hold a descriptor."""
+        return len(self._streams)
+
     def open(self, host: str, port: int, listener: Listener) -> Stream:
         """Starts to connect to an address.
 
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -160,3 +160,101 @@
     assert len(results) == 1
     assert isinstance(results[0], httpclient.NoReply)
     assert not results[0].sent
+
+
+class _Stream:
+    """Records whether it is closed."""
+
+    connected = True
+    closed = False
+
+    def write(self, _):
+        pass
+
+    def close(self):
+        self.closed = True
+
+
+class _Connector:
+    """Opens streams that the test feeds."""
+
+    def __init__(self):
+        self.streams = []
+
+    def open(self, host, port, listener):
+        stream = _Stream()
+        stream.listener = listener
+        self.streams.append(stream)
+        return stream
+
+
+def _build_bounded_client(**options):
+    connector = _Connector()
+    timers = timer.TimerService(rng=random.Random(1))
+    client = httpclient.HttpClient(connector=connector,
+                                   timers=timers,
+                                   headers={},
+                                   byte_counter=traffic.ByteCounter(),
+                                   **options)
+    return client, connector
+
+
+def _call(client, results, address="127.0.0.1:9"):
+    client.send(address=address,
+                method="GET",
+                path="/",
+                body=b"",
+                timeout_s=5.0,
+                on_done=results.append)
+
+
+PARTIAL_REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n"
+
+
+def test_reply_over_the_limit_ends_the_call():
+    """Guards against a reply without an end that fills the process."""
+    client, connector = _build_bounded_client(max_reply_bytes=10_000)
+    results = []
+    _call(client, results)
+    stream, = connector.streams
+    stream.listener.handle_data(PARTIAL_REPLY + b"x" * 9_000)
+    assert results == []
+    stream.listener.handle_data(b"x" * 2_000)
+    assert results == [httpclient.NoReply(True, "answer too large")]
+    assert stream.closed
+    assert client._reply_bounds.held_bytes == 0
+
+
+def test_incomplete_replies_are_bounded_together():
+    """Guards against many slow replies that together fill the process."""
+    client, connector = _build_bounded_client(max_held_bytes=50_000)
+    results = []
+    for number in range(10):
+        _call(client, results, f"127.0.0.1:{number + 1}")
+    for stream in connector.streams:
+        stream.listener.handle_data(PARTIAL_REPLY + b"x" * 9_000)
+    assert {result.reason for result in results} == {"answer too large"}
+    assert 0 < client._reply_bounds.held_bytes <= 50_000
+
+
+def test_replies_release_what_they_held():
+    """Guards against a bound that is used up by replies of before."""
+    client, connector = _build_bounded_client(max_held_bytes=1_000)
+    results = []
+    for number in range(20):
+        _call(client, results)
+        stream, = connector.streams
+        stream.listener.handle_data(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + b"x" * 500)
+        assert results[number].status == 200
+    assert client._reply_bounds.held_bytes == 0
+
+
+def test_one_connection_is_opened_when_descriptors_are_short():
+    """Guards against calls that are never sent for lack of descriptors."""
+    client, connector = _build_bounded_client(may_connect=lambda: False)
+    results = []
+    for _ in range(3):
+        _call(client, results)
+        _call(client, results, "127.0.0.1:10")
+    assert len(connector.streams) == 2
--- /dev/null
+++ b/packages/node/tests/test_listener.py
@@ -0,0 +1,287 @@
+"""Tests of the guard and the listener with an event loop and real sockets."""
+
+import contextlib
+import errno
+import random
+import socket
+import time
+
+import circuits
+from circuits.core import pollers
+import pytest
+
+from trefoilroad_node import guards
+from trefoilroad_node import httpserver
+from trefoilroad_node import listener
+from trefoilroad_node import refusals
+from trefoilroad_node import registry
+from trefoilroad_node import request_budget
+from trefoilroad_node import timer
+
+BOUNDS = request_budget.Bounds(budget_bytes=1 << 20,
+                               max_connections=8,
+                               receive_buffer_bytes=16 << 10)
+MAX_BODY_BYTES = 400_000
+ANSWER_BYTES = 300_000
+
+
+class Server(httpserver.HttpServer):
+    """Answers each request, with a large body if it asks for one."""
+
+    def dispatch(self, request, respond):
+        body = b"x" * (ANSWER_BYTES if "large" in request.path else 2)
+        respond(httpserver.Response(200, body))
+
+
+class Site:
+    """A guarded server on a loop that the test drives."""
+
+    def __init__(self):
+        self.root = circuits.BaseComponent()
+        pollers.EPoll().register(self.root)
+        self.timers = timer.TimerService(rng=random.Random(1)).register(
+            self.root)
+        self.server = Server(listen="127.0.0.1:0",
+                             channel="test").register(self.root)
+        self.metrics = registry.Registry()
+        self.guard = guards.RequestGuard(channel="test",
+                                         server=self.server.http,
+                                         timers=self.timers,
+                                         max_body_bytes=MAX_BODY_BYTES,
+                                         bounds=BOUNDS,
+                                         get_body_limit=lambda: 200_000,
+                                         report=refusals.Report(
+                                             name="test", metrics=self.metrics))
+        self.guard.register(self.root)
+        guards.ClosedSocketFilter(channel="test").register(self.root)
+        # Without it, `tick` polls no sockets.
+        self.root._running = True
+        self.tcp = self.server._server.server
+        self.sockets = []
+
+    def run(self, until, timeout_s=5.0):
+        """Runs the loop until a condition holds."""
+        deadline_s = time.monotonic() + timeout_s
+        while not until():
+            assert time.monotonic() < deadline_s
+            self.root.tick(0.01)
+
+    def connect(self, receive_buffer=0):
+        """Opens a connection that does not block."""
+        sock = socket.socket()
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.connect(("127.0.0.1", self.server.port))
+        sock.setblocking(False)
+        self.sockets.append(sock)
+        return sock
+
+    def read(self, sock):
+        """Reads until the connection ends or has a whole small answer."""
+        data = bytearray()
+
+        def is_complete():
+            try:
+                piece = sock.recv(1 << 16)
+            except BlockingIOError:
+                return data.endswith((b"xx", b"}"))
+            data.extend(piece)
+            return not piece
+
+        self.run(is_complete)
+        return bytes(data)
+
+
+@pytest.fixture
+def site():
+    subject = Site()
+    yield subject
+    for sock in subject.sockets:
+        sock.close()
+
+
+def _build_post(length, body=b""):
+    return (f"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n"
+           ).encode() + body
+
+
+def test_abandoned_requests_leave_nothing(site):
+    """Guards against parsers and bodies of connections that have ended."""
+    for _ in range(5):
+        sock = site.connect()
+        sock.send(_build_post(100_000, b"x" * 1000))
+        site.run(lambda: site.guard._budget.used_bytes > 0)
+        site.run(lambda: site.guard._parsers)
+        sock.close()
+        site.run(lambda: not site.guard.open_connections)
+    assert not site.guard._parsers
+    assert not site.guard._http._clients
+    assert site.guard._budget.used_bytes == 0
+    assert not site.tcp._buffers
+
+
+def test_announced_length_over_the_changing_limit_is_refused(site):
+    """Guards against the wait for a body that cannot be served."""
+    sock = site.connect()
+    sock.send(_build_post(200_001))
+    answer = site.read(sock)
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert b"200001" in answer
+    assert b'"outcome": "not_run"' in answer
+    assert b"Connection: close" in answer
+
+
+def test_head_without_end_is_refused(site):
+    """Guards against heads that are bounded by the limit of bodies."""
+    sock = site.connect()
+    sock.send(b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 3000)
+    assert site.read(sock).startswith(b"HTTP/1.1 413 ")
+
+
+def test_refusal_under_pressure_is_truthful_and_says_when_to_retry(site):
+    """Guards against clients that take a refusal for an unknown outcome."""
+    held = [site.connect() for _ in range(7)]
+    for sock in held:
+        sock.send(_build_post(190_000, b"x" * 16_000))
+    for sock in held:
+        for _ in range(10):
+            site.root.tick(0.01)
+            try:
+                sock.send(b"x" * 16_000)
+            except (BlockingIOError, OSError):
+                break
+    text = ""
+
+    def is_refused():
+        nonlocal text
+        for sock in held:
+            try:
+                text = sock.recv(1 << 16).decode()
+            except BlockingIOError:
+                continue
+            return True
+        return False
+
+    site.run(is_refused)
+    assert text.startswith("HTTP/1.1 503 ")
+    assert "Retry-After: 1\r\n" in text
+    assert '"outcome": "not_run"' in text
+    ordinary = site.connect()
+    ordinary.send(_build_post(4, b"body"))
+    assert site.read(ordinary).startswith(b"HTTP/1.1 200 ")
+    assert "test_refused_memory_total" in site.metrics.render()
+
+
+def test_client_that_does_not_read_is_not_read_and_then_closed(site):
+    """Guards against responses that pile up for one connection."""
+    now_s = 1000.0
+    site.timers.read_clock = lambda: now_s
+    sock = site.connect(receive_buffer=4096)
+    most_unsent = 0
+
+    def send_more():
+        nonlocal most_unsent
+        with contextlib.suppress(OSError):
+            sock.send(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+        # More than a request takes until its response is sent.
+        for _ in range(12):
+            site.root.tick(0.001)
+        most_unsent = max(most_unsent,
+                          sum(site.tcp.count_unsent_bytes().values()))
+
+    for _ in range(40):
+        send_more()
+    assert 0 < most_unsent < 3 * ANSWER_BYTES
+    site.guard._close_overdue()
+    now_s += guards.UNSENT_TIMEOUT_S + 1
+    site.guard._close_overdue()
+    assert site.guard.open_connections == 0
+    assert "test_refused_unread_total 1" in site.metrics.render()
+
+
+def test_descriptors_that_run_out_do_not_busy_the_loop(site):
+    """Guards against a listening socket that is ready again and again."""
+
+    class Exhausted:
+        """Listening socket of a process without descriptors."""
+
+        calls = 0
+
+        def __init__(self, sock):
+            self.sock = sock
+
+        def accept(self):
+            Exhausted.calls += 1
+            raise OSError(errno.EMFILE, "too many open files")
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+
+        def __eq__(self, other):
+            return other in (id(self), self.sock)
+
+        def __hash__(self):
+            return hash(self.sock)
+
+    site.run(lambda: site.tcp._poller is not None)
+    real = site.tcp._sock
+    site.tcp._sock = Exhausted(real)
+    site.tcp._poller.discard(real)
+    site.tcp._poller.addReader(site.tcp, site.tcp._sock)
+    site.connect()
+    site.run(lambda: Exhausted.calls)
+    for _ in range(20):
+        site.root.tick(0.001)
+    assert Exhausted.calls == 1
+    assert site.tcp.accept_failures == 1
+    site.tcp._sock = real
+    site.tcp.resume_accepting()
+    site.run(lambda: site.guard.open_connections)
+
+
+def test_crowd_leaves_room_for_new_connections(site):
+    """Guards against connections beyond the descriptors of the process."""
+    now_s = 1000.0
+    site.timers.read_clock = lambda: now_s
+    for _ in range(20):
+        site.connect()
+    site.run(lambda: site.guard.open_connections == BOUNDS.max_connections)
+    for _ in range(20):
+        site.root.tick(0.001)
+    assert site.tcp.open_connections == BOUNDS.max_connections
+    now_s += 3.0
+    sock = site.connect()
+    sock.send(_build_post(4, b"body"))
+    assert site.read(sock).startswith(b"HTTP/1.1 200 ")
+
+
+def test_refused_connection_is_closed_after_a_bounded_amount(site):
+    """Guards against clients that send for ever after a refusal."""
+    sock = site.connect()
+    sock.send(_build_post(900_000))
+    sent = 0
+
+    def is_closed():
+        nonlocal sent
+        try:
+            sent += sock.send(b"x" * 65_536)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return False
+
+    site.run(is_closed)
+    assert sent <= listener.LINGER_BYTES + (4 << 20)
+    assert site.tcp.open_connections == 0
+    assert site.tcp.lingering_connections == 0
+
+
+def test_counts_are_logged_once_a_second():
+    """Guards against clients that flood the log with their refusals."""
+    report = refusals.Report(name="test", metrics=registry.Registry())
+    logged = 0
+    for step in range(1000):
+        report.count(refusals.Cause.MEMORY)
+        logged += report.log(step * 0.01, held_bytes=0, connections=0)
+    assert logged == 10
