Send small responses in one piece

Change: the head and the body of a response are joined, so that the loop runs once less for it; the clock is read only where it is needed.

--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -304,7 +304,9 @@
 
     def may_read(self, sock: Any) -> bool:
         """See listener.Gate.may_read."""
-        if self._budget.may_read(sock, self._timers.read_clock()):
+        # The clock is read only if it is needed.
+        if not self._budget.is_short() or self._budget.may_read(
+                sock, self._timers.read_clock()):
             return True
         self._count(refusals.Cause.PAUSED)
         return False
@@ -416,7 +418,8 @@
         if connection is not None and connection.response is response:
             connection.response = None
             self._budget.finish_work(sock, self._timers.read_clock())
-            self._resume()
+            if self._budget.paused_connections:
+                self._resume()
 
     def _resume(self) -> None:
         for sock in self._budget.take_resumable():
--- a/packages/node/src/trefoilroad_node/listener.py
+++ b/packages/node/src/trefoilroad_node/listener.py
@@ -172,6 +172,7 @@
     @circuits.handler("_write", priority=1)
     def _on_write(self, sock: Any) -> None:
         if sock.fileno() >= 0:
+            self._join_chunks(sock)
             super()._on_write(sock)
         if sock.fileno() < 0:
             # The base class creates an entry when it looks one up.
@@ -180,6 +181,14 @@
             # Reading pauses while a response is not taken.
             self.resume(sock)
 
+    def _join_chunks(self, sock: Any) -> None:
+        """Joins the head and the body of a small response to one segment."""
+        chunks = self._buffers.get(sock)
+        if (chunks and len(chunks) > 1 and
+                len(chunks[0]) + len(chunks[1]) <= SEND_BUFFER_BYTES):
+            first = chunks.popleft()
+            chunks[0] = first + chunks[0]
+
     def _accept(self) -> None:
         for _ in range(ACCEPT_BATCH):
             try:
--- a/packages/node/src/trefoilroad_node/request_budget.py
+++ b/packages/node/src/trefoilroad_node/request_budget.py
@@ -145,6 +145,7 @@
         self._excess_bytes = 0
         self._share_bytes = bounds.budget_bytes // 2 // bounds.max_connections
         self._max_excess_bytes = bounds.budget_bytes // 2
+        self._pause_bytes = self._max_excess_bytes * 3 // 4
 
     @property
     def used_bytes(self) -> int:
@@ -213,9 +214,13 @@
         if holding is not None:
             self._add(holding, -holding.held_bytes)
 
+    def is_short(self) -> bool:
+        """Returns whether connections beyond their shares are paused."""
+        return self._excess_bytes > self._pause_bytes
+
     def may_read(self, key: Hashable, now_s: float) -> bool:
         """Returns whether a connection is read now; else it is paused."""
-        if self._excess_bytes <= self._max_excess_bytes * 3 // 4:
+        if not self.is_short():
             return True
         holding = self._holdings.get(key)
         if holding is None or holding.held_bytes <= self._share_bytes:
@@ -244,6 +249,8 @@
             holding.progress_bytes = holding.request_bytes
             holding.progress_s = now_s
         self._add(holding, cost)
+        if self._excess_bytes <= self._max_excess_bytes:
+            return []
         return self._free(self._max_excess_bytes, now_s)
 
     def begin_work(self, key: Hashable, body_bytes: int,
@@ -259,6 +266,8 @@
         holding = self._holdings[key]
         self._add(holding, WORK_FACTOR * body_bytes)
         holding.working = True
+        if self._excess_bytes <= self._max_excess_bytes:
+            return []
         refused = self._free(self._max_excess_bytes, now_s)
         if (self._excess_bytes > self._max_excess_bytes and
                 holding.held_bytes > self._share_bytes):
