--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -69,6 +69,7 @@
 OnEnd = Callable[[progress.Claim, ports.EndState | None, str], None]
 OnProgress = Callable[[progress.Claim], None]
 OnReport = Callable[[fleets.TrackedWorker, float], None]
+OnReport = Callable[[fleets.TrackedWorker, float], None]
 CheckStart = Callable[[fleets.TrackedWorker, progress.Claim], str]
 
 _log = structlog.get_logger()
