Bound the power in the delay of a retry

OverflowError left the handling of the failed run, and each round after it left out the whole job. Long-running tasks fail without limit.

RoundScheduler._avoids_failing uses the same function.

--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple
 
+# Failures beyond this number do not change the delay of a retry. A long-running
+# task may fail without limit, and 2**1024 does not fit into a float.
+MAX_RETRY_DOUBLINGS = 64
+
 
 class Limits(NamedTuple):
     """Time limits and intervals, in seconds unless the name says otherwise.
@@ -79,4 +83,5 @@
 
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
-        return min(self.retry_max_s, self.retry_base_s * 2**(failures - 1))
+        doublings = min(failures - 1, MAX_RETRY_DOUBLINGS)
+        return min(self.retry_max_s, self.retry_base_s * 2**doublings)
