Stop long-running tasks for guaranteed work within max_unavailable

Cause: RoundScheduler._collect_running left out every long-running step, and nothing read max_unavailable, so that a guaranteed job never began on a fleet full of long-running work.

Change: long-running tasks are victims of last resort (victims.py). Only a unit that a guarantee covers may stop them, if nothing else makes room. Each task of the step that is not at work counts against max_unavailable, and the quota holds over all units of a round. They are listed only when a guaranteed unit has found nothing.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -366,10 +366,14 @@
             if not reserved_workers and not round_state.may_preempt(unit):
                 return
             round_state.considered_units += 1
-        preemption = reclaim.choose_preemption(
-            unit, reserved_candidates or list(round_state.candidates.values()),
-            round_state.running, round_state.now_s
-            >= unit.reclaim_s + patience.PREFERENCE_S)
+        candidates = reserved_candidates or list(
+            round_state.candidates.values())
+        spread = round_state.now_s >= unit.reclaim_s + patience.PREFERENCE_S
+        preemption = reclaim.choose_preemption(unit, candidates,
+                                               round_state.running, spread)
+        if preemption is None and unit.guaranteed:
+            preemption = reclaim.choose_last_resort(unit, candidates,
+                                                    round_state.running, spread)
         if preemption is not None and (unit.guaranteed or reclaim.is_worthwhile(
                 unit, preemption.victims, round_state.now_s)):
             self._preempt(unit, preemption, round_state)
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -1,6 +1,7 @@
 """Chooses which running tasks are preempted for a more urgent unit."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import heapq
@@ -48,19 +49,32 @@
 class RunningTasks:
     """Tasks that are ending and tasks that may be preempted, by worker."""
 
-    def __init__(self, *, ending: Iterable[units.TaskDemand],
-                 victims: Iterable[units.Victim]):
+    def __init__(self,
+                 *,
+                 ending: Iterable[units.TaskDemand],
+                 victims: Iterable[units.Victim],
+                 list_last_resort: Callable[[],
+                                            Iterable[units.Victim]] = tuple):
         """Indexes the running tasks of a round by worker.
 
         Args:
             ending: Tasks that are being stopped already.
             victims: Tasks that may be preempted.
+            list_last_resort: Returns the victims of last resort. Called only if
+                a unit that a guarantee covers finds no room without them.
         """
+        self._list_last_resort = list_last_resort
+        self._extended: RunningTasks | None = None
+        self._is_extended = False
+        self._stopped: dict[units.UnitKey, int] = collections.Counter()
         self._ending: dict[str, workload.Demand] = {}
         self._offers: dict[str, list[Offer]] = (collections.defaultdict(list))
         self._sorted_workers: set[str] = set()
         for worker_id, demand in ending:
             self._add_ending(worker_id, demand)
+        self._add_victims(victims)
+
+    def _add_victims(self, victims: Iterable[units.Victim]) -> None:
         for victim in victims:
             weighted_loss = _compute_weighted_loss(victim)
             if len(victim.tasks) == 1:
@@ -97,9 +111,42 @@
             self._sorted_workers.add(worker_id)
         return offers
 
-    def mark_stopping(self, victims: Iterable[units.Victim]) -> None:
+    def extend(self) -> "RunningTasks | None":
+        """Returns these tasks together with the victims of last resort.
+
+        Returns:
+            The tasks; None if there are no victims of last resort.
+        """
+        if not self._is_extended:
+            self._is_extended = True
+            last_resort = list(self._list_last_resort())
+            if last_resort:
+                self._extended = RunningTasks(ending=self._ending.items(),
+                                              victims=())
+                for worker_id, offers in self._offers.items():
+                    self._extended._offers[worker_id] = list(offers)
+                self._extended._add_victims(last_resort)
+        return self._extended
+
+    def is_within_quotas(self, victims: Sequence[units.Victim]) -> bool:
+        """Returns whether victims may be stopped together in this round."""
+        tasks: dict[units.UnitKey, int] = {}
+        for victim in victims:
+            if victim.quota is None:
+                continue
+            key, limit = victim.quota
+            tasks[key] = tasks.get(key, self._stopped[key]) + len(victim.tasks)
+            if tasks[key] > limit:
+                return False
+        return True
+
+    def mark_stopping(self, victims: Sequence[units.Victim]) -> None:
         """Moves victims to the tasks that are ending."""
+        if self._extended is not None:
+            self._extended.mark_stopping(victims)
         for victim in victims:
+            if victim.quota is not None:
+                self._stopped[victim.quota.key] += len(victim.tasks)
             for worker_id, demand in _sum_by_worker(victim).items():
                 self._add_ending(worker_id, demand)
                 self._offers[worker_id] = [
@@ -147,7 +194,7 @@
             0, candidate.room.accelerators +
             running.get_ending_demand(worker_id).accelerators)
         for offer in running.list_offers(worker_id):
-            if offer.victim.priority > priority:
+            if offer.victim.priority > priority or offer.victim.last_resort:
                 preemptible += offer.demand.accelerators
                 least_loss = min(least_loss, offer.unit_loss)
     return _Supply(released, preemptible, least_loss)
@@ -223,12 +270,24 @@
             self._push_option(worker_id)
         while len(self.workers) < self._request.tasks and self._options:
             option = heapq.heappop(self._options)
-            if option.version == self._versions[option.worker_id]:
-                self._apply(option)
-                if self.cost > max_cost:
-                    return False
+            if option.version != self._versions[option.worker_id]:
+                continue
+            if not self._is_within_quotas(option.offers):
+                # Stops on other workers have used up a quota meanwhile.
+                self._push_option(option.worker_id)
+                continue
+            self._apply(option)
+            if self.cost > max_cost:
+                return False
         return len(self.workers) == self._request.tasks
 
+    def _is_within_quotas(self, offers: Sequence[Offer]) -> bool:
+        """Returns whether the victims of offers may be stopped as well."""
+        if all(offer.victim.quota is None for offer in offers):
+            return True
+        return self._running.is_within_quotas(
+            [*self.victims, *(offer.victim for offer in offers)])
+
     def _apply(self, option: _TaskOption) -> None:
         self.cost += option.cost
         self.workers.append(option.worker_id)
@@ -284,8 +343,12 @@
         if demand.fits(room):
             return []
         for offer in self._running.list_offers(worker_id):
-            if (offer.victim.priority <= self._priority or
-                    id(offer.victim) in self._victim_ids):
+            victim = offer.victim
+            if ((victim.priority <= self._priority and not victim.last_resort)
+                    or id(victim) in self._victim_ids):
+                continue
+            if (victim.quota is not None and
+                    not self._is_within_quotas([*chosen, offer])):
                 continue
             room = room.plus(offer.demand)
             chosen.append(offer)
@@ -352,13 +415,42 @@
     return Preemption(best.victims, best.workers)
 
 
+def choose_last_resort(unit: units.Unit,
+                       candidates: Sequence[placement.Candidate],
+                       running: RunningTasks,
+                       spread: bool = False) -> Preemption | None:
+    """Chooses victims of last resort so that a unit can start.
+
+    A unit that could start outside the rack of its data without them waits
+    until it may.
+
+    Args:
+        unit: A unit covered by a guarantee, for which `choose_preemption` has
+            found nothing.
+        candidates: Workers that it may use, with their free resources.
+        running: Tasks that are ending or may be preempted.
+        spread: See `choose_preemption`.
+
+    Returns:
+        The preemption, or None if no preemption makes enough room.
+    """
+    extended = running.extend()
+    if extended is None:
+        return None
+    if (unit.step.data_rack and not spread and choose_preemption(
+            unit, candidates, running, spread=True) is not None):
+        return None
+    return choose_preemption(unit, candidates, extended, spread)
+
+
 def choose_partial_preemption(unit: units.Unit,
                               candidates: Sequence[placement.Candidate],
                               running: RunningTasks) -> Preemption | None:
     """Chooses what to preempt so that most tasks of a unit can start.
 
     Args:
-        unit: A unit for which `choose_preemption` has found nothing.
+        unit: A unit covered by a guarantee, for which `choose_preemption` and
+            `choose_last_resort` have found nothing.
         candidates: Workers that it may use, with their free resources.
         running: Tasks that are ending or may be preempted.
 
@@ -368,7 +460,7 @@
     """
     group = _GroupPlacement(request=units.build_placement_request(unit),
                             candidates=candidates,
-                            running=running,
+                            running=running.extend() or running,
                             priority=unit.priority)
     group.place_all(float("inf"))
     if not group.workers:
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -22,6 +22,7 @@
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import trials
 from trefoilroad_jobs import units
+from trefoilroad_jobs import victims as victim_lists
 from trefoilroad_jobs import workload
 
 Phase = progress.Phase
@@ -185,6 +186,10 @@
         queue = inputs.queues.get(job.workload.queue)
         return job.workload.priority if queue is None else queue.priority
 
+    def _find_service(self, inputs: RoundInput, job: progress.Job) -> str:
+        queue = inputs.queues.get(job.workload.queue)
+        return job.workload.service if queue is None else queue.service
+
     def _build_unit(self, inputs: RoundInput, job: progress.Job,
                     occurrence: int, number: int) -> units.Unit | None:
         job_workload = job.workload
@@ -323,11 +328,9 @@
                   if claim.phase is Phase.STOPPING]
         victims: list[units.Victim] = []
         for job in inputs.jobs.values():
-            queue = inputs.queues.get(job.workload.queue)
             priority = self._find_priority(inputs, job)
-            job_service = (job.workload.service
-                           if queue is None else queue.service)
-            if priority == workload.URGENT_PRIORITY or job_service != service:
+            if (priority == workload.URGENT_PRIORITY or
+                    self._find_service(inputs, job) != service):
                 continue
             for (_, number), state in job.steps.items():
                 claims = [
@@ -340,7 +343,22 @@
                 victims += self._build_victims(
                     inputs, step, priority, self._compute_density(inputs, job),
                     claims)
-        return reclaim.RunningTasks(ending=ending, victims=victims)
+        return reclaim.RunningTasks(ending=ending,
+                                    victims=victims,
+                                    list_last_resort=functools.partial(
+                                        self._list_last_resort, inputs,
+                                        service))
+
+    def _list_last_resort(self, inputs: RoundInput,
+                          service: str) -> list[units.Victim]:
+        """Returns the victims that only guaranteed units may stop."""
+        jobs = [
+            victim_lists.JobPriority(job, self._find_priority(inputs, job))
+            for job in inputs.jobs.values()
+            if self._find_service(inputs, job) == service
+        ]
+        return victim_lists.list_long_running(jobs,
+                                              inputs.fleet.tracked_workers)
 
     def _build_victims(self, inputs: RoundInput, step: workload.Step,
                        priority: int, density: float,
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -86,6 +86,18 @@
         return self.step.demand.accelerators * len(self.indexes)
 
 
+class StopQuota(NamedTuple):
+    """Number of tasks of a step that may be stopped in a round.
+
+    Attributes:
+        key: The step.
+        tasks: Number of tasks.
+    """
+
+    key: UnitKey
+    tasks: int
+
+
 class Victim(NamedTuple):
     """Running tasks that can only be preempted together.
 
@@ -95,6 +107,9 @@
         priority: Priority of the job.
         handle: Opaque reference by which the caller finds the tasks again.
         density: Worth of the job for each core-second of it.
+        last_resort: Whether it may be stopped whatever its priority, but only
+            for a unit that a guarantee covers.
+        quota: What its tasks count against when they are stopped, or None.
     """
 
     tasks: tuple[TaskDemand, ...]
@@ -102,6 +117,8 @@
     priority: int
     handle: object
     density: float = 0.0
+    last_resort: bool = False
+    quota: StopQuota | None = None
 
     @property
     def accelerators(self) -> int:
--- a/packages/jobs/src/trefoilroad_jobs/workload.py
+++ b/packages/jobs/src/trefoilroad_jobs/workload.py
@@ -64,8 +64,9 @@
         uses_idle_cores: Whether the tasks use only idle processor time.
         image: What the tasks run; tasks of one image behave alike. Not used
             yet.
-        max_unavailable: Most long-running tasks that may be stopped at the same
-            time; not used yet.
+        max_unavailable: Most long-running tasks that may be out of work at the
+            same time so that a task is stopped for guaranteed work; 0 if none
+            may be stopped.
     """
 
     tasks: int
