Let each long-running task give up the workers that it prefers

Cause: a unit left its rack, withheld workers and held room behind only if nothing of its job ran. That is the bound for work that ends; a long-running task beside others of its job waited for ever.

Change: units of long-running tasks count as idle. If only some of the tasks start, the others keep the time that they have waited.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -168,9 +168,13 @@
         round_state.allocate(unit, workers)
         _allocate_withheld(round_state.withheld, unit, workers)
         self._holds.pop(unit.key, None)
+        self._gang_reservations.drop(unit.key)
+        if unit.step.long_running and len(workers) < len(unit.indexes):
+            # The tasks that are left have waited as long. Otherwise the last of
+            # many would wait again for each one that finds room before it.
+            return
         for unit_patience in self._patiences:
             unit_patience.drop(unit.key)
-        self._gang_reservations.drop(unit.key)
 
     def _rank(self, unit: units.Unit, now_s: float) -> tuple[float, ...]:
         """Returns the sort key of a unit; lower keys are placed first.
@@ -237,9 +241,10 @@
                          round_state: "_RoundState") -> list[str]:
         """Places a unit without regard to what it prefers.
 
-        Only a unit of a job of which nothing runs is placed so, once it has
-        waited for long enough beside the room. It leaves its preferred rack
-        before it uses a worker that is withheld or room that is held.
+        Only a unit of a job of which nothing runs, or of long-running tasks, is
+        placed so, once it has waited for long enough beside the room. It leaves
+        its preferred rack before it uses a worker that is withheld or room that
+        is held.
 
         Returns:
             The worker of each placed task; empty if the unit has to wait.
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -236,7 +236,7 @@
             retry=any(
                 self._avoids_failing(state, index, inputs.now_s)
                 for index in waiting),
-            idle=not _is_running(inputs, job))
+            idle=step.long_running or not _is_running(inputs, job))
 
     def _avoids_failing(self, state: progress.StepProgress, index: int,
                         now_s: float) -> bool:
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -52,8 +52,9 @@
             unit; until then enough tasks may end on their own.
         retry: Whether a run of it has failed shortly before, so that workers
             with recent failures are avoided.
-        idle: Whether nothing of the job runs, so that it does not wait long
-            for workers that it only prefers.
+        idle: Whether nothing of the job runs, or the tasks are long-running, so
+            that it does not wait long for workers that it only prefers. Each
+            long-running task has to be at work, not just some of its job.
     """
 
     job_id: str
