Stop urgent work beyond its guarantee for another team's guarantee

Cause: RoundScheduler._collect_running left out all urgent work as victims, also what runs beyond the guarantee of its team. Nothing was kept for a guaranteed unit that found no victims, and each accelerator that became free went to the jobs of the burst.

Change: urgent tasks that the guarantee of their team does not cover, counted in the order of acceptance, are victims of last resort for guaranteed units. Least loss goes first, then the newest job. Tasks that are ending cover nothing, so that the rest never falls below the guarantee.

--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -355,10 +355,24 @@
         jobs = [
             victim_lists.JobPriority(job, self._find_priority(inputs, job))
             for job in inputs.jobs.values()
-            if self._find_service(inputs, job) == service
         ]
-        return victim_lists.list_long_running(jobs,
-                                              inputs.fleet.tracked_workers)
+        urgent_jobs = [
+            job for job, priority in jobs
+            if priority == workload.URGENT_PRIORITY
+        ]
+        uncovered = victim_lists.list_uncovered(
+            urgent_jobs, inputs.configuration.get_guarantee)
+        in_service = {
+            job.job_id
+            for job, _ in jobs
+            if self._find_service(inputs, job) == service
+        }
+        return victim_lists.list_urgent(
+            [job for job in urgent_jobs if job.job_id in in_service], uncovered,
+            inputs.now_s, self._bounds.checkpoint_interval_s
+        ) + victim_lists.list_long_running(
+            [entry for entry in jobs if entry.job.job_id in in_service],
+            inputs.fleet.tracked_workers, uncovered)
 
     def _build_victims(self, inputs: RoundInput, step: workload.Step,
                        priority: int, density: float,
--- a/packages/jobs/tests/test_victims.py
+++ b/packages/jobs/tests/test_victims.py
@@ -2,11 +2,14 @@
 
 import pytest
 
+from trefoilroad_jobs import intake
 from trefoilroad_jobs import ordering
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import planner
+from trefoilroad_jobs import progress
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import units
+from trefoilroad_jobs import victims
 from trefoilroad_jobs import workload
 from trefoilroad_standins.jobs import site as sites
 
@@ -137,7 +140,7 @@
                         quota=units.StopQuota(("lasting", 0, 0), limit))
 
 
-def _plan(ready, victims, last_resort):
+def _plan(ready, ordinary, last_resort):
     listed = []
 
     def list_last_resort():
@@ -146,7 +149,8 @@
 
     plan = planner.Planner(order=ordering.WorthDensityOrder()).plan(
         ready, _make_candidates(), lambda: reclaim.RunningTasks(
-            ending=(), victims=victims, list_last_resort=list_last_resort), 0.0)
+            ending=(), victims=ordinary, list_last_resort=list_last_resort),
+        0.0)
     return [victim.handle for victim in plan.stops], len(listed)
 
 
@@ -211,3 +215,176 @@
                             quota=units.StopQuota(("lasting", 0, 0), limit))
         stops, _ = _plan([_make_unit()], [], [gang])
         assert len(stops) == expected
+
+
+def _make_borrowed_site(guarantee, queue=sites.URGENT_QUEUE, **fields):
+    """Returns a site that the urgent jobs of another team fill for long."""
+    site = sites.Site(worker_count=4,
+                      per_rack=2,
+                      guarantees={
+                          "owner": 16,
+                          "borrower": guarantee
+                      })
+    site.run(1.0)
+    for number in range(6):
+        site.submit(f"c{number}".ljust(16, "0"),
+                    tasks=8,
+                    run_s=20.0,
+                    demand=sites.SMALL_DEMAND,
+                    queue=queue,
+                    team="borrower",
+                    **fields)
+        site.run(0.2)
+    assert site.count_events("start", "c") == 32
+    return site
+
+
+def _count_running(site, prefix):
+    return sum(
+        name.startswith(prefix)
+        for worker_state in site.worker_states.values()
+        for name in worker_state.runs)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("tasks", [1, 2])
+def test_urgent_work_beyond_its_guarantee_yields(tasks, gang):
+    """Guards against a burst of one team that keeps another's guarantee.
+
+    All accelerators in use belonged to urgent jobs, which were never stopped,
+    and each that became free was given to the waiting jobs of that team.
+    """
+    site = _make_borrowed_site(8)
+    _submit_urgent(site, tasks=tasks, gang=gang)
+    site.run(_RECLAIM_S)
+    assert site.count_events("start", _URGENT) == tasks
+    assert site.count_events("stopped", "c") == 8 * tasks
+    # The jobs accepted first are those that the guarantee covers.
+    assert site.count_events("stopped", "c0") == 0
+    assert site.find_violations() == []
+
+
+@pytest.mark.parametrize(("guarantee", "stopped"), [(32, 0), (24, 8), (17, 8),
+                                                    (16, 16)])
+def test_urgent_work_inside_its_guarantee_is_never_stopped(guarantee, stopped):
+    """Guards against stops of work that another team's guarantee covers."""
+    site = _make_borrowed_site(guarantee)
+    _submit_urgent(site, tasks=2)
+    site.run(_RECLAIM_S)
+    assert site.count_events("stopped", "c") == stopped
+    assert site.count_events("start", _URGENT) == stopped // 8
+    assert _count_running(site, "c") == 32 - stopped >= guarantee
+
+
+def test_urgent_work_beyond_guarantees_stops_no_urgent_work():
+    """Guards against teams that stop each other's work in turns."""
+    site = _make_borrowed_site(8)
+    # One team has no guarantee, the other asks for more than its guarantee.
+    _submit_urgent(site, team="other")
+    site.submit("e" * 16,
+                tasks=3,
+                run_s=3.0,
+                demand=_WHOLE,
+                queue=sites.URGENT_QUEUE,
+                team="owner")
+    site.run(5.0)
+    assert site.count_events("stopped", "c") == 0
+
+
+def test_bulk_work_is_stopped_before_urgent_work():
+    """Guards against urgent work that is stopped while bulk work could be."""
+    site = sites.Site(worker_count=2, per_rack=2, guarantees={"owner": 8})
+    site.run(1.0)
+    site.submit("d" * 16, run_s=20.0, demand=_WHOLE)
+    site.submit("c" * 16,
+                run_s=20.0,
+                demand=_WHOLE,
+                queue=sites.URGENT_QUEUE,
+                team="borrower")
+    site.run(10.0)
+    _submit_urgent(site)
+    site.run(_RECLAIM_S)
+    assert site.count_events("start", _URGENT) == 1
+    assert site.count_events("stopped", "c") == 0
+    assert site.count_events("stopped", "d") == 1
+
+
+def test_long_running_urgent_work_has_both_limits():
+    """Guards against stops beyond either the quota or the excess."""
+    for max_unavailable, stopped in ((0, 0), (8, 8)):
+        site = _make_borrowed_site(8,
+                                   long_running=True,
+                                   max_unavailable=max_unavailable)
+        _submit_urgent(site)
+        site.run(_RECLAIM_S)
+        assert site.count_events("stopped", "c") == stopped
+        assert site.count_events("stopped", "c0") == 0
+
+
+def _make_job(name, accepted_s, tasks, *, gang=False, started_s=None):
+    step = workload.Step(tasks=tasks, demand=sites.SMALL_DEMAND, gang=gang)
+    job = progress.Job(workload=intake.build_workload(sites.URGENT_QUEUE,
+                                                      "team", name, "payload",
+                                                      (step,)),
+                       now_s=accepted_s,
+                       age_s=0.0)
+    state = job.get_step(0, 0)
+    for index in range(tasks):
+        state.claims[index] = progress.Claim(
+            key=progress.TaskKey(name, 0, 0, index),
+            run=1,
+            worker_id="w0",
+            boot_ms=1,
+            phase=progress.Phase.RUNNING,
+            now_s=accepted_s if started_s is None else started_s,
+            demand=step.occupied)
+    return job
+
+
+def _list_uncovered(jobs, guarantee):
+    return sorted((key.job_id, key.task)
+                  for key in victims.list_uncovered(jobs, lambda _: guarantee))
+
+
+def test_guarantee_covers_tasks_in_the_order_of_acceptance():
+    """Guards against another choice of covered work with each round."""
+    jobs = [_make_job("new", 2.0, 2), _make_job("old", 1.0, 3)]
+    assert _list_uncovered(jobs, 5) == []
+    assert _list_uncovered(jobs, 4) == [("new", 1)]
+    assert _list_uncovered(jobs, 2) == [("new", 0), ("new", 1), ("old", 2)]
+    assert len(_list_uncovered(jobs, 0)) == 5
+
+
+def test_guarantee_covers_a_gang_as_a_whole():
+    """Guards against a covered part that is stopped with the rest of a gang."""
+    jobs = [_make_job("gang", 1.0, 4, gang=True), _make_job("later", 2.0, 2)]
+    assert _list_uncovered(jobs, 5) == [("later", 1)]
+    assert _list_uncovered(jobs, 3) == [("gang", 0), ("gang", 1), ("gang", 2),
+                                        ("gang", 3)]
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_guarantee_covers_no_task_that_is_ending(gang):
+    """Guards against further stops that leave less than the guarantee."""
+    jobs = [_make_job("old", 1.0, 2, gang=gang), _make_job("new", 2.0, 2)]
+    jobs[0].get_step(0, 0).claims[0].phase = progress.Phase.STOPPING
+    assert _list_uncovered(jobs, 2) == ([] if gang else [("new", 1)])
+
+
+def test_least_loss_and_then_the_newest_urgent_work_goes_first():
+    """Guards against stops that lose more urgent work than needed."""
+    jobs = [
+        _make_job("old", 1.0, 1, started_s=8.0),
+        _make_job("middle", 2.0, 1, started_s=5.0),
+        _make_job("new", 3.0, 1, started_s=5.0)
+    ]
+    uncovered = victims.list_uncovered(jobs, lambda _: 0)
+    last_resort = victims.list_urgent(jobs, uncovered, 10.0, 1.0)
+    running = reclaim.RunningTasks(ending=(),
+                                   victims=(),
+                                   list_last_resort=lambda: last_resort)
+    names = [
+        offer.victim.handle[0].key.job_id
+        for offer in running.extend().list_offers("w0")
+    ]
+    assert names == ["old", "new", "middle"]
