--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -24,6 +24,7 @@
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import trials
 from trefoilroad_jobs import units
+from trefoilroad_jobs import victims as victim_lists
 from trefoilroad_jobs import worker_speeds
 from trefoilroad_jobs import workload
 
@@ -204,6 +205,10 @@
         queue = inputs.queues.get(job.workload.queue)
         return job.workload.priority if queue is None else queue.priority
 
+    def _find_service(self, inputs: RoundInput, job: progress.Job) -> str:
+        queue = inputs.queues.get(job.workload.queue)
+        return job.workload.service if queue is None else queue.service
+
     def _build_unit(self, inputs: RoundInput, job: progress.Job,
                     occurrence: int, number: int) -> units.Unit | None:
         job_workload = job.workload
@@ -252,7 +257,7 @@
             retry=any(
                 self._avoids_failing(state, index, inputs.now_s)
                 for index in waiting),
-            idle=not _is_running(inputs, job),
+            idle=step.long_running or not _is_running(inputs, job),
             max_speed_class=worker_speeds.find_max_class(
                 objective_s - inputs.now_s,
                 remaining_s,
@@ -355,11 +360,9 @@
                   if claim.phase is Phase.STOPPING]
         victims: list[units.Victim] = []
         for job in inputs.jobs.values():
-            queue = inputs.queues.get(job.workload.queue)
             priority = self._find_priority(inputs, job)
-            job_service = (job.workload.service
-                           if queue is None else queue.service)
-            if priority == workload.URGENT_PRIORITY or job_service != service:
+            if (priority == workload.URGENT_PRIORITY or
+                    self._find_service(inputs, job) != service):
                 continue
             for (_, number), state in job.steps.items():
                 claims = [
@@ -372,7 +375,36 @@
                 victims += self._build_victims(
                     inputs, step, priority, self._compute_density(inputs, job),
                     claims)
-        return reclaim.RunningTasks(ending=ending, victims=victims)
+        return reclaim.RunningTasks(ending=ending,
+                                    victims=victims,
+                                    list_last_resort=functools.partial(
+                                        self._list_last_resort, inputs,
+                                        service))
+
+    def _list_last_resort(self, inputs: RoundInput,
+                          service: str) -> list[units.Victim]:
+        """Returns the victims that only guaranteed units may stop."""
+        jobs = [
+            victim_lists.JobPriority(job, self._find_priority(inputs, job))
+            for job in inputs.jobs.values()
+        ]
+        urgent_jobs = [
+            job for job, priority in jobs
+            if priority == workload.URGENT_PRIORITY
+        ]
+        uncovered = victim_lists.list_uncovered(
+            urgent_jobs, inputs.configuration.get_guarantee)
+        in_service = {
+            job.job_id
+            for job, _ in jobs
+            if self._find_service(inputs, job) == service
+        }
+        return victim_lists.list_urgent(
+            [job for job in urgent_jobs if job.job_id in in_service], uncovered,
+            inputs.now_s, self._bounds.checkpoint_interval_s
+        ) + victim_lists.list_long_running(
+            [entry for entry in jobs if entry.job.job_id in in_service],
+            inputs.fleet.tracked_workers, uncovered)
 
     def _build_victims(self, inputs: RoundInput, step: workload.Step,
                        priority: int, density: float,
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -52,8 +52,9 @@
             unit; until then enough tasks may end on their own.
         retry: Whether a run of it has failed shortly before, so that workers
             with recent failures are avoided.
-        idle: Whether nothing of the job runs, so that it does not wait long
-            for workers that it only prefers.
+        idle: Whether nothing of the job runs, or the tasks are long-running, so
+            that it does not wait long for workers that it only prefers. Each
+            long-running task has to be at work, not just some of its job.
         max_speed_class: Slowest class of workers on which it ends in time.
         avoided_images: Images that are better not beside its tasks.
     """
@@ -90,6 +91,18 @@
         return self.step.demand.accelerators * len(self.indexes)
 
 
+class StopQuota(NamedTuple):
+    """Number of tasks of a step that may be stopped in a round.
+
+    Attributes:
+        key: The step.
+        tasks: Number of tasks.
+    """
+
+    key: UnitKey
+    tasks: int
+
+
 class Victim(NamedTuple):
     """Running tasks that can only be preempted together.
 
@@ -99,6 +112,9 @@
         priority: Priority of the job.
         handle: Opaque reference by which the caller finds the tasks again.
         density: Worth of the job for each core-second of it.
+        last_resort: Whether it may be stopped whatever its priority, but only
+            for a unit that a guarantee covers.
+        quota: What its tasks count against when they are stopped, or None.
     """
 
     tasks: tuple[TaskDemand, ...]
@@ -106,6 +122,8 @@
     priority: int
     handle: object
     density: float = 0.0
+    last_resort: bool = False
+    quota: StopQuota | None = None
 
     @property
     def accelerators(self) -> int:
