Keep the choice of faster workers inside the rack of a unit

Cause: the search for preemption left slow workers out before it looked at racks, so that an urgent unit stopped work in a rack far from its data, and a gang that prefers one rack was spread. A unit that had room on slow workers gave it up for a preemption that could fail again and again.

Change: each group of workers is reduced to the fast ones by itself, if these can hold the unit. A unit that has room starts there.

--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -18,7 +18,6 @@
 from trefoilroad_jobs import placement
 from trefoilroad_jobs import reclaim
 from trefoilroad_jobs import units
-from trefoilroad_jobs import workload
 
 # How long preempted resources are held for the unit.
 HOLD_S = 1.2
@@ -156,8 +155,7 @@
             workers = (self._place(unit, round_state) or
                        self._place_elsewhere(unit, round_state))
             if workers:
-                if not self._make_faster_room(unit, workers, round_state):
-                    self._start(unit, workers, round_state)
+                self._start(unit, workers, round_state)
             elif unit.key in self._holds:
                 round_state.allocate(unit, self._holds[unit.key].workers)
             elif now_s >= unit.reclaim_s:
@@ -403,34 +401,6 @@
                 round_state.now_s + FUTILE_SEARCH_DELAY_S * further_workers)
         gang_reservations.block_room(unit, reserved_candidates)
 
-    def _make_faster_room(self, unit: units.Unit, workers: Sequence[str],
-                          round_state: "_RoundState") -> bool:
-        """Preempts tasks on faster workers for a unit that has room.
-
-        An urgent unit that would be late on the workers that have room, as
-        these are slow, is worth the preemption of other work.
-
-        Returns:
-            Whether tasks are preempted, so that the unit starts later.
-        """
-        if (unit.priority != workload.URGENT_PRIORITY or
-                unit.key in self._holds or
-                round_state.find_slowest_class(workers) <= unit.max_speed_class
-                or not round_state.may_preempt(unit)):
-            return False
-        candidates = list(round_state.candidates.values())
-        suitable = reclaim.select_by_speed(unit, candidates)
-        if not suitable:
-            return False
-        round_state.considered_units += 1
-        preemption = reclaim.choose_preemption(unit, suitable,
-                                               round_state.running)
-        if preemption is None or not reclaim.is_worthwhile(
-                unit, preemption.victims, round_state.now_s):
-            return False
-        self._preempt(unit, preemption, round_state)
-        return True
-
     def _preempt(self, unit: units.Unit, preemption: reclaim.Preemption,
                  round_state: "_RoundState") -> None:
         """Adds stops to the plan and holds what they free for a unit."""
@@ -507,15 +477,6 @@
             self._task_limits[accelerators] = limit
         return limit >= (request.tasks if request.all_or_nothing else 1)
 
-    def find_slowest_class(self, workers: Sequence[str]) -> int:
-        """Returns the class of the slowest of some workers."""
-        return max([
-            self.candidates[worker_id].speed_class
-            for worker_id in workers
-            if worker_id in self.candidates
-        ],
-                   default=0)
-
     def list_unblocked(self) -> list[placement.Candidate]:
         """Returns the candidates with the room that is kept for gangs."""
         if not self._unblocked:
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -385,42 +385,11 @@
         The preemption, or None if no preemption makes enough room.
     """
     request = units.build_placement_request(unit)
-    suitable = select_by_speed(unit, candidates)
-    if len(suitable) < len(candidates):
-        preemption = _choose_preemption(unit, request, suitable, running,
-                                        spread)
-        if preemption is not None:
-            return preemption
-    return _choose_preemption(unit, request, candidates, running, spread)
-
-
-def select_by_speed(
-        unit: units.Unit, candidates: Sequence[placement.Candidate]
-) -> Sequence[placement.Candidate]:
-    """Returns the workers on which an urgent unit ends in time.
-
-    The slowest worker sets the pace of a gang. Other units have time to spare
-    and are late rather by waiting.
-    """
-    if unit.priority != workload.URGENT_PRIORITY:
-        return candidates
-    return [
-        candidate for candidate in candidates
-        if candidate.speed_class <= unit.max_speed_class
-    ]
-
-
-def _choose_preemption(unit: units.Unit, request: placement.PlacementRequest,
-                       candidates: Sequence[placement.Candidate],
-                       running: RunningTasks,
-                       spread: bool) -> Preemption | None:
     accelerators = request.step.occupied.accelerators * request.tasks
-    groups = [
-        (_sum_supply(group_candidates, running,
-                     unit.priority).estimate_cost(accelerators),
-         group_candidates)
-        for group_candidates in _list_candidate_groups(request, candidates)
-    ]
+    groups = [(_sum_supply(group_candidates, running,
+                           unit.priority).estimate_cost(accelerators),
+               group_candidates) for group_candidates in _list_candidate_groups(
+                   unit, request, candidates)]
     best: _GroupPlacement | None = None
     for cost, group_candidates in sorted(groups, key=lambda group: group[0]):
         if cost >= (best.cost if best else float("inf")):
@@ -497,8 +466,30 @@
     return Preemption(group.victims, group.workers)
 
 
+def _select_by_speed(
+        unit: units.Unit, request: placement.PlacementRequest,
+        candidates: Sequence[placement.Candidate]
+) -> Sequence[placement.Candidate]:
+    """Returns the workers of a group on which an urgent unit ends in time.
+
+    The slowest worker sets the pace of a gang. Other units have time to spare
+    and are late rather by waiting. Returns the whole group if too few of its
+    workers are fast enough.
+    """
+    if unit.priority != workload.URGENT_PRIORITY:
+        return candidates
+    suitable = [
+        candidate for candidate in candidates
+        if candidate.speed_class <= unit.max_speed_class
+    ]
+    if len(suitable) < len(candidates) and placement.fits_when_idle(
+            request, suitable):
+        return suitable
+    return candidates
+
+
 def _list_candidate_groups(
-    request: placement.PlacementRequest,
+    unit: units.Unit, request: placement.PlacementRequest,
     candidates: Sequence[placement.Candidate]
 ) -> list[Sequence[placement.Candidate]]:
     """Returns groups of workers that could hold all tasks when idle."""
@@ -514,7 +505,9 @@
     fitting = [
         group for group in groups if placement.fits_when_idle(request, group)
     ]
-    return fitting[:1] if step.data_rack else fitting
+    if step.data_rack:
+        fitting = fitting[:1]
+    return [_select_by_speed(unit, request, group) for group in fitting]
 
 
 def is_worthwhile(unit: units.Unit, victims: Sequence[units.Victim],
