--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -395,11 +395,6 @@
                   how=str(end_state) if end_state else "not run",
                   why=why,
                   ran_s=round(now_s - claim.started_s, 3))
-        self._speeds.record_end((claim.key, claim.run),
-                                self._find_speed_group(job, claim),
-                                claim.worker_id,
-                                done=end_state is ports.EndState.DONE,
-                                now_s=now_s)
         self._interference.record_end(claim, end_state, now_s)
         if end_state is ports.EndState.DONE:
             self._handle_completed_run(job, step, claim, now_s)
@@ -409,11 +404,18 @@
             self._handle_interrupted_run(job, step, claim, now_s)
         self._record_change(job)
         self._request_round()
+        self._speeds.record_end((claim.key, claim.run),
+                                self._find_speed_group(job, claim),
+                                claim.worker_id,
+                                done=end_state is ports.EndState.DONE,
+                                now_s=now_s)
 
     def _handle_progress(self, claim: progress.Claim) -> None:
         """Learns the speed of a worker from the progress of a run."""
         job = self.jobs[claim.key.job_id]
-        if job.workload.steps[claim.key.step].long_running:
+        step = job.workload.steps[claim.key.step]
+        if (step.long_running or step.tasks == 1 or
+                self._rounds.is_disturbed(step.image)):
             return
         is_fresh = claim.starts_sent == 1 and not claim.resumed
         self._speeds.record_progress(
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -197,8 +197,26 @@
     """Moves workers that run an avoided image behind others.
 
     The last whole workers come even after these, unless the task needs a whole
-    one. The order inside the groups stays.
+    one. The order inside the groups stays, and workers on which the tasks are
+    late stay behind all others.
     """
+    in_time = [
+        entry for entry in fitting
+        if entry[0].speed_class <= request.max_speed_class
+    ]
+    late = [
+        entry for entry in fitting
+        if entry[0].speed_class > request.max_speed_class
+    ]
+    return [
+        *_separate_disturbing(request, in_time, worker_count),
+        *_separate_disturbing(request, late, worker_count)
+    ]
+
+
+def _separate_disturbing(request: PlacementRequest,
+                         fitting: list[tuple[Candidate, int]],
+                         worker_count: int) -> list[tuple[Candidate, int]]:
     others: list[tuple[Candidate, int]] = []
     disturbing: list[tuple[Candidate, int]] = []
     whole: list[tuple[Candidate, int]] = []
--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -456,14 +456,17 @@
         The preemption, with a worker for each task that can start, or None if
         no task can.
     """
-    group = _GroupPlacement(request=units.build_placement_request(unit),
-                            candidates=candidates,
-                            running=running.extend() or running,
-                            priority=unit.priority)
-    group.place_all(float("inf"))
-    if not group.workers:
-        return None
-    return Preemption(group.victims, group.workers)
+    for tasks in (running, running.extend()):
+        if tasks is None:
+            continue
+        group = _GroupPlacement(request=units.build_placement_request(unit),
+                                candidates=candidates,
+                                running=tasks,
+                                priority=unit.priority)
+        group.place_all(float("inf"))
+        if group.workers:
+            return Preemption(group.victims, group.workers)
+    return None
 
 
 def _select_by_speed(
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -150,6 +150,10 @@
             combined_plan.stops.extend(plan.stops)
         return combined_plan
 
+    def is_disturbed(self, image: str) -> bool:
+        """Returns whether an image is slowed down by others, or slows them."""
+        return bool(image and self._disturbances.find_partners(image))
+
     def list_held_room(self) -> dict[str, planner.HeldRoom]:
         """Returns the room that is kept since the last round, by service."""
         return {
@@ -258,12 +262,38 @@
                 self._avoids_failing(state, index, inputs.now_s)
                 for index in waiting),
             idle=step.long_running or not _is_running(inputs, job),
-            max_speed_class=worker_speeds.find_max_class(
-                objective_s - inputs.now_s,
-                remaining_s,
-                is_urgent=priority == workload.URGENT_PRIORITY),
+            max_speed_class=self._find_max_speed_class(
+                step, priority, remaining_s, eligible_s - inputs.now_s,
+                objective_s - inputs.now_s),
             avoided_images=self._disturbances.find_partners(step.image))
 
+    def _find_max_speed_class(self, step: workload.Step, priority: int,
+                              remaining_s: float, eligible_s: float,
+                              objective_s: float) -> int:
+        """Returns the slowest class of workers on which a job has its worth.
+
+        Work that is late already needs no fast worker, but for the little worth
+        that it still has.
+
+        Args:
+            step: Step that is ready.
+            priority: Priority of the job.
+            remaining_s: Expected time from the start to the end of the job.
+            eligible_s: When it was accepted, in seconds from now.
+            objective_s: When it should end, in seconds from now.
+        """
+        if step.long_running:
+            return worker_speeds.SLOWEST_CLASS
+        is_urgent = priority == workload.URGENT_PRIORITY
+        last_s = eligible_s + units.MAX_LATENESS_FACTOR * (objective_s -
+                                                           eligible_s)
+        for end_s in (objective_s, last_s):
+            if end_s >= remaining_s:
+                return worker_speeds.find_max_class(end_s,
+                                                    remaining_s,
+                                                    is_urgent=is_urgent)
+        return worker_speeds.SLOWEST_CLASS
+
     def _avoids_failing(self, state: progress.StepProgress, index: int,
                         now_s: float) -> bool:
         """Returns whether a task avoids workers with recent failures."""
--- a/packages/jobs/src/trefoilroad_jobs/worker_speeds.py
+++ b/packages/jobs/src/trefoilroad_jobs/worker_speeds.py
@@ -37,14 +37,20 @@
 # Number of sweeps of the solver at each update. Each update begins with the
 # result of the one before.
 SWEEPS = 3
-UPDATE_INTERVAL_S = 0.5
+UPDATE_INTERVAL_S = 1.0
+# Longest time between two updates, so that old samples are dropped also if no
+# new ones come.
+MAX_UPDATE_INTERVAL_S = 10.0
+# Number of samples that are kept; an update of 1,000 takes 5 ms.
+MAX_SAMPLES = 2_000
 # Run times are only estimated, so work needs as much time to spare on a slower
 # worker. Urgent work has little to spare by its objective and prefers the
 # fastest workers in any case.
 RUN_TIME_MARGIN = 1.6
 URGENT_RUN_TIME_MARGIN = 1.1
-# A class that no worker reaches.
+# Classes that no worker reaches.
 FASTEST_CLASS = -100
+SLOWEST_CLASS = 100
 
 
 def find_max_class(available_s: float, run_s: float, *, is_urgent: bool) -> int:
@@ -168,8 +174,11 @@
     def _add_sample(self, key: RunKey, group: Group, worker_id: str,
                     seconds: float, now_s: float) -> None:
         if seconds > 0.0:
+            self._samples.pop(key, None)
             self._samples[key] = _Sample(group, worker_id, math.log(seconds),
                                          now_s)
+            if len(self._samples) > MAX_SAMPLES:
+                del self._samples[next(iter(self._samples))]
             self._changed = True
 
     def update(self, now_s: float) -> None:
@@ -178,7 +187,9 @@
         Args:
             now_s: Current time in seconds.
         """
-        if not self._changed or now_s < self._updated_s + UPDATE_INTERVAL_S:
+        interval_s = (UPDATE_INTERVAL_S
+                      if self._changed else MAX_UPDATE_INTERVAL_S)
+        if not self._samples or now_s < self._updated_s + interval_s:
             return
         self._changed = False
         self._updated_s = now_s
--- a/packages/jobs/tests/test_victims.py
+++ b/packages/jobs/tests/test_victims.py
@@ -388,3 +388,44 @@
         for offer in running.extend().list_offers("w0")
     ]
     assert names == ["old", "new", "middle"]
+
+
+def test_part_of_a_unit_spares_long_running_work():
+    """Guards against long-running tasks stopped beside ordinary victims."""
+    demand = workload.Demand(8000, 1000, 8)
+    step = workload.Step(tasks=1, demand=demand, data_rack="r1")
+    candidates = [
+        placement.Candidate(worker_id=name,
+                            rack=rack,
+                            labels=frozenset(),
+                            room=workload.Demand(64_000, 256_000, 0),
+                            capacity=workload.Demand(64_000, 256_000, 8))
+        for name, rack in (("near", "r1"), ("far1", "r2"), ("far2", "r2"))
+    ]
+    serving = units.Victim((("far2", demand),),
+                           1.0,
+                           1,
+                           "serving",
+                           last_resort=True)
+    running = reclaim.RunningTasks(
+        ending=(),
+        victims=[units.Victim((("far1", demand),), 50.0, 1, "bulk")],
+        list_last_resort=lambda: [serving])
+    unit = units.Unit(job_id="u",
+                      occurrence=0,
+                      step_number=0,
+                      step=step,
+                      indexes=(0,),
+                      used_by_worker={},
+                      service="service",
+                      team="team",
+                      priority=0,
+                      accepted_s=0.0,
+                      objective_s=10.0,
+                      remaining_s=5.0,
+                      remaining_core_s=10.0,
+                      size_ratio=1.0,
+                      guaranteed=True)
+    preemption = reclaim.choose_partial_preemption(unit, candidates, running)
+    assert preemption is not None
+    assert [victim.handle for victim in preemption.victims] == ["bulk"]
--- a/packages/jobs/tests/test_worker_speeds.py
+++ b/packages/jobs/tests/test_worker_speeds.py
@@ -130,6 +130,29 @@
     assert not speeds.list_slownesses()
 
 
+def test_idle_fleet_forgets_speeds():
+    """Guards against speeds of the past that an idle fleet keeps for ever."""
+    speeds = worker_speeds.WorkerSpeeds()
+    _record_gang(speeds, 1, range(6), slowness=lambda n: 4.0 if n == 0 else 1.0)
+    speeds.update(4.0)
+    assert speeds.get_class("w0") > 0
+    speeds.update(4000.0)
+    assert speeds.get_class("w0") == 0
+
+
+def test_number_of_samples_is_bounded():
+    """Guards against updates whose cost grows with the runs of a minute."""
+    speeds = worker_speeds.WorkerSpeeds()
+    for number in range(worker_speeds.MAX_SAMPLES + 10):
+        speeds.record_progress((number, 1),
+                               _group(number),
+                               "w0",
+                               50,
+                               started_s=0.0,
+                               now_s=2.0)
+    assert len(speeds._samples) == worker_speeds.MAX_SAMPLES
+
+
 def test_work_without_time_to_spare_gets_no_slow_worker():
     """Guards against a class that is slower than the objective allows."""
     limit = worker_speeds.find_max_class(3.2, 2.0, is_urgent=True)
@@ -271,6 +294,22 @@
     assert set(preemption.workers) in ({"w0", "w1"}, {"w2", "w3"})
 
 
+def test_interference_does_not_make_urgent_work_late():
+    """Guards against a slow worker that is preferred for its images."""
+    candidates = _candidates([4, 0, 0], free=7)
+    candidates[1].images = frozenset({"other"})
+    candidates[2].room = CAPACITY
+    step = workload.Step(tasks=1, demand=workload.Demand(1000, 1000, 1))
+    request = placement.PlacementRequest(step=step,
+                                         tasks=1,
+                                         all_or_nothing=True,
+                                         used_by_worker={},
+                                         max_speed_class=0,
+                                         prefers_fast=True,
+                                         avoided_images=frozenset({"other"}))
+    assert placement.pack(request, candidates) != ["w0"]
+
+
 def test_uneven_workers_load(monkeypatch):
     """Guards against urgent work that is late on slow workers.
 
