--- a/packages/jobs/src/trefoilroad_jobs/reclaim.py
+++ b/packages/jobs/src/trefoilroad_jobs/reclaim.py
@@ -532,9 +532,9 @@
 
 
 def _compute_weighted_loss(victim: units.Victim) -> float:
-    """Returns the core-seconds that a stop loses, weighted by priority."""
-    return victim.lost_core_s * units.WORTH_BY_PRIORITY[units.find_worth_index(
-        victim.priority)]
+    """Returns the core-seconds that a stop costs, weighted by priority."""
+    return (victim.lost_core_s + victim.restart_core_s
+           ) * units.WORTH_BY_PRIORITY[units.find_worth_index(victim.priority)]
 
 
 def _sum_by_worker(victim: units.Victim) -> dict[str, workload.Demand]:
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -34,6 +34,10 @@
 # it is below 3 s, as a job may not wait for longer while workers are idle.
 FAILING_AVOIDANCE_S = 1.5
 MAX_RETRY_WAIT_S = 2.5
+# A gang that is stopped waits until all its workers have room at once again. In
+# a full fleet that takes seconds, and a gang that has just started would
+# otherwise be the cheapest victim each time.
+GANG_RESTART_S = 4.0
 
 _log = structlog.get_logger()
 
@@ -454,7 +458,14 @@
         lost_s = sum(
             [min(now_s - claim.started_s, max_lost_s) for claim in claims])
         tasks = tuple([(claim.worker_id, claim.demand) for claim in claims])
-        return [units.Victim(tasks, lost_s * cores, priority, claims, density)]
+        return [
+            units.Victim(tasks,
+                         lost_s * cores,
+                         priority,
+                         claims,
+                         density,
+                         restart_core_s=GANG_RESTART_S * cores * len(claims))
+        ]
 
     def _compute_density(self, inputs: RoundInput, job: progress.Job) -> float:
         """Returns the worth of a job for each core-second of it."""
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -115,6 +115,8 @@
         last_resort: Whether it may be stopped whatever its priority, but only
             for a unit that a guarantee covers.
         quota: What its tasks count against when they are stopped, or None.
+        restart_core_s: Core-seconds that it costs to gather its resources
+            again, beside the work that is lost.
     """
 
     tasks: tuple[TaskDemand, ...]
@@ -124,6 +126,7 @@
     density: float = 0.0
     last_resort: bool = False
     quota: StopQuota | None = None
+    restart_core_s: float = 0.0
 
     @property
     def accelerators(self) -> int:
--- a/packages/jobs/tests/test_reclaim.py
+++ b/packages/jobs/tests/test_reclaim.py
@@ -103,3 +103,29 @@
                                                            victims=()))
     assert preemption is not None
     assert preemption.workers == ["w01"]
+
+
+def test_gang_that_has_just_started_is_not_the_cheapest_victim():
+    """Guards against a gang that is stopped after each of its starts.
+
+    It has lost nothing yet, while other work of a few seconds has.
+    """
+    demand = workload.Demand(8_000, 1_000, 8)
+    gang = units.Victim((("w0", demand), ("w1", demand)),
+                        lost_core_s=0.0,
+                        priority=1,
+                        handle="gang",
+                        restart_core_s=500.0)
+    bulk = units.Victim((("w2", demand),), 90.0, 2, "bulk")
+    candidates = [
+        placement.Candidate(worker_id=f"w{number}",
+                            rack="r",
+                            labels=frozenset(),
+                            room=CAPACITY._replace(accelerators=0),
+                            capacity=CAPACITY) for number in range(3)
+    ]
+    unit = _make_gang(1, 8)
+    preemption = reclaim.choose_preemption(
+        unit, candidates, reclaim.RunningTasks(ending=[], victims=[gang, bulk]))
+    assert preemption is not None
+    assert [victim.handle for victim in preemption.victims] == ["bulk"]
