--- a/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
+++ b/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
@@ -98,18 +98,18 @@
 
 
 def _is_reservation_due(unit: units.Unit, now_s: float) -> bool:
-    """Returns whether a unit is near its latest start.
+    """Returns whether a unit is near its latest start, or late.
 
-    That is the latest start that lets the job end within its objective or,
-    once that has passed, within the time in which a late job still has worth.
+    The latest start lets the job end within its objective. A late gang keeps
+    its reservation until its job has no more worth: a gang of dozens of tasks
+    would otherwise not find room again in a full fleet.
     """
     latest_s = unit.objective_s - unit.remaining_s
-    if latest_s + RESERVATION_GRACE_S < now_s:
-        allowed_s = unit.objective_s - unit.accepted_s
-        latest_s = (unit.accepted_s + units.MAX_LATENESS_FACTOR * allowed_s -
-                    unit.remaining_s)
+    allowed_s = unit.objective_s - unit.accepted_s
+    last_s = (unit.accepted_s + units.MAX_LATENESS_FACTOR * allowed_s -
+              unit.remaining_s)
     return (latest_s - RESERVATION_LEAD_S <= now_s <=
-            latest_s + RESERVATION_GRACE_S)
+            max(latest_s, last_s) + RESERVATION_GRACE_S)
 
 
 def _choose_workers_to_reserve(
