Count jobs as waiting whose starts were all refused

Cause: a job counted as begun once a run number of it had been claimed, also if the worker refused the only start, which proves that nothing began.

Change: a job has begun if a start of it was answered, or a report listed a run of it. Rows of steps with ended runs of which none has begun say so under a key that the release before ignores; other rows are unchanged.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -279,10 +279,10 @@
         return job.state
 
     def count_pending(self) -> dict[str, int]:
-        """Returns the number of jobs that have not started, by queue."""
+        """Returns the number of jobs of which nothing has begun, by queue."""
         counts: dict[str, int] = {}
         for job in self._active_jobs.values():
-            if not job.has_started():
+            if not job.has_begun():
                 queue = job.workload.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
@@ -342,6 +342,7 @@
         step = job.get_step(claim.key.occurrence, claim.key.step)
         if step.claims.get(claim.key.task) is claim:
             del step.claims[claim.key.task]
+        step.begun = step.begun or claim.begun
         if claim.checkpoint:
             step.checkpoints[claim.key.task] = claim.checkpoint
         now_s = self._timers.read_clock()
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -25,6 +25,11 @@
 
 # Key in `StepProgress.failures` of the number of a gang's last failed run.
 LAST_FAILED_RUN = -1
+# Key among the failures in the row of a step of which no ended run has begun:
+# the number of ended runs, so that it is void if an older release, which keeps
+# keys that it does not know, has ended more runs. Without it ended runs count
+# as begun; ordinary rows have no mark.
+ENDED_BEFORE_BEGIN = -2
 
 
 class Phase(enum.Enum):
@@ -64,6 +69,8 @@
         worker_id: Worker that runs it or is to run it.
         boot_ms: Start of the worker process, in Unix milliseconds.
         phase: Phase of the run.
+        begun: Whether the run is known to have begun. One that an earlier
+            leader claimed counts as begun unless its worker denies it.
         starts_sent: Number of start commands that may have been sent; 1 for a
             run that an earlier leader claimed.
         start_settled: Whether a start command was answered or can no longer
@@ -87,7 +94,7 @@
         why: Reason of the stop, for logs.
     """
 
-    __slots__ = ("boot_ms", "checkpoint", "demand", "key",
+    __slots__ = ("begun", "boot_ms", "checkpoint", "demand", "key",
                  "longest_lease_end_s", "percent", "percent_s", "phase",
                  "retry_s", "run", "since_s", "start_settled", "started_ms",
                  "started_s", "starts_sent", "stop_acked_s", "tries", "why",
@@ -110,6 +117,7 @@
         self.worker_id = worker_id
         self.boot_ms = boot_ms
         self.phase = phase
+        self.begun = phase is Phase.RECOVERING
         self.starts_sent = int(phase is Phase.RECOVERING)
         self.start_settled = False
         self.longest_lease_end_s = float("-inf")
@@ -125,7 +133,8 @@
         self.why = ""
 
     def settle_start(self) -> None:
-        """Records that a start command was answered or has no more effect."""
+        """Records that the run has begun, by an answer or a report."""
+        self.begun = True
         self.start_settled = True
         self.longest_lease_end_s = float("-inf")
 
@@ -141,6 +150,7 @@
     """Progress of one step of one occurrence.
 
     Attributes:
+        begun: Whether a run that has ended may have begun.
         last_runs: Highest run number ever claimed, for each task; 0 if none.
         done: Indexes of the completed tasks.
         failures: Number of failed runs by task index; a gang counts at index
@@ -152,10 +162,11 @@
             seconds by task index; of a gang at index 0.
     """
 
-    __slots__ = ("checkpoints", "claims", "done", "failures", "last_runs",
-                 "retry_at_s")
+    __slots__ = ("begun", "checkpoints", "claims", "done", "failures",
+                 "last_runs", "retry_at_s")
 
     def __init__(self, *, tasks: int):
+        self.begun = False
         self.last_runs = [0] * tasks
         self.done: set[int] = set()
         self.failures: dict[int, int] = {}
@@ -169,9 +180,13 @@
         return len(self.done) == len(self.last_runs)
 
     @property
-    def has_started(self) -> bool:
-        """Whether some task has been claimed."""
-        return any(self.last_runs)
+    def has_begun(self) -> bool:
+        """Whether some run of the step has begun."""
+        return self.begun or any(claim.begun for claim in self.claims.values())
+
+    def count_ended_runs(self) -> int:
+        """Returns the number of run numbers that no claim holds."""
+        return sum(self.last_runs) - len(self.claims)
 
     def count_failure(self, claim: Claim, *, gang: bool) -> int:
         """Counts a failed run.
@@ -282,9 +297,13 @@
             self.is_occurrence_done(occurrence)
             for occurrence in range(self.workload.occurrences))
 
-    def has_started(self) -> bool:
-        """Returns whether some task has been claimed."""
-        return any(step.has_started for step in self.steps.values())
+    def has_begun(self) -> bool:
+        """Returns whether some run has begun.
+
+        Runs that were refused or never sent do not count, so a job of which
+        only such runs were claimed is still waiting.
+        """
+        return any(step.has_begun for step in self.steps.values())
 
     def list_ready(self, wall_ms: float) -> Iterator[tuple[int, int]]:
         """Yields the steps that may start, as (occurrence, step number).
@@ -318,11 +337,26 @@
         done: Any = sorted(step.done)
         if step.is_done:
             done = True
-        steps.append((occurrence, number, runs, done, step.failures, claims,
-                      step.checkpoints))
+        steps.append((occurrence, number, runs, done, encode_failures(step),
+                      claims, step.checkpoints))
     return cbor2.dumps([str(job.state), job.ended_ms, steps])
 
 
+def encode_failures(step: StepProgress) -> dict[int, int]:
+    """Returns the failures of a step with the mark of runs that never began."""
+    ended_runs = 0 if step.begun else step.count_ended_runs()
+    if not ended_runs:
+        return step.failures
+    return step.failures | {ENDED_BEFORE_BEGIN: ended_runs}
+
+
+def decode_failures(step: StepProgress, failures: dict[int, int]) -> None:
+    """Sets the failures of a step whose runs and claims are set."""
+    ended_runs = failures.pop(ENDED_BEFORE_BEGIN, 0)
+    step.failures = failures
+    step.begun = step.count_ended_runs() != ended_runs
+
+
 def decode_state(data: bytes) -> JobState:
     """Decodes only the state of a job.
 
@@ -357,7 +391,6 @@
             tasks = len(step.last_runs)
             step.last_runs = [runs] * tasks if isinstance(runs, int) else runs
             step.done = set(range(tasks)) if done is True else set(done)
-            step.failures = failures
             step.checkpoints = checkpoints
             for index, run, worker_id, boot_ms, *started in claims:
                 # Rows of release 0.2.0 have no start time.
@@ -375,6 +408,7 @@
                 if started_ms:
                     claim.started_s -= max(0.0, store_ms - started_ms) / 1000.0
                 step.claims[index] = claim
+            decode_failures(step, failures)
     except (cbor2.CBORError, TypeError, IndexError, EOFError) as error:
         raise ValueError(
             f"invalid progress row of {job.job_id}: {error!r}") from error
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -799,7 +799,9 @@
             return
         if claim.phase is Phase.RECOVERING:
             # The request carried this leader's epoch, so the worker refuses a
-            # delayed start of an earlier leader from now on.
+            # delayed start of an earlier leader from now on. A process that
+            # started after the claim cannot tell whether the run had begun.
+            claim.begun = claim.boot_ms != tracked.boot_ms
             self._end_run(claim, None, "was never started")
         elif claim.phase is Phase.RUNNING and claim.since_s < sent_s:
             self._end_run(claim, ports.EndState.LAPSED, "its worker lost it")
