Split the progress of large jobs and set refused rows aside

Cause: the progress of a job with thousands of tasks outgrew a row of the store, with a checkpoint of each ended task among others. A job whose progress could not be read was run again from the beginning once the watch listed its row.

Change: checkpoints of ended tasks are dropped. Progress longer than a row is made compact and split over rows of one transaction, with a count and a checksum in the first; shorter progress is encoded as before. Transactions stay within the entries and bytes of the store, and callbacks wait only for what was marked before them. Changes of a transaction that is refused for good are sent apart; one that is refused alone is set aside and tried again after growing delays: nothing of it starts, its ends are not acknowledged. A job whose progress cannot be read is left alone. The store of the virtual site has the platform's limits.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -16,6 +16,7 @@
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
+from trefoilroad_jobs import progress_rows
 from trefoilroad_jobs import rounds
 from trefoilroad_jobs import runs
 from trefoilroad_jobs import tables
@@ -78,6 +79,9 @@
         self.ready = False
         self._active_jobs: dict[str, progress.Job] = {}
         self._cancelled_jobs: set[str] = set()
+        # Jobs whose progress cannot be read. The watch lists their rows again,
+        # and without their progress all their tasks would run again.
+        self._unreadable_jobs: set[str] = set()
         self._store = store
         self._timers = timers
         self._wall_clock = wall_clock
@@ -141,17 +145,20 @@
         self._wait_monitor.record_read(table)
 
     def load(self, intake_rows: ports.Rows, lease_rows: ports.Rows,
-             progress_rows: ports.Rows) -> None:
+             progress_table: ports.Rows) -> None:
         """Recovers the jobs that nodes and earlier leaders have written.
 
         Args:
             intake_rows: All rows of accepted jobs and cancellations.
             lease_rows: All rows of leases.
-            progress_rows: All rows of progress.
+            progress_table: All rows of progress.
         """
-        self._ledger.update_store_clock(progress_rows.store_ms,
+        self._ledger.update_store_clock(progress_table.store_ms,
                                         self._timers.read_clock())
-        states = {row.key: row.value for row in progress_rows.rows}
+        states = progress_rows.group_rows(progress_table.rows)
+        self._ledger.recover_row_counts({
+            job_id: 1 + max(rows) for job_id, rows in states.items()
+        })
         now_s = self._timers.read_clock()
         for row in intake_rows.rows:
             self._apply_intake_row(row, states)
@@ -180,7 +187,7 @@
             self._apply_intake_row(row, {})
 
     def _apply_intake_row(self, row: ports.Row,
-                          states: Mapping[str, bytes | None]) -> None:
+                          states: Mapping[str, Mapping[int, bytes]]) -> None:
         """Applies one row; one that cannot be applied affects no other row."""
         try:
             self._apply_readable_row(row, states)
@@ -190,7 +197,7 @@
                            error=repr(error))
 
     def _apply_readable_row(self, row: ports.Row,
-                            states: Mapping[str, bytes | None]) -> None:
+                            states: Mapping[str, Mapping[int, bytes]]) -> None:
         if row.value is None:
             return
         if row.key.startswith(tables.CANCEL_PREFIX):
@@ -203,8 +210,8 @@
                           states)
 
     def _add_job(self, job_id: str, value: bytes,
-                 states: Mapping[str, bytes | None]) -> None:
-        if job_id in self.jobs:
+                 states: Mapping[str, Mapping[int, bytes]]) -> None:
+        if job_id in self.jobs or job_id in self._unreadable_jobs:
             return
         try:
             accepted = workload.decode_workload(value)
@@ -215,15 +222,16 @@
         age_s = max(0.0, (self._ledger.read_store_ms() - accepted.accepted_ms) /
                     1000.0)
         job = progress.Job(workload=accepted, now_s=now_s, age_s=age_s)
-        state = states.get(job_id)
-        if state is not None:
+        rows = states.get(job_id, {})
+        if rows:
             try:
-                progress.decode_progress(job, state, now_s,
-                                         self._ledger.read_store_ms())
+                progress_rows.decode_rows(job, rows, now_s,
+                                          self._ledger.read_store_ms())
             except ValueError as error:
                 _log.error("progress row cannot be read",
                            job=job_id,
                            error=str(error))
+                self._unreadable_jobs.add(job_id)
                 return
         self.jobs[job_id] = job
         self._estimator.record_job(accepted)
@@ -324,7 +332,8 @@
     def _record_change(self, job: progress.Job) -> None:
         job.unrecorded += 1
         self._ledger.mark_dirty(job)
-        self._ledger.call_after(lambda: self._confirm_change(job))
+        self._ledger.call_after(lambda: self._confirm_change(job),
+                                tables.get_progress_row_name(job.job_id))
 
     def _confirm_change(self, job: progress.Job) -> None:
         job.unrecorded -= 1
@@ -343,8 +352,7 @@
         if step.claims.get(claim.key.task) is claim:
             del step.claims[claim.key.task]
         step.begun = step.begun or claim.begun
-        if claim.checkpoint:
-            step.checkpoints[claim.key.task] = claim.checkpoint
+        step.record_checkpoint(claim)
         now_s = self._timers.read_clock()
         _log.info("run ended",
                   request=job.job_id,
@@ -373,9 +381,9 @@
         if spec.gang:
             # The end of one task completes the whole gang; the ends of the
             # other tasks are reported too.
-            step.done = set(range(spec.tasks))
+            step.record_done(range(spec.tasks))
         else:
-            step.done.add(claim.key.task)
+            step.record_done([claim.key.task])
         if not job.is_final and job.is_done():
             self._finish(job, progress.JobState.COMPLETED, "all tasks done")
 
@@ -455,6 +463,7 @@
     def _tick(self) -> None:
         now_s = self._timers.read_clock()
         self._runs.tick()
+        self._drop_refused_claims()
         if now_s - self._last_round_s >= ROUND_INTERVAL_S:
             self._run_round()
 
@@ -471,7 +480,7 @@
         plan = self._rounds.run(
             rounds.RoundInput(now_s=started_s,
                               wall_ms=self._wall_clock.read_wall_ms(),
-                              jobs=self._active_jobs,
+                              jobs=self._list_schedulable_jobs(),
                               fleet=self._fleet,
                               configuration=self._configuration,
                               queues=self._queues,
@@ -484,6 +493,33 @@
         self._round_duration_s = self._timers.read_clock() - started_s
         self._metrics.time("round", self._round_duration_s)
 
+    def _drop_refused_claims(self) -> None:
+        """Ends claims that the store refuses to record.
+
+        They would occupy their workers, and are never started.
+        """
+        for job in self._ledger.list_set_aside():
+            for claim in list(job.list_claims()):
+                self._runs.drop_unsent(claim, "the store refuses its claim")
+
+    def _list_schedulable_jobs(self) -> Mapping[str, progress.Job]:
+        """Returns the jobs of which tasks may start.
+
+        These are the active ones whose progress can be written.
+        """
+        refused = self._find_refused_jobs()
+        if not refused:
+            return self._active_jobs
+        return {
+            job_id: job
+            for job_id, job in self._active_jobs.items()
+            if job_id not in refused
+        }
+
+    def _find_refused_jobs(self) -> frozenset[str]:
+        """Returns the ids of the jobs whose progress the store refuses."""
+        return frozenset(job.job_id for job in self._ledger.list_set_aside())
+
     def _check_waits(self) -> None:
         """Logs and counts the jobs that have nothing running."""
         self._wait_monitor.check(
@@ -499,7 +535,8 @@
                            quarantined=self._health.find_workers(
                                health.Status.QUARANTINED),
                            prior_leases_end_s=self._runs.prior_leases_end_s,
-                           held=self._rounds.list_held_room()))
+                           held=self._rounds.list_held_room(),
+                           refused=self._find_refused_jobs()))
 
     def _start_unit(self, start: units.Start, now_s: float) -> None:
         unit = start.unit
@@ -544,7 +581,8 @@
                   fleet_age_s=round(self._runs.read_list_age_s(), 3))
         self._metrics.time("jobs.wait", now_s - unit.accepted_s)
         self._ledger.mark_dirty(job)
-        self._ledger.call_after(lambda: self._runs.start(claims, job.workload))
+        self._ledger.call_after(lambda: self._runs.start(claims, job.workload),
+                                tables.get_progress_row_name(job.job_id))
 
     def _preempt(self, victim: units.Victim) -> None:
         claims = victim.handle
@@ -567,7 +605,7 @@
         ) - self._bounds.retention_s * 1000.0
         for job in list(self.jobs.values()):
             if (job.is_final and job.ended_ms < limit_ms and
-                    not any(job.list_claims())):
+                    not job.unrecorded and not any(job.list_claims())):
                 self._remove(job.job_id)
 
     def _remove(self, job_id: str) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -1,5 +1,6 @@
 """The leader's view of the workers: leases, restarts and failures."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from trefoilroad_jobs import ports
@@ -136,6 +137,8 @@
             have expired, whichever process of the worker got them.
         recorded_end: Highest number of an end that is recorded durably.
         processed_end: Highest number of an end that has been processed.
+        unrecorded_ends: Jobs of processed ends that may not be recorded yet, by
+            number of the end.
         silent_since_s: Time since which it has not answered, or infinity.
         polling: Whether a report has been requested and is outstanding.
         next_poll_s: When the next report is requested.
@@ -169,6 +172,7 @@
         self.sent_leases_end_s = float("-inf")
         self.recorded_end = 0
         self.processed_end = 0
+        self.unrecorded_ends: dict[int, str] = {}
         self.silent_since_s = float("inf")
         self.polling = False
         self.next_poll_s = float("-inf")
@@ -355,6 +359,40 @@
         self.failures = []
         self.recorded_end = 0
         self.processed_end = 0
+        self.unrecorded_ends = {}
+
+    def record_ends(self, number: int, is_refused: Callable[[str],
+                                                            bool]) -> bool:
+        """Records that the changes made for ends have been written.
+
+        Ends are acknowledged in their order, so one of a job that cannot be
+        written keeps those after it from being acknowledged.
+
+        Args:
+            number: Highest number of the ends.
+            is_refused: Returns whether the store refuses the rows of a job.
+
+        Returns:
+            Whether more ends can be acknowledged than before.
+        """
+        recorded = min([number] + [
+            end - 1
+            for end, job_id in self.unrecorded_ends.items()
+            if end <= number and is_refused(job_id)
+        ])
+        self.unrecorded_ends = {
+            end: job_id
+            for end, job_id in self.unrecorded_ends.items()
+            if end > recorded
+        }
+        has_more = recorded > self.recorded_end
+        self.recorded_end = max(self.recorded_end, recorded)
+        return has_more
+
+    def has_refused_ends(self, is_refused: Callable[[str], bool]) -> bool:
+        """Returns whether ends wait for a job that cannot be written."""
+        return any(
+            is_refused(job_id) for job_id in self.unrecorded_ends.values())
 
 
 class Fleet:
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -7,8 +7,8 @@
     """Time limits and intervals, in seconds unless the name says otherwise.
 
     The defaults fit workers that accept leases of up to 10 s. The platform's
-    settings replace `max_lease_s`, `checkpoint_interval_s` and `retention_s`,
-    and limit `lease_s`.
+    settings replace `max_lease_s`, `checkpoint_interval_s`, `retention_s` and
+    `row_bytes`, and limit `lease_s`.
 
     Attributes:
         lease_s: Lease that every leader gives to a worker. It outlasts a
@@ -52,6 +52,7 @@
         reclaim_lead_s: Time from the stop of a task to the start of another
             on the freed resources: the stop, its report, a commit and the
             start.
+        row_bytes: Longest content of a row of the store, in bytes.
     """
 
     lease_s: float = 6.0
@@ -76,6 +77,7 @@
     retention_s: float = 150.0
     reclaim_patience_s: float = 0.0
     reclaim_lead_s: float = 0.4
+    row_bytes: int = 65_536
 
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -286,6 +286,7 @@
                                 epoch=takeover.epoch,
                                 head_version=takeover.head_version,
                                 claimed_s=takeover.claimed_s,
+                                row_bytes=self._bounds.row_bytes,
                                 on_newer_leader=self._leadership.step_down)
         dispatcher = dispatchers.Dispatcher(
             epoch=takeover.epoch,
--- a/packages/jobs/src/trefoilroad_jobs/ports.py
+++ b/packages/jobs/src/trefoilroad_jobs/ports.py
@@ -72,10 +72,13 @@
         reason: Description of the failure, for logs.
         maybe_written: Whether a write may have taken effect, or may still
             do so.
+        permanent: Whether the store refuses this write for what it contains,
+            so that a repeat is refused too.
     """
 
     reason: str
     maybe_written: bool
+    permanent: bool = False
 
 
 RowName = tuple[str, str]
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -1,8 +1,10 @@
 """Progress of jobs: completed tasks, failures and claimed runs."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
 from typing import Any
+from typing import Literal
 from typing import NamedTuple
 
 import cbor2
@@ -157,7 +159,7 @@
             0, and the number of its last failed run is at LAST_FAILED_RUN.
         claims: Runs that may be alive, by index.
         checkpoints: Latest checkpoint of an ended run, from which the next run
-            resumes, by index.
+            resumes, by index of a task that is not done.
         retry_at_s: Earliest time of the next start after a failed run, in
             seconds by task index; of a gang at index 0.
     """
@@ -188,6 +190,17 @@
         """Returns the number of run numbers that no claim holds."""
         return sum(self.last_runs) - len(self.claims)
 
+    def record_checkpoint(self, claim: Claim) -> None:
+        """Keeps the checkpoint of an ended run unless its task is done."""
+        if claim.checkpoint and claim.key.task not in self.done:
+            self.checkpoints[claim.key.task] = claim.checkpoint
+
+    def record_done(self, indexes: Iterable[int]) -> None:
+        """Records completed tasks; their checkpoints are not needed."""
+        for index in indexes:
+            self.done.add(index)
+            self.checkpoints.pop(index, None)
+
     def count_failure(self, claim: Claim, *, gang: bool) -> int:
         """Counts a failed run.
 
@@ -325,24 +338,61 @@
                     yield occurrence, number
 
 
-def encode_progress(job: Job) -> bytes:
-    """Encodes the progress of a job for the store."""
+class StepRow(NamedTuple):
+    """Progress of a step as it stands in a row.
+
+    Attributes:
+        occurrence: Number of the occurrence.
+        number: Number of the step.
+        runs: Highest run number of each task, or of all if they are the same.
+        done: Sorted indexes of the completed tasks, or True for all.
+        failures: See StepProgress.failures; also ENDED_BEFORE_BEGIN.
+        claims: Index, run, worker, start of the worker process and time of each
+            claim.
+        checkpoints: See StepProgress.checkpoints.
+    """
+
+    occurrence: int
+    number: int
+    runs: list[int] | int
+    done: list[int] | Literal[True]
+    failures: dict[int, int]
+    claims: list[tuple[Any, ...]]
+    checkpoints: dict[int, str]
+
+
+def list_steps(job: Job) -> list[StepRow]:
+    """Returns the progress of the steps of a job for its row."""
     steps = []
     for (occurrence, number), step in job.steps.items():
-        claims = [(index, claim.run, claim.worker_id, claim.boot_ms,
-                   claim.started_ms) for index, claim in step.claims.items()]
-        runs: Any = step.last_runs
-        if len(set(runs)) == 1:
-            runs = runs[0]
-        done: Any = sorted(step.done)
-        if step.is_done:
-            done = True
-        steps.append((occurrence, number, runs, done, encode_failures(step),
-                      claims, step.checkpoints))
-    return cbor2.dumps([str(job.state), job.ended_ms, steps])
-
-
-def encode_failures(step: StepProgress) -> dict[int, int]:
+        runs: list[int] | int = step.last_runs
+        if len(set(step.last_runs)) == 1:
+            runs = step.last_runs[0]
+        steps.append(
+            StepRow(occurrence=occurrence,
+                    number=number,
+                    runs=runs,
+                    done=True if step.is_done else sorted(step.done),
+                    failures=_mark_failures(step),
+                    claims=[(index, claim.run, claim.worker_id, claim.boot_ms,
+                             claim.started_ms)
+                            for index, claim in step.claims.items()],
+                    checkpoints={} if job.is_final else step.checkpoints))
+    return steps
+
+
+def encode_steps(job: Job, steps: list[StepRow]) -> bytes:
+    """Encodes the progress of a job, given that of its steps."""
+    return cbor2.dumps(
+        [str(job.state), job.ended_ms, [tuple(step) for step in steps]])
+
+
+def encode_progress(job: Job) -> bytes:
+    """Encodes the progress of a job as a single row, however long."""
+    return encode_steps(job, list_steps(job))
+
+
+def _mark_failures(step: StepProgress) -> dict[int, int]:
     """Returns the failures of a step with the mark of runs that never began."""
     ended_runs = 0 if step.begun else step.count_ended_runs()
     if not ended_runs:
@@ -350,13 +400,6 @@
     return step.failures | {ENDED_BEFORE_BEGIN: ended_runs}
 
 
-def decode_failures(step: StepProgress, failures: dict[int, int]) -> None:
-    """Sets the failures of a step whose runs and claims are set."""
-    ended_runs = failures.pop(ENDED_BEFORE_BEGIN, 0)
-    step.failures = failures
-    step.begun = step.count_ended_runs() != ended_runs
-
-
 def decode_state(data: bytes) -> JobState:
     """Decodes only the state of a job.
 
@@ -371,7 +414,7 @@
 
 def decode_progress(job: Job, data: bytes, now_s: float,
                     store_ms: float) -> None:
-    """Sets the progress of a job from the store.
+    """Sets the progress of a job from a single row.
 
     Args:
         job: A job without progress.
@@ -383,32 +426,75 @@
         ValueError: If the data is not an encoded progress of this job.
     """
     try:
-        state, job.ended_ms, steps = cbor2.loads(data)
-        job.state = JobState(state)
-        for (occurrence, number, runs, done, failures, claims,
-             checkpoints) in steps:
-            step = job.get_step(occurrence, number)
-            tasks = len(step.last_runs)
-            step.last_runs = [runs] * tasks if isinstance(runs, int) else runs
-            step.done = set(range(tasks)) if done is True else set(done)
-            step.checkpoints = checkpoints
-            for index, run, worker_id, boot_ms, *started in claims:
-                # Rows of release 0.2.0 have no start time.
-                started_ms = started[0] if started else 0
-                claim = Claim(key=TaskKey(job.job_id, occurrence, number,
-                                          index),
-                              run=run,
-                              worker_id=worker_id,
-                              boot_ms=boot_ms,
-                              phase=Phase.RECOVERING,
-                              now_s=now_s,
-                              demand=job.workload.steps[number].occupied,
-                              started_ms=started_ms,
-                              checkpoint=checkpoints.get(index, ""))
-                if started_ms:
-                    claim.started_s -= max(0.0, store_ms - started_ms) / 1000.0
-                step.claims[index] = claim
-            decode_failures(step, failures)
+        state, ended_ms, steps = cbor2.loads(data)
+        restore(job,
+                state=state,
+                ended_ms=ended_ms,
+                steps=steps,
+                now_s=now_s,
+                store_ms=store_ms)
     except (cbor2.CBORError, TypeError, IndexError, EOFError) as error:
         raise ValueError(
             f"invalid progress row of {job.job_id}: {error!r}") from error
+
+
+def restore(job: Job, *, state: str, ended_ms: float, steps: Iterable[Any],
+            now_s: float, store_ms: float) -> None:
+    """Sets the progress of a job from the decoded content of its rows.
+
+    Args:
+        job: A job without progress.
+        state: State of the job.
+        ended_ms: See Job.ended_ms.
+        steps: Its steps, with the fields of StepRow.
+        now_s: Current time in seconds.
+        store_ms: Current time of the store's clock, in milliseconds.
+
+    Raises:
+        ValueError: If the state is unknown.
+        TypeError: If a step is malformed.
+    """
+    job.state = JobState(state)
+    job.ended_ms = ended_ms
+    for step in steps:
+        _restore_step(job, StepRow(*step), now_s, store_ms)
+
+
+def _restore_step(job: Job, row: StepRow, now_s: float,
+                  store_ms: float) -> None:
+    step = job.get_step(row.occurrence, row.number)
+    tasks = len(step.last_runs)
+    step.last_runs = ([row.runs] *
+                      tasks if isinstance(row.runs, int) else row.runs)
+    step.done = (set(range(tasks))
+                 if isinstance(row.done, bool) else set(row.done))
+    # Rows of earlier releases have checkpoints of ended tasks.
+    step.checkpoints = {
+        index: checkpoint
+        for index, checkpoint in row.checkpoints.items()
+        if index not in step.done
+    }
+    for index, run, worker_id, boot_ms, *started in row.claims:
+        # Rows of release 0.2.0 have no start time.
+        started_ms = started[0] if started else 0
+        claim = Claim(key=TaskKey(job.job_id, row.occurrence, row.number,
+                                  index),
+                      run=run,
+                      worker_id=worker_id,
+                      boot_ms=boot_ms,
+                      phase=Phase.RECOVERING,
+                      now_s=now_s,
+                      demand=job.workload.steps[row.number].occupied,
+                      started_ms=started_ms,
+                      checkpoint=step.checkpoints.get(index, ""))
+        if started_ms:
+            claim.started_s -= max(0.0, store_ms - started_ms) / 1000.0
+        step.claims[index] = claim
+    _restore_failures(step, row.failures)
+
+
+def _restore_failures(step: StepProgress, failures: dict[int, int]) -> None:
+    """Sets the failures of a step whose runs and claims are set."""
+    ended_runs = failures.pop(ENDED_BEFORE_BEGIN, 0)
+    step.failures = failures
+    step.begun = step.count_ended_runs() != ended_runs
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -494,6 +494,11 @@
 
     # Ends.
 
+    def drop_unsent(self, claim: progress.Claim, why: str) -> None:
+        """Ends the run of a claim if no start of it was sent."""
+        if not claim.starts_sent:
+            self._end_run(claim, None, why)
+
     def _end_run(self, claim: progress.Claim, end_state: ports.EndState | None,
                  why: str) -> None:
         """Removes the claim of a run that has provably ended and reports it."""
@@ -598,6 +603,9 @@
         elif tracked.processed_end > tracked.recorded_end:
             self._acknowledge_ends(tracked)
             tracked.next_poll_s = now_s + RECORDING_WAIT_S
+            if tracked.has_refused_ends(self._ledger.is_set_aside):
+                # The report lists them at once, whatever its delay.
+                tracked.next_poll_s = now_s + self._bounds.probe_interval_s
         else:
             self._poll(tracked)
         if newly_ended:
@@ -667,7 +675,9 @@
             self._poll_now(tracked, self._timers.read_clock())
             self._on_change()
 
-        self._ledger.call_after(allow_leases)
+        self._ledger.call_after(
+            allow_leases,
+            tables.get_worker_lease_row_name(tracked.worker.worker_id))
 
     def _process_ends(self, tracked: fleets.TrackedWorker,
                       report: ports.Report) -> set[progress.TaskKey]:
@@ -687,6 +697,7 @@
                 continue
             assert key is not None
             newly_ended.add(key)
+            tracked.unrecorded_ends[end.number] = key.job_id
             claim.settle_start()
             if end.checkpoint:
                 claim.checkpoint = end.checkpoint
@@ -700,8 +711,8 @@
         boot_ms = tracked.boot_ms
 
         def acknowledge() -> None:
-            if tracked.boot_ms == boot_ms:
-                tracked.recorded_end = max(tracked.recorded_end, number)
+            if tracked.boot_ms == boot_ms and tracked.record_ends(
+                    number, self._ledger.is_set_aside):
                 tracked.next_poll_s = float("-inf")
                 self._poll(tracked)
 
--- a/packages/jobs/src/trefoilroad_jobs/tables.py
+++ b/packages/jobs/src/trefoilroad_jobs/tables.py
@@ -6,7 +6,7 @@
 """Accepted jobs and cancellations, written by the nodes."""
 
 PROGRESS = "progress"
-"""Progress of each job, written by the leader."""
+"""Progress of each job, written by the leader; see progress_rows."""
 
 LEADER_ROW: ports.RowName = ("leader", "leader")
 """Current leader and its epoch."""
@@ -37,9 +37,17 @@
     return INTAKE, CANCEL_PREFIX + job_id
 
 
-def get_progress_row_name(job_id: str) -> ports.RowName:
-    """Returns table and key of a job's progress."""
-    return PROGRESS, job_id
+def get_progress_row_name(job_id: str, number: int = 0) -> ports.RowName:
+    """Returns table and key of a row of a job's progress."""
+    return PROGRESS, f"{job_id}/{number}" if number else job_id
+
+
+def split_progress_key(key: str) -> tuple[str, int]:
+    """Returns the job and the number of a row of progress."""
+    job_id, separator, number = key.rpartition("/")
+    if separator and number.isdecimal():
+        return job_id, int(number)
+    return key, 0
 
 
 def get_epoch_lease_row_name(epoch: int) -> ports.RowName:
--- a/packages/jobs/src/trefoilroad_jobs/waits.py
+++ b/packages/jobs/src/trefoilroad_jobs/waits.py
@@ -77,6 +77,7 @@
         quarantined: Ids of workers that get no new runs, as runs fail there.
         prior_leases_end_s: When the leases of earlier leaders have ended.
         held: Room that is kept for some units, by service.
+        refused: Jobs whose progress the store refuses.
     """
 
     now_s: float
@@ -90,6 +91,7 @@
     quarantined: frozenset[str]
     prior_leases_end_s: float
     held: Mapping[str, planner.HeldRoom]
+    refused: frozenset[str] = frozenset()
 
 
 class ServiceWorkers(NamedTuple):
@@ -231,6 +233,10 @@
         snapshot = self._snapshot
         if not snapshot.ready:
             return Reason.JOBS_NOT_READ, {}
+        if job.job_id in snapshot.refused:
+            return (Reason.ROUNDS_SUSPENDED, {
+                "why": "the store refuses its progress"
+            })
         step = job.workload.steps[number]
         state = job.steps.get((occurrence, number))
         waiting = step.tasks
--- a/packages/standins/src/trefoilroad_standins/jobs/fleet_server.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fleet_server.py
@@ -253,6 +253,8 @@
                     for (table, _), row in result.rows.items()
                 ]
             }
+        if isinstance(result, ports.StoreFailed):
+            return 400, {"error": result.reason}
         return 200, {
             "schemaVersion": result.version,
             "nowMs": self.tables.now_ms
--- a/packages/standins/src/trefoilroad_standins/jobs/tables.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/tables.py
@@ -14,6 +14,10 @@
 # sites of the users.
 NETWORK_DELAY_S = 0.001
 COMMIT_DURATION_S = 0.004
+# Limits of a transaction: conditions, puts and removals; bytes of its values
+# with a third added for their encoding.
+MAX_ENTRIES = 100
+MAX_COMMIT_BYTES = 1_000_000
 
 
 class Tables:
@@ -25,6 +29,9 @@
         rows: The rows by table and key.
         changes: Changed rows with their tables, the newest last.
         oldest_version: Lowest version after which a watch may start.
+        row_bytes: Longest value of a row.
+        refused_key: Key whose rows are refused for good, None for none.
+        refusals: Number of transactions that were refused for good.
     """
 
     def __init__(self, *, virtual_clock: clock.Clock):
@@ -33,6 +40,9 @@
         self.rows: dict[str, dict[str, ports.Row]] = {}
         self.changes: list[tuple[str, ports.Row]] = []
         self.oldest_version = 0
+        self.row_bytes = 65_536
+        self.refused_key: str | None = None
+        self.refusals = 0
         self._clock = virtual_clock
         self._watchers: list[Callable[[], bool]] = []
 
@@ -41,18 +51,23 @@
         """The store's steady clock in milliseconds."""
         return self._clock.now_s * 1000.0
 
-    def commit(
-            self, conditions: Mapping[ports.RowName,
-                                      int], puts: Mapping[ports.RowName, bytes],
-            removals: Sequence[ports.RowName]
-    ) -> ports.Committed | ports.Conflict:
+    def commit(self, conditions: Mapping[ports.RowName, int],
+               puts: Mapping[ports.RowName, bytes],
+               removals: Sequence[ports.RowName]) -> ports.CommitResult:
         """Applies a transaction, unless a row has another version.
 
+        A transaction beyond the limits of the store is refused for good.
+
         Args:
             conditions: Required versions of rows; 0 for an absent row.
             puts: New contents.
             removals: Rows to remove.
         """
+        if self._exceeds_limits(conditions, puts, removals):
+            self.refusals += 1
+            return ports.StoreFailed("status 400",
+                                     maybe_written=False,
+                                     permanent=True)
         mismatches = {}
         for (table, key), version in conditions.items():
             row = self.rows.get(table, {}).get(key)
@@ -60,6 +75,10 @@
                 mismatches[table, key] = row or ports.Row(key, None, 0)
         if mismatches:
             return ports.Conflict(mismatches)
+        return self._apply(puts, removals)
+
+    def _apply(self, puts: Mapping[ports.RowName, bytes],
+               removals: Sequence[ports.RowName]) -> ports.Committed:
         self.version += 1
         for (table, key), value in puts.items():
             self._write(table, ports.Row(key, value, self.version))
@@ -70,6 +89,15 @@
         ]
         return ports.Committed(self.version, self.now_ms)
 
+    def _exceeds_limits(self, conditions: Mapping[ports.RowName, int],
+                        puts: Mapping[ports.RowName, bytes],
+                        removals: Sequence[ports.RowName]) -> bool:
+        sizes = [len(value) for value in puts.values()]
+        return (len(conditions) + len(puts) + len(removals) > MAX_ENTRIES or
+                sum(sizes) * 4 / 3 > MAX_COMMIT_BYTES or
+                max(sizes, default=0) > self.row_bytes or
+                any(key == self.refused_key for _, key in puts))
+
     def _write(self, table: str, row: ports.Row) -> None:
         content = self.rows.setdefault(table, {})
         if row.value is None:
@@ -79,11 +107,11 @@
         self.changes.append((table, row))
 
     def put(self, table: str, key: str, value: bytes | None) -> None:
-        """Writes a row without a condition; None removes it."""
+        """Writes a row without conditions or limits; None removes it."""
         if value is None:
-            self.commit({}, {}, [(table, key)])
+            self._apply({}, [(table, key)])
         else:
-            self.commit({}, {(table, key): value}, [])
+            self._apply({(table, key): value}, [])
 
     def list_changes(self, table: str, after: int) -> list[ports.Row]:
         """Returns the changes of a table after a version."""
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 from typing import NamedTuple
+import zlib
 
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
@@ -61,11 +62,14 @@
         demand: Resources that a task occupies.
         run_s: Run time of a task in seconds.
         fails: Whether each run ends as failed.
+        checkpoint: Beginning of the checkpoint that each run reports, or empty
+            for no checkpoints.
     """
 
     demand: workload.Demand
     run_s: float
     fails: bool = False
+    checkpoint: str = ""
 
 
 class WorkerState:
@@ -215,6 +219,9 @@
                                started_s=now_s,
                                ends_s=now_s + duration_s,
                                gang=0)
+        if behaviour.checkpoint:
+            number = zlib.crc32(name.encode())
+            self.runs[name].checkpoint = f"{behaviour.checkpoint}{number:08x}"
         self.highest_run[name] = command.run
         self._record("start", name, command.run)
         return self._answer(ports.Verdict.DONE)
@@ -305,7 +312,8 @@
         del self.runs[name]
         self.end_count += 1
         self.unacknowledged_ends.append(
-            ports.EndedTask(self.end_count, name, run.run, end_state, ""))
+            ports.EndedTask(self.end_count, name, run.run, end_state,
+                            run.checkpoint))
         self._record(end_state.value, name, run.run)
         self._call_end_callbacks()
 
--- a/packages/standins/tests/test_formats.py
+++ b/packages/standins/tests/test_formats.py
@@ -5,12 +5,17 @@
 upgrade goes.
 """
 
+import hashlib
 import json
 import pathlib
+import zlib
 
 import cbor2
 
+from trefoilroad_jobs import intake
 from trefoilroad_jobs import node as job_nodes
+from trefoilroad_jobs import progress
+from trefoilroad_jobs import progress_rows
 from trefoilroad_jobs import workload
 from trefoilroad_standins import soak
 from trefoilroad_standins.jobs import site as sites
@@ -87,6 +92,41 @@
     return {"messages": messages, "rows": rows}
 
 
+def find_large_progress_formats():
+    """Returns the formats of the rows of a job that needs several."""
+    step = workload.Step(tasks=3, demand=sites.SMALL_DEMAND)
+    job = progress.Job(workload=intake.build_workload(sites.QUEUE, "team",
+                                                      "job", "", (step, step)),
+                       now_s=0.0,
+                       age_s=0.0)
+    done = job.get_step(0, 0)
+    done.record_done(range(3))
+    unfinished = job.get_step(0, 1)
+    unfinished.done.add(0)
+    for index in range(1, 3):
+        unfinished.last_runs[index] = index
+        unfinished.failures[index] = index
+        unfinished.checkpoints[index] = hashlib.sha256(bytes(index)).hexdigest()
+        unfinished.claims[index] = progress.Claim(key=progress.TaskKey(
+            "job", 0, 1, index),
+                                                  run=index,
+                                                  worker_id="w00",
+                                                  boot_ms=17,
+                                                  phase=progress.Phase.CLAIMING,
+                                                  now_s=0.0,
+                                                  demand=sites.SMALL_DEMAND)
+    values = progress_rows.encode_rows(job, row_bytes=128, max_rows=9).values
+    compact = progress_rows.compact_steps(progress.list_steps(job))
+    finished, workers, steps = cbor2.loads(zlib.decompress(compact))
+    return {
+        "first row": describe(cbor2.loads(values[0])),
+        "other row": describe(cbor2.loads(values[1])),
+        "finished steps": describe(finished),
+        "workers": describe(workers),
+        "steps": [[describe(field) for field in step] for step in steps]
+    }
+
+
 def find_request_formats():
     """Returns the formats of the messages and rows of requests of one gang."""
     messages = {}
@@ -117,6 +157,11 @@
     assert find_jobs_formats() == FORMATS["jobs"]
 
 
+def test_formats_of_large_progress():
+    """Guards against rows that the release before cannot read."""
+    assert find_large_progress_formats() == FORMATS["large progress"]
+
+
 def test_formats_of_requests():
     """Guards against rows and messages that the release before cannot read."""
     assert find_request_formats() == FORMATS["requests"]
