--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -12,7 +12,7 @@
 
     The defaults fit workers that accept leases of up to 10 s. The platform's
     settings replace `max_lease_s`, `checkpoint_interval_s`, `retention_s` and
-    `evacuation_s`, and limit `lease_s`.
+    `evacuation_s` and `row_bytes`, and limit `lease_s`.
 
     Attributes:
         lease_s: Lease that every leader gives to a worker. It outlasts a
@@ -62,6 +62,7 @@
         keep_images_apart: Whether images that slow each other down are placed
             on different workers where there is room. Steps without an image
             are not affected.
+        row_bytes: Longest content of a row of the store, in bytes.
     """
 
     lease_s: float = 6.0
@@ -88,6 +89,7 @@
     reclaim_lead_s: float = 0.4
     evacuation_s: float = 0.0
     keep_images_apart: bool = True
+    row_bytes: int = 65_536
 
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
--- a/packages/jobs/src/trefoilroad_jobs/waits.py
+++ b/packages/jobs/src/trefoilroad_jobs/waits.py
@@ -80,6 +80,7 @@
         held: Room that is kept for some units, by service.
         evacuated: Evacuated failure domains.
         start_obstacle: Why nothing may start at all, or empty.
+        refused: Jobs whose progress the store refuses.
     """
 
     now_s: float
@@ -95,6 +96,7 @@
     held: Mapping[str, planner.HeldRoom]
     evacuated: frozenset[str] = frozenset()
     start_obstacle: str = ""
+    refused: frozenset[str] = frozenset()
 
 
 class ServiceWorkers(NamedTuple):
@@ -239,6 +241,10 @@
         snapshot = self._snapshot
         if not snapshot.ready:
             return Reason.JOBS_NOT_READ, {}
+        if job.job_id in snapshot.refused:
+            return (Reason.ROUNDS_SUSPENDED, {
+                "why": "the store refuses its progress"
+            })
         step = job.workload.steps[number]
         state = job.steps.get((occurrence, number))
         waiting = step.tasks
--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -6,6 +6,7 @@
 import random
 from typing import Any
 from typing import NamedTuple
+import zlib
 
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
@@ -69,6 +70,8 @@
         image: Image of the step, or empty.
         slowdowns: Factor of the run time while a run of another image is on the
             worker, by that image.
+        checkpoint: Beginning of the checkpoint that each run reports, or empty
+            for no checkpoints.
     """
 
     demand: workload.Demand
@@ -76,6 +79,7 @@
     fails: bool = False
     image: str = ""
     slowdowns: Mapping[str, float] = {}
+    checkpoint: str = ""
 
 
 class WorkerState:
@@ -232,6 +236,9 @@
                                ends_s=now_s + duration_s,
                                gang=0,
                                behaviour=behaviour)
+        if behaviour.checkpoint:
+            number = zlib.crc32(name.encode())
+            self.runs[name].checkpoint = f"{behaviour.checkpoint}{number:08x}"
         self.highest_run[name] = command.run
         self._record("start", name, command.run)
         return self._answer(ports.Verdict.DONE)
@@ -338,7 +345,8 @@
         del self.runs[name]
         self.end_count += 1
         self.unacknowledged_ends.append(
-            ports.EndedTask(self.end_count, name, run.run, end_state, ""))
+            ports.EndedTask(self.end_count, name, run.run, end_state,
+                            run.checkpoint))
         self._record(end_state.value, name, run.run)
         self._call_end_callbacks()
 
