Send a refusal behind the answers of the same connection

Cause: Listener.refuse sent at once while writes of the answer to the previous request were queued. The client took the refusal for the answer to a request that had run, and the answer was dropped. The eviction for a new connection did not see data whose read event was queued, and dropped the connection without an answer. Change: The refusal is an event behind the queued writes and waits until unsent answers are taken, for 10 s at most. Connections with bytes read and not handled are not evicted.

--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -275,13 +275,15 @@
     def _make_room(self, now_s: float) -> None:
         """Closes connections for a new one if all descriptors are in use."""
         lingering = self._listener.lingering_connections
-        if (lingering and self._budget.open_connections + lingering
-                >= self._budget.bounds.max_connections):
-            self._listener.drop_oldest_lingering()
+        if (self._budget.open_connections + lingering
+                >= self._budget.bounds.max_connections and
+                self._listener.drop_oldest_lingering()):
             return
         for sock in self._budget.find_evictions(now_s,
                                                 extra_connections=lingering):
             connection = self._connections[sock]
+            if self._listener.has_unhandled_data(sock):
+                continue
             if connection.request_started_s is None and _has_data(sock):
                 continue
             self._count(refusals.Cause.EVICTED)
--- a/packages/node/src/trefoilroad_node/listener.py
+++ b/packages/node/src/trefoilroad_node/listener.py
@@ -23,11 +23,17 @@
 # with unread data resets the connection, and the client may lose the refusal.
 LINGER_BYTES = 1 << 20
 LINGER_S = 1.0
+# Longest wait until a client has taken its earlier answers and the refusal.
+FLUSH_S = 10.0
 # Holds any usual response, and the metrics.
 SEND_BUFFER_BYTES = 32 << 10
 _OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+class RefuseConnection(circuits.Event):
+    """Sends a last response behind the writes that are queued before it."""
+
+
 class Gate(abc.ABC):
     """Decides which connections are read."""
 
@@ -60,8 +66,14 @@
         self.accept_failures = 0
         self._accepting = True
         self._unhandled_bytes = 0
+        # Bytes read whose events are queued, by connection.
+        self._unhandled: dict[Any, int] = {}
         self._paused: set[Any] = set()
-        # Remaining bytes and deadline of refused connections.
+        # Deadlines of connections whose refusal is not sent yet.
+        self._refused: dict[Any, float] = {}
+        # Those whose refusal is in the send buffer, behind earlier answers.
+        self._flushing: set[Any] = set()
+        # Remaining bytes and deadline of connections whose refusal is sent.
         self._lingering: dict[Any, tuple[int, float]] = {}
 
     @property
@@ -72,7 +84,11 @@
     @property
     def lingering_connections(self) -> int:
         """Number of refused connections that are not closed yet."""
-        return len(self._lingering)
+        return len(self._lingering) + len(self._refused)
+
+    def has_unhandled_data(self, sock: Any) -> bool:
+        """Returns whether data was read whose event is still queued."""
+        return sock in self._unhandled
 
     def set_buffers(self, size: int) -> None:
         """Sets the kernel's buffers of connections accepted from now on.
@@ -107,40 +123,71 @@
     def refuse(self, sock: Any, data: bytes, now_s: float) -> None:
         """Sends a last response and closes the connection.
 
-        The client has a moment to end its request and read the response.
-        Nothing of what it sends is kept.
+        Answers whose writes are queued are sent first: the client would take
+        the refusal for the answer to a request that has run. The client has a
+        moment to end its request and read the response. Nothing of what it
+        sends is kept.
 
         Args:
             sock: The connection.
             data: The response.
             now_s: Current time in seconds.
         """
-        if sock.fileno() < 0:
+        if sock.fileno() < 0 or sock in self._refused:
+            return
+        self._refused[sock] = now_s + FLUSH_S
+        self.fire(RefuseConnection(sock, data, now_s + LINGER_S))
+
+    @circuits.handler("RefuseConnection")
+    def _on_refuse_connection(self, sock: Any, data: bytes,
+                              deadline_s: float) -> None:
+        # The connection is in the close queue if its answer is the last one.
+        if sock not in self._refused or sock in self._closeq:
+            return
+        if self._buffers.get(sock):
+            super().write(sock, data)
+            self._flushing.add(sock)
             return
         try:
-            if self._buffers.get(sock) or sock.send(data) < len(data):
-                self.drop(sock)
-                return
+            is_sent = sock.send(data) == len(data)
+        except OSError:
+            is_sent = False
+        if is_sent:
+            self._linger(sock, deadline_s)
+        else:
+            self.drop(sock)
+
+    def _linger(self, sock: Any, deadline_s: float) -> None:
+        """Ends the sending, and reads away what the client still sends."""
+        del self._refused[sock]
+        self._flushing.discard(sock)
+        try:
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.drop(sock)
             return
-        self._lingering[sock] = LINGER_BYTES, now_s + LINGER_S
+        self._lingering[sock] = LINGER_BYTES, deadline_s
         self.resume(sock)
 
     def close_lingering(self, now_s: float) -> None:
         """Closes the refused connections whose time is over."""
-        while self._lingering:
-            # All have the same time, so that the first one ends first.
-            sock, (_, deadline_s) = next(iter(self._lingering.items()))
-            if now_s < deadline_s:
-                return
+        overdue = [
+            sock for sock, deadline_s in self._refused.items()
+            if now_s >= deadline_s
+        ]
+        overdue += [
+            sock for sock, (_, deadline_s) in self._lingering.items()
+            if now_s >= deadline_s
+        ]
+        for sock in overdue:
             self.drop(sock)
 
-    def drop_oldest_lingering(self) -> None:
-        """Closes the refused connection that was refused first."""
-        if self._lingering:
-            self.drop(next(iter(self._lingering)))
+    def drop_oldest_lingering(self) -> bool:
+        """Closes the connection whose refusal was sent first, if any."""
+        if not self._lingering:
+            return False
+        self.drop(next(iter(self._lingering)))
+        return True
 
     def count_unsent_bytes(self) -> dict[Any, int]:
         """Returns the bytes that wait to be sent, by connection."""
@@ -153,7 +200,7 @@
     @circuits.handler("write")
     def write(self, sock: Any, data: bytes) -> None:
         """Sends data, unless the connection is being refused."""
-        if sock not in self._lingering:
+        if sock not in self._lingering and sock not in self._flushing:
             super().write(sock, data)
 
     @circuits.handler("close")
@@ -162,12 +209,19 @@
 
         Without a check, the base class keeps a record for each closed socket.
         """
-        if sock is None or (sock.fileno() >= 0 and sock not in self._lingering):
+        if sock is None or (sock.fileno() >= 0 and
+                            sock not in self._lingering and
+                            sock not in self._flushing):
             super().close(sock)
 
     @circuits.handler("read", priority=100)
-    def _count_handled(self, _: Any, data: bytes) -> None:
+    def _count_handled(self, sock: Any, data: bytes) -> None:
         self._unhandled_bytes -= len(data)
+        remaining = self._unhandled.get(sock, 0) - len(data)
+        if remaining > 0:
+            self._unhandled[sock] = remaining
+        else:
+            self._unhandled.pop(sock, None)
 
     @circuits.handler("_write", priority=1)
     def _on_write(self, sock: Any) -> None:
@@ -178,6 +232,8 @@
             # The base class creates an entry when it looks one up.
             self._buffers.pop(sock, None)
         elif not self._buffers.get(sock):
+            if sock in self._flushing:
+                self._linger(sock, self._refused[sock])
             # Reading pauses while a response is not taken.
             self.resume(sock)
 
@@ -215,8 +271,8 @@
         if sock in self._lingering:
             self._read_away(sock)
             return
-        if self._buffers.get(sock) or (self.gate is not None and
-                                       not self.gate.may_read(sock)):
+        if (self._buffers.get(sock) or sock in self._refused or
+            (self.gate is not None and not self.gate.may_read(sock))):
             self._paused.add(sock)
             self._poller.removeReader(sock)
             return
@@ -231,6 +287,7 @@
             return
         if data:
             self._unhandled_bytes += len(data)
+            self._unhandled[sock] = self._unhandled.get(sock, 0) + len(data)
             self.fire(net_events.read(sock, data)).notify = True
         else:
             self.close(sock)
@@ -252,6 +309,9 @@
 
     def _close(self, sock: Any) -> None:
         self._lingering.pop(sock, None)
+        self._refused.pop(sock, None)
+        self._flushing.discard(sock)
+        self._unhandled.pop(sock, None)
         self._paused.discard(sock)
         if sock in self._closeq:
             self._closeq.remove(sock)
--- a/packages/node/tests/test_listener.py
+++ b/packages/node/tests/test_listener.py
@@ -285,3 +285,116 @@
         report.count(refusals.Cause.MEMORY)
         logged += report.log(step * 0.01, held_bytes=0, connections=0)
     assert logged == 10
+
+
+def _record_paths(site):
+    """Returns a list to which the paths of the requests that run are added."""
+    paths = []
+    dispatch = site.server.dispatch
+
+    def record(request, respond):
+        paths.append(request.path)
+        dispatch(request, respond)
+
+    site.server.dispatch = record
+    return paths
+
+
+def _read_for(site, sock, timeout_s):
+    """Reads until the connection ends or the time is over."""
+    data = bytearray()
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        site.root.tick(0.01)
+        try:
+            piece = sock.recv(1 << 16)
+        except BlockingIOError:
+            continue
+        except OSError:
+            break
+        if not piece:
+            break
+        data.extend(piece)
+    return bytes(data)
+
+
+def _send_two_requests(site, ticks, second):
+    """Sends a second request some ticks after the first one.
+
+    Returns:
+        The paths of the requests that have run, and all that was answered.
+    """
+    paths = _record_paths(site)
+    sock = site.connect()
+    site.run(lambda: site.guard.open_connections == 1)
+    for _ in range(3):
+        site.root.tick(0.001)
+    sock.send(b"GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+    for _ in range(ticks):
+        site.root.tick(0.02)
+    sock.send(second)
+    return paths, _read_for(site, sock, 2.0)
+
+
+@pytest.mark.parametrize("ticks", range(14))
+def test_refusal_of_a_second_request_is_not_the_answer_to_the_first(
+        site, ticks):
+    """Guards against a request that has run and is answered `not_run`."""
+    paths, answer = _send_two_requests(site, ticks, _build_post(900_000))
+    if "/first" in paths:
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize("ticks", range(14))
+def test_prior_answer_survives_a_refusal(site, ticks):
+    """Guards against an answer that is dropped as the next one is a refusal."""
+    paths, answer = _send_two_requests(
+        site, ticks, b"GET /second HTTP/1.1\r\nHost: h\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n")
+    if "/first" in paths:
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+
+def test_refusal_waits_for_a_large_answer(site):
+    """Guards against an unsent answer that is cut off by a refusal."""
+    sock = site.connect(receive_buffer=4096)
+    sock.send(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+    site.run(site.tcp.count_unsent_bytes)
+    server_sock, = site.guard._connections
+    site.guard._reject(server_sock, guards.BUSY)
+    answer = _read_for(site, sock, 5.0)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert answer.count(b"HTTP/1.1 503 ") == 1
+    assert len(answer) > ANSWER_BYTES
+
+
+def test_refused_connection_that_takes_no_answer_is_closed(site, monkeypatch):
+    """Guards against descriptors that a refused connection holds for ever."""
+    monkeypatch.setattr(listener, "FLUSH_S", 0.2)
+    sock = site.connect(receive_buffer=4096)
+    sock.send(b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+    site.run(site.tcp.count_unsent_bytes)
+    server_sock, = site.guard._connections
+    site.guard._reject(server_sock, guards.BUSY)
+    assert site.tcp.lingering_connections == 1
+    site.run(lambda: not site.tcp.open_connections)
+    assert not site.tcp.lingering_connections
+
+
+def test_request_that_was_read_is_not_dropped_for_a_new_connection(site):
+    """Guards against a request whose data is read and not yet handled."""
+    now_s = [1000.0]
+    site.timers.read_clock = lambda: now_s[0]
+    socks = [site.connect() for _ in range(8)]
+    site.run(lambda: site.guard.open_connections == 8)
+    for sock in socks:
+        sock.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        site.read(sock)
+    now_s[0] += 5.0
+    for _ in range(5):
+        site.root.tick(0.001)
+    # The listening socket is ready first.
+    site.connect()
+    socks[0].send(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+    time.sleep(0.05)
+    assert site.read(socks[0]).startswith(b"HTTP/1.1 200 ")
