Log when a job begins and how old a count of waiting jobs is

Cause: the log shows claims and ends of runs, but not which of them the count of waiting jobs takes for a start, nor where a node's answer comes from. Change: `job began` names the first run of a job that is known to have begun and the evidence, `run ended` and `jobs recovered` say what counts as begun, and `waiting jobs counted` gives queue, number, epoch and age of each answer.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -122,6 +122,7 @@
                                      prior_released=prior_released,
                                      find_job=self.jobs.get,
                                      check_start=self._check_start,
+                                     on_begin=self._handle_begin,
                                      on_end=self._handle_run_end,
                                      on_progress=self._handle_progress,
                                      on_change=self._request_round,
@@ -199,6 +200,7 @@
                   epoch=self.epoch,
                   jobs=len(self.jobs),
                   active=len(self._active_jobs),
+                  waiting=sum(self.count_pending().values()),
                   runs=recovered,
                   store_version=intake_rows.version)
         for job_id in self._cancelled_jobs:
@@ -379,6 +381,24 @@
     def _confirm_change(self, job: progress.Job) -> None:
         job.unrecorded -= 1
 
+    def _handle_begin(self, claim: progress.Claim, evidence: str) -> None:
+        """Logs that a job no longer waits.
+
+        Args:
+            claim: Claim of the first run that is known to have begun.
+            evidence: What shows it.
+        """
+        job = self.jobs[claim.key.job_id]
+        if not job.has_begun():
+            _log.info("job began",
+                      request=job.job_id,
+                      queue=job.workload.queue,
+                      worker=claim.worker_id,
+                      run=claim.run,
+                      evidence=evidence,
+                      waited_s=round(self._timers.read_clock() - job.accepted_s,
+                                     3))
+
     def _handle_run_end(self, claim: progress.Claim,
                         end_state: ports.EndState | None, why: str) -> None:
         """Updates a job after the end of a run.
@@ -403,6 +423,7 @@
                   worker=claim.worker_id,
                   how=str(end_state) if end_state else "not run",
                   why=why,
+                  begun=claim.begun,
                   ran_s=round(now_s - claim.started_s, 3))
         self._interference.record_end(claim, end_state, now_s)
         if end_state is ports.EndState.DONE:
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -140,6 +140,7 @@
         self._store_ms = 0.0
         self._store_read_s = timers.read_clock()
         self._pending: dict[str, int] = {}
+        self._pending_read_s = float("-inf")
         self._request_ids = itertools.count(1)
         self._requests: dict[int, OnLeaderReply] = {}
         self._followers: dict[str, float] = {}
@@ -194,8 +195,18 @@
     def count_pending(self, queue: str) -> int:
         """Returns the number of jobs of a queue that have not started."""
         if self._dispatcher is not None and self._dispatcher.ready:
-            return self._dispatcher.count_pending().get(queue, 0)
-        return self._pending.get(queue, 0)
+            count = self._dispatcher.count_pending().get(queue, 0)
+            age_s = 0.0
+        else:
+            count = self._pending.get(queue, 0)
+            age_s = self._timers.read_clock() - self._pending_read_s
+        _log.info("waiting jobs counted",
+                  queue=queue,
+                  pending=count,
+                  epoch=self.epoch,
+                  leading=self.leading,
+                  age_s=round(min(age_s, 1e6), 3))
+        return count
 
     def begin_stop(self, on_done: Callable[[], None]) -> None:
         """Releases the leadership before a planned stop.
@@ -506,6 +517,7 @@
                                               bool(message["refused"]))
             if "pending" in message:
                 self._pending = dict(message["pending"])
+                self._pending_read_s = self._timers.read_clock()
                 self._admission_control.update_worker_capacities({
                     service: [
                         workload.Demand(*capacity)
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -67,6 +67,7 @@
 })
 
 OnEnd = Callable[[progress.Claim, ports.EndState | None, str], None]
+OnBegin = Callable[[progress.Claim, str], None]
 OnProgress = Callable[[progress.Claim], None]
 OnReport = Callable[[fleets.TrackedWorker, float], None]
 CheckStart = Callable[[fleets.TrackedWorker, progress.Claim], str]
@@ -82,7 +83,7 @@
                  ledger: ledgers.Ledger, bounds: limits.Limits,
                  prior_leases_end_s: float, prior_released: bool,
                  find_job: Callable[[str], progress.Job | None],
-                 check_start: CheckStart, on_end: OnEnd,
+                 check_start: CheckStart, on_begin: OnBegin, on_end: OnEnd,
                  on_progress: OnProgress, on_change: Callable[[], None],
                  on_report: OnReport, on_newer_leader: Callable[[str], None]):
         """Creates a tracker without runs; `begin_polling` starts the calls.
@@ -101,6 +102,8 @@
             find_job: Finds a job by id.
             check_start: Returns why the start of a claim must not be
                 sent now, or an empty text.
+            on_begin: Called with a run and the evidence, once it is known to
+                have begun and before the claim says so.
             on_end: Called with each run that has provably ended.
             on_progress: Called with each run whose progress has changed.
             on_change: Called when a new round may be needed.
@@ -121,6 +124,7 @@
             bounds.max_lease_s)
         self._find_job = find_job
         self._check_start = check_start
+        self._on_begin = on_begin
         self._on_end = on_end
         self._on_progress = on_progress
         self._on_change = on_change
@@ -447,7 +451,7 @@
             return
         verdict = reply.verdict
         if verdict is Verdict.DONE:
-            claim.settle_start()
+            self._settle_start(claim, "its start was answered")
             if claim.phase is Phase.STARTING:
                 claim.set_phase(Phase.RUNNING, now_s)
                 claim.percent_s = now_s
@@ -464,6 +468,12 @@
             else:
                 self.stop(claim, "its start was not answered")
 
+    def _settle_start(self, claim: progress.Claim, evidence: str) -> None:
+        """Records that a run has begun, by an answer or a report."""
+        if not claim.begun:
+            self._on_begin(claim, evidence)
+        claim.settle_start()
+
     def _handle_refusal(self, tracked: fleets.TrackedWorker,
                         claim: progress.Claim, reply: ports.CommandReply,
                         now_s: float) -> None:
@@ -746,7 +756,7 @@
             assert key is not None
             newly_ended.add(key)
             tracked.unrecorded_ends[end.number] = key.job_id
-            claim.settle_start()
+            self._settle_start(claim, "its end was reported")
             if end.checkpoint:
                 claim.checkpoint = end.checkpoint
             self._end_run(claim, end.end_state, claim.why or
@@ -790,7 +800,7 @@
     def _update_progress(self, tracked: fleets.TrackedWorker,
                          claim: progress.Claim, task: ports.RunningTask,
                          now_s: float) -> None:
-        claim.settle_start()
+        self._settle_start(claim, "it was reported")
         if task.checkpoint:
             claim.checkpoint = task.checkpoint
         if claim.phase in (Phase.STARTING, Phase.RECOVERING):
