Open a new socket for each attempt to dial a node

Change: outgoing links use streams.Connector, as the calls to the store and to workers do, with a socket for each attempt, one time limit for connection and handshake, and a line when a link is lost and open again. This also takes the component of each link and its private fields of circuits away. Measured: test_link_opens_at_the_first_attempt_after_a_refused_one fails on the code before (with its constructors) and passes.

--- a/packages/node/src/trefoilroad_node/daemon.py
+++ b/packages/node/src/trefoilroad_node/daemon.py
@@ -63,9 +63,9 @@
         acceptor.register(self)
         self._link_address = _replace_port(settings.link, acceptor.port)
         links = node_links.WebsocketLinks(secret=settings.link_secret,
+                                          connector=connector,
                                           timers=self._timers,
                                           byte_counter=byte_counter)
-        links.register(self)
         store = stores.HttpStore(address=settings.store,
                                  client=client,
                                  timers=self._timers,
--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -8,13 +8,11 @@
 import abc
 from collections.abc import Callable
 import hmac
-import itertools
 from typing import Any
 
 import cbor2
 import circuits
 from circuits.net import events as net_events
-from circuits.net import sockets
 import structlog
 from websockets import client as ws_client
 from websockets import frames
@@ -26,11 +24,13 @@
 from trefoilroad_core import errors
 from trefoilroad_node import listener
 from trefoilroad_node import request_budget
+from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
 MAX_MESSAGE_BYTES = 4 << 20
-CONNECT_TIMEOUT_S = 1.0
+# Longest time from the start of a connection to the end of the handshake.
+OPEN_TIMEOUT_S = 2.0
 REDIAL_INTERVAL_S = 1.0
 # An accepted link without data for this time is closed, and the other node
 # dials again; each node sends a heartbeat twice a second.
@@ -45,7 +45,6 @@
 MAX_HELD_BYTES = 16 << 20
 # What may wait to be sent on a link to a node that does not read.
 MAX_UNSENT_BYTES = 4 << 20
-MAX_UNSENT_MESSAGES = 4096
 # The other node sends only control frames on a link that it has accepted.
 MAX_CONTROL_BYTES = 16 << 10
 
@@ -77,26 +76,33 @@
     return message
 
 
-class Dialler(circuits.BaseComponent):
+class Dialler(streams.Listener):
     """The outgoing link to one other node."""
 
-    _sequence_numbers = itertools.count()
-
     def __init__(self, *, address: str, secret: str,
+                 connector: streams.Connector, timers: timer.Timers,
                  byte_counter: traffic.ByteCounter):
-        channel = f"dialler-{next(self._sequence_numbers)}"
-        super().__init__(channel=channel)
+        """Creates a link that is not dialled yet.
+
+        Args:
+            address: "host:port" of the other node.
+            secret: Secret that the other node requires.
+            connector: Opens the connections.
+            timers: Bounds the time until a link is open.
+            byte_counter: Counts the bytes sent.
+        """
         self.address = address
         self._secret = secret
+        self._connector = connector
+        self._timers = timers
         self._byte_counter = byte_counter
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
+        self._stream: streams.Stream | None = None
         self._protocol: ws_client.ClientProtocol | None = None
-        self._socket = sockets.TCPClient(channel=channel)
-        self._socket.connect_timeout = CONNECT_TIMEOUT_S
-        self._socket.register(self)
-        self._dialling = False
+        self._was_open = False
+        self._lost_s: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -105,10 +111,36 @@
                 self._protocol.state is protocol.State.OPEN)
 
     def dial(self) -> None:
-        """Connects, unless the link is connected or connecting."""
-        if not self._socket.connected and not self._dialling:
-            self._dialling = True
-            self.fire(net_events.connect(self._host, self._port), self.channel)
+        """Connects, unless the link is connected or connecting.
+
+        Each attempt has a socket of its own: POSIX leaves the state of a socket
+        unspecified after a failed connect.
+        """
+        if self._stream is not None:
+            return
+        try:
+            stream = self._connector.open(self._host, self._port, self)
+        except (OSError, ValueError, OverflowError) as error:
+            self._record_loss(str(error))
+            return
+        if stream.sock.fileno() < 0:
+            # The attempt has failed at once and `handle_closed` was called.
+            return
+        self._stream = stream
+        self._timers.call_later(OPEN_TIMEOUT_S,
+                                lambda: self._give_up_opening(stream))
+
+    def _give_up_opening(self, stream: streams.Stream) -> None:
+        if stream is self._stream and not self.is_open:
+            self.close()
+            self._record_loss("not open in time")
+
+    def close(self) -> None:
+        """Closes the connection; `dial` opens another one."""
+        if self._stream is not None:
+            self._stream.close()
+        self._stream = None
+        self._protocol = None
 
     def send(self, message: Message) -> bool:
         """Sends a message.
@@ -121,32 +153,42 @@
         """
         if not self.is_open or self._protocol is None:
             return False
-        if self._is_congested():
-            _log.warning("link closed, messages are not read",
-                         address=self.address)
-            self._protocol = None
-            self._socket._close()
+        if (self._stream is not None and
+                len(self._stream.buffer) > MAX_UNSENT_BYTES):
+            self.close()
+            self._record_loss("messages are not read")
             return False
         self._protocol.send_binary(cbor2.dumps(message))
         self._flush()
         return True
 
-    def _is_congested(self) -> bool:
-        unsent = self._socket._buffer
-        return (len(unsent) > MAX_UNSENT_MESSAGES or
-                sum(map(len, unsent)) > MAX_UNSENT_BYTES)
-
     def _flush(self) -> None:
-        if self._protocol is None:
+        if self._protocol is None or self._stream is None:
             return
         for data in self._protocol.data_to_send():
             if data:
                 self._byte_counter.sent_bytes += len(data)
-                self.fire(net_events.write(data), self.channel)
-
-    @circuits.handler("connected")
-    def _on_connected(self, *_: Any) -> None:
-        self._dialling = False
+                self._stream.write(data)
+
+    def _record_loss(self, reason: str) -> None:
+        """Logs the loss of a link, and the first failure to open it."""
+        if self._lost_s is None:
+            self._lost_s = self._timers.read_clock()
+            _log.warning("link lost" if self._was_open else "link not opened",
+                         address=self.address,
+                         reason=reason)
+
+    def _record_open(self) -> None:
+        if self._lost_s is not None:
+            _log.info("link open again",
+                      address=self.address,
+                      lost_for_s=round(self._timers.read_clock() - self._lost_s,
+                                       3))
+        self._lost_s = None
+        self._was_open = True
+
+    def handle_connected(self) -> None:
+        """See streams.Listener.handle_connected."""
         target = ws_uri.parse_uri(f"ws://{self.address}/link")
         self._protocol = ws_client.ClientProtocol(target,
                                                   max_size=MAX_CONTROL_BYTES)
@@ -155,23 +197,22 @@
         self._protocol.send_request(request)
         self._flush()
 
-    @circuits.handler("write", priority=10)
-    def _on_write(self, event: Any, _: bytes) -> None:
-        # circuits would register the closed socket with the poller.
-        if not self._socket.connected:
-            event.stop()
+    def handle_data(self, data: bytes) -> None:
+        """See streams.Listener.handle_data."""
+        if self._protocol is None:
+            return
+        was_open = self.is_open
+        self._protocol.receive_data(data)
+        self._protocol.events_received()
+        self._flush()
+        if self.is_open and not was_open:
+            self._record_open()
 
-    @circuits.handler("read")
-    def _on_read(self, data: bytes) -> None:
-        if self._protocol is not None:
-            self._protocol.receive_data(data)
-            self._protocol.events_received()
-            self._flush()
-
-    @circuits.handler("disconnected", "unreachable", "error")
-    def _on_disconnected(self, *_: Any) -> None:
-        self._dialling = False
+    def handle_closed(self, reason: str) -> None:
+        """See streams.Listener.handle_closed."""
+        self._stream = None
         self._protocol = None
+        self._record_loss(reason)
 
 
 class Acceptor(circuits.BaseComponent):
@@ -338,15 +379,22 @@
         """Sends to all nodes whose link is open."""
 
 
-class WebsocketLinks(circuits.BaseComponent, Links):
+class WebsocketLinks(Links):
     """Outgoing links over websockets, redialled when they are down."""
 
-    channel = "links-out"
+    def __init__(self, *, secret: str, connector: streams.Connector,
+                 timers: timer.Timers, byte_counter: traffic.ByteCounter):
+        """Starts to redial links that are down.
 
-    def __init__(self, *, secret: str, timers: timer.Timers,
-                 byte_counter: traffic.ByteCounter):
-        super().__init__()
+        Args:
+            secret: Secret that the other nodes require.
+            connector: Opens the connections.
+            timers: Schedules the attempts.
+            byte_counter: Counts the bytes sent.
+        """
         self._secret = secret
+        self._connector = connector
+        self._timers = timers
         self._byte_counter = byte_counter
         self._diallers: dict[str, Dialler] = {}
         timers.call_every(REDIAL_INTERVAL_S, self._redial)
@@ -356,12 +404,13 @@
         for address in addresses - self._diallers.keys():
             dialler = Dialler(address=address,
                               secret=self._secret,
+                              connector=self._connector,
+                              timers=self._timers,
                               byte_counter=self._byte_counter)
             self._diallers[address] = dialler
-            dialler.register(self)
             dialler.dial()
         for address in self._diallers.keys() - addresses:
-            self._diallers.pop(address).unregister()
+            self._diallers.pop(address).close()
 
     def is_open(self, address: str) -> bool:
         """Returns whether the link to an address is open."""
@@ -378,11 +427,6 @@
         for dialler in self._diallers.values():
             dialler.send(message)
 
-    @property
-    def open_links(self) -> int:
-        """Number of links that may hold a descriptor."""
-        return len(self._diallers)
-
     def _redial(self) -> None:
         for dialler in self._diallers.values():
             dialler.dial()
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -13,6 +13,7 @@
 
 from trefoilroad_core import errors
 from trefoilroad_node import links
+from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
 
@@ -171,26 +172,82 @@
     site.run(lambda: site.messages)
 
 
+class _Caller:
+    """Outgoing links on a loop that the test drives."""
+
+    def __init__(self):
+        self.root = circuits.BaseComponent()
+        poller = pollers.EPoll().register(self.root)
+        self.root._running = True
+        self.timers = timer.TimerService(rng=random.Random(1)).register(
+            self.root)
+        self.connector = streams.Connector(poller=poller).register(self.root)
+
+    def make_dialler(self, port):
+        return links.Dialler(address=f"127.0.0.1:{port}",
+                             secret="secret",
+                             connector=self.connector,
+                             timers=self.timers,
+                             byte_counter=traffic.ByteCounter())
+
+    def make_acceptor(self, port):
+        acceptor = links.Acceptor(listen=f"127.0.0.1:{port}",
+                                  secret="secret",
+                                  on_message=lambda _: None,
+                                  timers=self.timers,
+                                  byte_counter=traffic.ByteCounter())
+        return acceptor.register(self.root)
+
+    def run(self, until):
+        """Runs the loop until a condition holds."""
+        deadline_s = time.monotonic() + 5.0
+        while not until():
+            assert time.monotonic() < deadline_s
+            self.root.tick(0.01)
+
+
 def test_link_to_a_node_that_does_not_read_is_closed():
     """Guards against messages that pile up for a node that is frozen."""
-    root = circuits.BaseComponent()
-    pollers.EPoll().register(root)
-    root._running = True
+    caller = _Caller()
     with socket.create_server(("127.0.0.1", 0)) as server:
-        dialler = links.Dialler(address=f"127.0.0.1:{server.getsockname()[1]}",
-                                secret="secret",
-                                byte_counter=traffic.ByteCounter())
-        dialler.register(root)
+        dialler = caller.make_dialler(server.getsockname()[1])
         dialler.dial()
-        deadline_s = time.monotonic() + 5.0
-        while not dialler._protocol:
-            assert time.monotonic() < deadline_s
-            root.tick(0.01)
+        caller.run(lambda: dialler._protocol)
         dialler._protocol.state = protocol.State.OPEN
         sent = 0
         while dialler.send({"type": "x", "data": b"x" * 100_000}):
             sent += 1
             assert sent < 500
-            root.tick(0.001)
+            caller.root.tick(0.001)
         assert not dialler.is_open
-        assert not dialler._socket.connected
+        assert not caller.connector.open_streams
+
+
+def test_link_opens_at_the_first_attempt_after_a_refused_one():
+    """Guards against a node that never hears from a restarted leader.
+
+    The port refuses connections while the leader starts. The socket of such an
+    attempt was used again, and it failed again although the leader listened.
+    """
+    caller = _Caller()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = server.getsockname()[1]
+    dialler = caller.make_dialler(port)
+    dialler.dial()
+    caller.run(lambda: not caller.connector.open_streams)
+    caller.make_acceptor(port)
+    dialler.dial()
+    caller.run(lambda: dialler.is_open)
+
+
+def test_handshake_without_answer_is_given_up(monkeypatch):
+    """Guards against a link that waits forever for a node that is frozen."""
+    monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.1)
+    caller = _Caller()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        dialler = caller.make_dialler(server.getsockname()[1])
+        dialler.dial()
+        caller.run(lambda: dialler._protocol)
+        caller.run(lambda: not caller.connector.open_streams)
+        dialler.dial()
+        assert caller.connector.open_streams == 1
