Count a job as begun only once a run of it is known to have begun

Callers saw: after a takeover, jobs that had never begun were missing from the number of waiting jobs, for good if the worker of their claim was lost or had restarted under its old id. Cause: a new leader took each claim of an earlier leader for a start, although claims are written before starts are sent, and took a worker process that is younger than the claim for proof that the run had begun. An intention stood for the event. Evidence: three tests on the virtual site claim a run on a worker that nobody reaches, replace the leader, and leave the worker cut off, lost or restarted; they find 0 in place of 1 on the code before. Claim.begun goes away. The test that a row of a first claim has no mark enshrined the fault.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -382,22 +382,27 @@
         job.unrecorded -= 1
 
     def _handle_begin(self, claim: progress.Claim, evidence: str) -> None:
-        """Logs that a job no longer waits.
+        """Records that a run has begun, so that its job no longer waits.
 
         Args:
-            claim: Claim of the first run that is known to have begun.
+            claim: Claim of the run.
             evidence: What shows it.
         """
         job = self.jobs[claim.key.job_id]
-        if not job.has_begun():
-            _log.info("job began",
-                      request=job.job_id,
-                      queue=job.workload.queue,
-                      worker=claim.worker_id,
-                      run=claim.run,
-                      evidence=evidence,
-                      waited_s=round(self._timers.read_clock() - job.accepted_s,
-                                     3))
+        step = job.get_step(claim.key.occurrence, claim.key.step)
+        had_begun = job.has_begun()
+        step.begun = True
+        if had_begun:
+            # Its row says so already, or will with the next transaction.
+            return
+        _log.info("job began",
+                  request=job.job_id,
+                  queue=job.workload.queue,
+                  worker=claim.worker_id,
+                  run=claim.run,
+                  evidence=evidence,
+                  waited_s=round(self._timers.read_clock() - job.accepted_s, 3))
+        self._ledger.mark_deferred(job)
 
     def _handle_run_end(self, claim: progress.Claim,
                         end_state: ports.EndState | None, why: str) -> None:
@@ -412,7 +417,6 @@
         step = job.get_step(claim.key.occurrence, claim.key.step)
         if step.claims.get(claim.key.task) is claim:
             del step.claims[claim.key.task]
-        step.begun = step.begun or claim.begun
         step.record_checkpoint(claim)
         now_s = self._timers.read_clock()
         _log.info("run ended",
@@ -423,7 +427,7 @@
                   worker=claim.worker_id,
                   how=str(end_state) if end_state else "not run",
                   why=why,
-                  begun=claim.begun,
+                  begun=claim.start_settled,
                   ran_s=round(now_s - claim.started_s, 3))
         self._interference.record_end(claim, end_state, now_s)
         if end_state is ports.EndState.DONE:
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -130,6 +130,8 @@
         # Changes of the next wave.
         self._jobs: dict[ports.RowName, changes.Source] = {}
         self._rows: dict[ports.RowName, changes.Source] = {}
+        # Jobs that are written with the next wave but cause none.
+        self._deferred_jobs: dict[ports.RowName, changes.Source] = {}
         self._callbacks: list[_Callback] = []
         # Changes of the current wave that are in no transaction yet.
         self._wave: dict[ports.RowName, changes.Source] = {}
@@ -162,10 +164,19 @@
             self._jobs[subject] = job
         self._plan_flush()
 
+    def mark_deferred(self, job: progress.Job) -> None:
+        """Adds the progress of a job to a transaction that is due anyway.
+
+        That is at the latest the next renewal of the head row.
+        """
+        subject = tables.get_progress_row_name(job.job_id)
+        if not self._update_set_aside(subject, job):
+            self._deferred_jobs[subject] = job
+
     def remove_progress(self, job_id: str) -> None:
         """Removes the progress of a job when a transaction has room."""
         subject = tables.get_progress_row_name(job_id)
-        for queue in (self._jobs, self._rows, self._wave):
+        for queue in (self._jobs, self._deferred_jobs, self._rows, self._wave):
             queue.pop(subject, None)
         self._set_aside.pop(subject, None)
         self._apart.discard(subject)
@@ -258,9 +269,10 @@
         if self._closed:
             return
         if not self._wave and not self._wave_callbacks:
-            self._wave = self._rows | self._jobs
+            self._wave = self._rows | self._jobs | self._deferred_jobs
             self._wave_callbacks = self._callbacks
             self._rows, self._jobs, self._callbacks = {}, {}, []
+            self._deferred_jobs = {}
         content: list[changes.Change] = []
         self._take_changes(self._wave, content)
         if not self._wave:
@@ -294,6 +306,7 @@
             size += change.size
             # It is written as it is now, so the next wave need not repeat it.
             self._jobs.pop(subject, None)
+            self._deferred_jobs.pop(subject, None)
             if subject in self._set_aside:
                 self._set_aside[subject].changed = False
 
@@ -408,7 +421,7 @@
     def _set_change_aside(self, change: changes.Change, reason: str) -> None:
         entry = self._set_aside.setdefault(
             change.subject, changes.SetAside(source=change.source))
-        for queue in (self._rows, self._jobs):
+        for queue in (self._rows, self._jobs, self._deferred_jobs):
             if change.subject in queue:
                 entry.source = queue.pop(change.subject)
                 entry.changed = True
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -27,11 +27,10 @@
 
 # Key in `StepProgress.failures` of the number of a gang's last failed run.
 LAST_FAILED_RUN = -1
-# Key among the failures in the row of a step of which no ended run has begun:
-# the number of ended runs, so that it is void if an older release, which keeps
-# keys that it does not know, has ended more runs. Without it ended runs count
-# as begun; ordinary rows have no mark.
-ENDED_BEFORE_BEGIN = -2
+# Key among the failures in the row of a step of which no run is known to have
+# begun: the sum of its run numbers, so that it is void if an older release,
+# which keeps keys that it does not know, has claimed more runs.
+NONE_BEGUN = -2
 
 
 class Phase(enum.Enum):
@@ -71,12 +70,10 @@
         worker_id: Worker that runs it or is to run it.
         boot_ms: Start of the worker process, in Unix milliseconds.
         phase: Phase of the run.
-        begun: Whether the run is known to have begun. One that an earlier
-            leader claimed counts as begun unless its worker denies it.
         starts_sent: Number of start commands that may have been sent; 1 for a
             run that an earlier leader claimed.
-        start_settled: Whether a start command was answered or can no longer
-            take effect.
+        start_settled: Whether the run is known to have begun, by an answer or
+            a report.
         longest_lease_end_s: When the longest lease that a worker accepts has
             ended, if the start is not settled: the worker may have restarted
             unnoticed, and its new process takes the end of the lease for one on
@@ -98,7 +95,7 @@
         image: Image of its step, or empty.
     """
 
-    __slots__ = ("begun", "boot_ms", "checkpoint", "demand", "image", "key",
+    __slots__ = ("boot_ms", "checkpoint", "demand", "image", "key",
                  "longest_lease_end_s", "percent", "percent_s", "phase",
                  "resumed", "retry_s", "run", "since_s", "start_settled",
                  "started_ms", "started_s", "starts_sent", "stop_acked_s",
@@ -123,7 +120,6 @@
         self.worker_id = worker_id
         self.boot_ms = boot_ms
         self.phase = phase
-        self.begun = phase is Phase.RECOVERING
         self.starts_sent = int(phase is Phase.RECOVERING)
         self.start_settled = False
         self.longest_lease_end_s = float("-inf")
@@ -141,7 +137,6 @@
 
     def settle_start(self) -> None:
         """Records that the run has begun, by an answer or a report."""
-        self.begun = True
         self.start_settled = True
         self.longest_lease_end_s = float("-inf")
 
@@ -157,7 +152,8 @@
     """Progress of one step of one occurrence.
 
     Attributes:
-        begun: Whether a run that has ended may have begun.
+        begun: Whether a run is known to have begun. A claim does not show it:
+            it is written before the start is sent.
         last_runs: Highest run number ever claimed, for each task; 0 if none.
         done: Indexes of the completed tasks.
         failures: Number of failed runs by task index; a gang counts at index
@@ -186,15 +182,6 @@
         """Whether all tasks are completed."""
         return len(self.done) == len(self.last_runs)
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether some run of the step has begun."""
-        return self.begun or any(claim.begun for claim in self.claims.values())
-
-    def count_ended_runs(self) -> int:
-        """Returns the number of run numbers that no claim holds."""
-        return sum(self.last_runs) - len(self.claims)
-
     def record_checkpoint(self, claim: Claim) -> None:
         """Keeps the checkpoint of an ended run unless its task is done."""
         if claim.checkpoint and claim.key.task not in self.done:
@@ -316,12 +303,12 @@
             for occurrence in range(self.workload.occurrences))
 
     def has_begun(self) -> bool:
-        """Returns whether some run has begun.
+        """Returns whether some run is known to have begun.
 
-        Runs that were refused or never sent do not count, so a job of which
-        only such runs were claimed is still waiting.
+        A job of which runs were only claimed, refused or sent without an answer
+        is still waiting.
         """
-        return any(step.has_begun for step in self.steps.values())
+        return any(step.begun for step in self.steps.values())
 
     def list_ready(self, wall_ms: float) -> Iterator[tuple[int, int]]:
         """Yields the steps that may start, as (occurrence, step number).
@@ -351,7 +338,7 @@
         number: Number of the step.
         runs: Highest run number of each task, or of all if they are the same.
         done: Sorted indexes of the completed tasks, or True for all.
-        failures: See StepProgress.failures; also ENDED_BEFORE_BEGIN.
+        failures: See StepProgress.failures; also NONE_BEGUN.
         claims: Index, run, worker, start of the worker process and time of each
             claim.
         checkpoints: See StepProgress.checkpoints.
@@ -399,10 +386,10 @@
 
 def _mark_failures(step: StepProgress) -> dict[int, int]:
     """Returns the failures of a step with the mark of runs that never began."""
-    ended_runs = 0 if step.begun else step.count_ended_runs()
-    if not ended_runs:
+    claimed_runs = sum(step.last_runs)
+    if step.begun or not claimed_runs:
         return step.failures
-    return step.failures | {ENDED_BEFORE_BEGIN: ended_runs}
+    return step.failures | {NONE_BEGUN: claimed_runs}
 
 
 def decode_state(data: bytes) -> JobState:
@@ -500,7 +487,7 @@
 
 
 def _restore_failures(step: StepProgress, failures: dict[int, int]) -> None:
-    """Sets the failures of a step whose runs and claims are set."""
-    ended_runs = failures.pop(ENDED_BEFORE_BEGIN, 0)
+    """Sets the failures of a step whose run numbers are set."""
+    claimed_runs = failures.pop(NONE_BEGUN, 0)
     step.failures = failures
-    step.begun = step.count_ended_runs() != ended_runs
+    step.begun = sum(step.last_runs) != claimed_runs
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -470,7 +470,7 @@
 
     def _settle_start(self, claim: progress.Claim, evidence: str) -> None:
         """Records that a run has begun, by an answer or a report."""
-        if not claim.begun:
+        if not claim.start_settled:
             self._on_begin(claim, evidence)
         claim.settle_start()
 
@@ -870,9 +870,7 @@
             return
         if claim.phase is Phase.RECOVERING:
             # The request carried this leader's epoch, so the worker refuses a
-            # delayed start of an earlier leader from now on. A process that
-            # started after the claim cannot tell whether the run had begun.
-            claim.begun = claim.boot_ms != tracked.boot_ms
+            # delayed start of an earlier leader from now on.
             self._end_run(claim, None, "was never started")
         elif claim.phase is Phase.RUNNING and claim.since_s < sent_s:
             self._end_run(claim, ports.EndState.LAPSED, "its worker lost it")
--- a/packages/jobs/tests/test_ledger.py
+++ b/packages/jobs/tests/test_ledger.py
@@ -378,3 +378,23 @@
     timers.run(30.0)
     assert store.list_keys() == []
     assert not ledger.list_set_aside()
+
+
+def test_deferred_job_is_written_with_the_next_transaction(
+        ledger, store, timers):
+    """Guards against a transaction for each job that begins, or for none."""
+    timers.run(0.01)
+    calls = len(store.calls)
+    job = _make_job("0" * 16)
+    ledger.mark_deferred(job)
+    timers.run(0.05)
+    assert len(store.calls) == calls
+    other = _make_job("1" * 16)
+    ledger.mark_dirty(other)
+    timers.run(0.05)
+    assert len(store.calls) == calls + 1
+    assert _subject(job) in store.rows
+    ledger.mark_deferred(job)
+    timers.run(2 * ledgers.HEAD_RENEWAL_INTERVAL_S)
+    assert _subject(job) in store.calls[-1][0] or _subject(
+        job) in store.calls[-2][0]
--- a/packages/jobs/tests/test_pending.py
+++ b/packages/jobs/tests/test_pending.py
@@ -145,6 +145,59 @@
     assert _count_pending(site) == {1}
 
 
+def _claim_without_start(site):
+    """Has a leader claim a run on a worker that it cannot reach, then fail.
+
+    Returns:
+        The state of the worker, which nobody can reach.
+    """
+    _fill_workers(site, 3)
+    idle = next(
+        state for state in site.worker_states.values() if not state.runs)
+    idle.reachable = False
+    site.submit(WAITING_JOBS[0], run_s=60.0)
+    site.run(0.3)
+    leader = site.find_leader().node._dispatcher
+    assert leader.jobs[WAITING_JOBS[0]].steps[0, 0].claims
+    _replace_leader(site)
+    return idle
+
+
+def test_claim_on_a_cut_off_worker_is_waiting_after_a_takeover(site):
+    """Guards against a leader that takes the claim of a run for its start."""
+    _claim_without_start(site)
+    assert _count_pending(site) == {1}
+
+
+def test_claim_on_a_lost_worker_is_waiting_after_a_takeover(site):
+    """Guards against a job that counts as begun for good with a lost worker."""
+    _claim_without_start(site).crash()
+    site.run(14.0)
+    assert not site.count_events("start", WAITING_JOBS[0])
+    assert _count_pending(site) == {1}
+
+
+def test_claim_on_a_restarted_worker_is_waiting_after_a_takeover(site):
+    """Guards against a new worker process taken for proof of a start."""
+    idle = _claim_without_start(site)
+    _refuse_starts(site, idle.worker_id)
+    idle.restart()
+    site.register(idle)
+    idle.reachable = True
+    site.run(3.0)
+    assert _count_pending(site) == {1}
+
+
+def test_running_job_of_a_cut_off_worker_has_begun_after_a_takeover(site):
+    """Guards against running jobs that count as waiting after a takeover."""
+    _fill_workers(site, 4)
+    site.run(1.0)
+    for worker_state in site.worker_states.values():
+        worker_state.reachable = False
+    _replace_leader(site)
+    assert _count_pending(site) == {0}
+
+
 # Rows.
 
 
@@ -204,8 +257,7 @@
     assert loaded.has_begun()
 
 
-def test_row_of_a_first_claim_has_no_mark():
-    """Guards against larger rows of ordinary jobs; bytes are priced."""
+def _make_claimed_job():
     job = _make_job(tasks=1)
     step = job.get_step(0, 0)
     step.last_runs[0] = 1
@@ -216,9 +268,43 @@
                                     phase=progress.Phase.CLAIMING,
                                     now_s=0.0,
                                     demand=sites.SMALL_DEMAND)
-    row = cbor2.dumps(
-        ["queued", 0.0, [(0, 0, 1, [], {}, [(0, 1, "w00", 17, 0)], {})]])
-    assert progress.encode_progress(job) == row
+    return job
+
+
+def _encode_claimed_row(failures):
+    return cbor2.dumps(
+        ["queued", 0.0, [(0, 0, 1, [], failures, [(0, 1, "w00", 17, 0)], {})]])
+
+
+def test_row_of_a_first_claim_says_that_nothing_began():
+    """Guards against a claim that counts as begun after a takeover."""
+    job = _make_claimed_job()
+    assert progress.encode_progress(job) == _encode_claimed_row({-2: 1})
     assert not job.has_begun()
-    # The run of an earlier leader has begun, unless its worker denies it.
+    loaded = _reload(job)
+    assert not loaded.has_begun()
+    assert loaded.steps[0, 0].failures == {}
+
+
+def test_row_of_a_begun_job_has_no_mark():
+    """Guards against larger rows of ordinary jobs; bytes are priced."""
+    job = _make_claimed_job()
+    job.steps[0, 0].begun = True
+    assert progress.encode_progress(job) == _encode_claimed_row({})
     assert _reload(job).has_begun()
+
+
+def test_claim_of_an_older_release_beside_a_refused_run_counts_as_begun():
+    """Guards against a job that ran before an upgrade and counts as waiting.
+
+    That release counts only ended runs in its mark.
+    """
+    job = _make_claimed_job()
+    state, ended_ms, steps = cbor2.loads(progress.encode_progress(job))
+    steps[0][2] = 2
+    loaded = _make_job(tasks=1)
+    progress.decode_progress(loaded,
+                             cbor2.dumps([state, ended_ms, steps]),
+                             now_s=0.0,
+                             store_ms=0.0)
+    assert loaded.has_begun()
--- a/packages/jobs/tests/test_progress_rows.py
+++ b/packages/jobs/tests/test_progress_rows.py
@@ -74,7 +74,7 @@
 def _describe(job):
     """Returns what of a job must outlive a takeover."""
     return job.state, job.ended_ms, {
-        key: (step.done, step.failures, step.checkpoints, step.has_begun, {
+        key: (step.done, step.failures, step.checkpoints, step.begun, {
             index: (claim.run, claim.worker_id, claim.boot_ms, claim.started_ms,
                     claim.checkpoint) for index, claim in step.claims.items()
         }, None if step.is_done and not step.claims else step.last_runs
@@ -204,7 +204,7 @@
         assert step.claims[1].worker_id == "w00"
         assert step.done == {2}
         assert step.checkpoints == {}
-        assert step.has_begun
+        assert step.begun
 
 
 def _make_large_job():
