Write deferred jobs only where a transaction has room

Change: they are taken like removals of rows, after the wave, and wait for the next transaction if there is no room. Measured: test_deferred_jobs_delay_no_callback fails on the code before (5 transactions until the callback) and passes.

--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -130,7 +130,7 @@
         # Changes of the next wave.
         self._jobs: dict[ports.RowName, changes.Source] = {}
         self._rows: dict[ports.RowName, changes.Source] = {}
-        # Jobs that are written with the next wave but cause none.
+        # Jobs to write when a transaction has room; nothing waits for them.
         self._deferred_jobs: dict[ports.RowName, changes.Source] = {}
         self._callbacks: list[_Callback] = []
         # Changes of the current wave that are in no transaction yet.
@@ -165,9 +165,9 @@
         self._plan_flush()
 
     def mark_deferred(self, job: progress.Job) -> None:
-        """Adds the progress of a job to a transaction that is due anyway.
+        """Adds the progress of a job to a transaction that has room for it.
 
-        That is at the latest the next renewal of the head row.
+        That is usually the next one, at the latest a renewal of the head row.
         """
         subject = tables.get_progress_row_name(job.job_id)
         if not self._update_set_aside(subject, job):
@@ -269,13 +269,13 @@
         if self._closed:
             return
         if not self._wave and not self._wave_callbacks:
-            self._wave = self._rows | self._jobs | self._deferred_jobs
+            self._wave = self._rows | self._jobs
             self._wave_callbacks = self._callbacks
             self._rows, self._jobs, self._callbacks = {}, {}, []
-            self._deferred_jobs = {}
         content: list[changes.Change] = []
         self._take_changes(self._wave, content)
         if not self._wave:
+            self._take_changes(self._deferred_jobs, content)
             self._take_changes(self._removals, content)
         self._serial += 1
         self._batch = _Batch(head=Head(self._epoch, self._serial),
