Mark begun runs in the rows of jobs, not runs that have not begun

Cause: the absence of the mark "none has begun" stood for a start, and rows of the release before have no mark. Change: the row of a step says that a run has begun, until ended runs say so; a claim without that mark counts as waiting until a worker reports it. A mark that an older release keeps stays true. A done task counts as begun whatever the marks say.

--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -27,10 +27,14 @@
 
 # Key in `StepProgress.failures` of the number of a gang's last failed run.
 LAST_FAILED_RUN = -1
-# Key among the failures in the row of a step of which no run is known to have
-# begun: the sum of its run numbers, so that it is void if an older release,
-# which keeps keys that it does not know, has claimed more runs.
-NONE_BEGUN = -2
+# Key among the failures in the row of a step of which no ended run has begun:
+# the number of ended runs, so that it is void if an older release, which keeps
+# keys that it does not know, has ended more runs. Without it ended runs count
+# as begun; ordinary rows have no mark.
+ENDED_BEFORE_BEGIN = -2
+# Key among the failures in the row of a step of which a run has begun although
+# none has ended. It is true for good, so an older release may keep it.
+BEGUN = -3
 
 
 class Phase(enum.Enum):
@@ -182,6 +186,10 @@
         """Whether all tasks are completed."""
         return len(self.done) == len(self.last_runs)
 
+    def count_ended_runs(self) -> int:
+        """Returns the number of run numbers that no claim holds."""
+        return sum(self.last_runs) - len(self.claims)
+
     def record_checkpoint(self, claim: Claim) -> None:
         """Keeps the checkpoint of an ended run unless its task is done."""
         if claim.checkpoint and claim.key.task not in self.done:
@@ -338,7 +346,7 @@
         number: Number of the step.
         runs: Highest run number of each task, or of all if they are the same.
         done: Sorted indexes of the completed tasks, or True for all.
-        failures: See StepProgress.failures; also NONE_BEGUN.
+        failures: See StepProgress.failures; also ENDED_BEFORE_BEGIN and BEGUN.
         claims: Index, run, worker, start of the worker process and time of each
             claim.
         checkpoints: See StepProgress.checkpoints.
@@ -385,11 +393,13 @@
 
 
 def _mark_failures(step: StepProgress) -> dict[int, int]:
-    """Returns the failures of a step with the mark of runs that never began."""
-    claimed_runs = sum(step.last_runs)
-    if step.begun or not claimed_runs:
-        return step.failures
-    return step.failures | {NONE_BEGUN: claimed_runs}
+    """Returns the failures of a step with the mark whether a run has begun."""
+    ended_runs = step.count_ended_runs()
+    if step.begun and not ended_runs:
+        return step.failures | {BEGUN: 1}
+    if ended_runs and not step.begun:
+        return step.failures | {ENDED_BEFORE_BEGIN: ended_runs}
+    return step.failures
 
 
 def decode_state(data: bytes) -> JobState:
@@ -487,7 +497,9 @@
 
 
 def _restore_failures(step: StepProgress, failures: dict[int, int]) -> None:
-    """Sets the failures of a step whose run numbers are set."""
-    claimed_runs = failures.pop(NONE_BEGUN, 0)
+    """Sets the failures of a step whose runs and claims are set."""
+    is_marked = failures.pop(BEGUN, 0) > 0
+    ended_before_begin = failures.pop(ENDED_BEFORE_BEGIN, 0)
     step.failures = failures
-    step.begun = sum(step.last_runs) != claimed_runs
+    step.begun = (is_marked or bool(step.done) or
+                  step.count_ended_runs() != ended_before_begin)
