Replace an outgoing link whose pings are not answered

Cause: nothing is read on an outgoing link in normal operation. If the link goes silent without a reset (a partition that heals, a peer that lost power and is back under its address, a middlebox that drops state), the node sends into it for good, although new connections work, and the other node never hears from it again; a follower then gets no heartbeats. Change: the redial timer sends a ping on each open link at every second check. A link with a ping that is unanswered three checks later is closed, logged by `link lost` with the reason "pings are not answered", and dialled again in the same check. That is at most five checks of 1 s. Checks are counted and not time, so that a process that was suspended keeps its sound links: sockets are polled between two checks. Cost: a ping of 6 bytes and a pong of 2 bytes in 2 s for each direction of each pair. The leader of 97 nodes sends and receives 48 pings and 48 pongs a second, 192 frames beside 384 heartbeats and hello messages.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -31,7 +31,15 @@
 MAX_MESSAGE_BYTES = 4 << 20
 # Longest time from the start of a connection to the end of the handshake.
 OPEN_TIMEOUT_S = 2.0
+# Interval at which links are checked, and dialled again if they are down.
 REDIAL_INTERVAL_S = 1.0
+# Checks from one ping on an open link to the next one, which bounds the cost.
+PING_INTERVAL_CHECKS = 2
+# A link with a ping that is unanswered at this many checks is replaced. Checks
+# are counted, as the age of a ping includes the time that the own process was
+# suspended; sockets are polled between two checks. Together with the interval
+# of pings a silent link is found within 5 s.
+MAX_UNANSWERED_CHECKS = 3
 # An accepted link without data for this time is closed, and the other node
 # dials again; each node sends a heartbeat twice a second.
 LINK_IDLE_TIMEOUT_S = 5.0
@@ -45,7 +53,8 @@
 MAX_HELD_BYTES = 16 << 20
 # What may wait to be sent on a link to a node that does not read.
 MAX_UNSENT_BYTES = 4 << 20
-# The other node sends only control frames on a link that it has accepted.
+# The other node sends only control frames on a link that it has accepted: a
+# pong for each ping.
 MAX_CONTROL_BYTES = 16 << 10
 
 _log = structlog.get_logger()
@@ -101,6 +110,8 @@
         self._port = int(port)
         self._stream: streams.Stream | None = None
         self._protocol: ws_client.ClientProtocol | None = None
+        self._checks_since_ping = 0
+        self._awaits_pong = False
         self._was_open = False
         self._lost_s: float | None = None
 
@@ -135,6 +146,32 @@
             self.close()
             self._record_loss("not open in time")
 
+    def check(self) -> None:
+        """Pings an open link, and replaces one that is down or silent.
+
+        To be called every REDIAL_INTERVAL_S. A peer that is cut off or has lost
+        its state sends no reset, and messages into such a link do not fail.
+        """
+        if self.is_open:
+            self._check_pong()
+        self.dial()
+
+    def _check_pong(self) -> None:
+        self._checks_since_ping += 1
+        if self._awaits_pong:
+            if self._checks_since_ping >= MAX_UNANSWERED_CHECKS:
+                self.close()
+                self._record_loss("pings are not answered")
+        elif self._checks_since_ping >= PING_INTERVAL_CHECKS:
+            self._send_ping()
+
+    def _send_ping(self) -> None:
+        if self._protocol is not None:
+            self._checks_since_ping = 0
+            self._awaits_pong = True
+            self._protocol.send_ping(b"")
+            self._flush()
+
     def close(self) -> None:
         """Closes the connection; `dial` opens another one."""
         if self._stream is not None:
@@ -189,6 +226,8 @@
 
     def handle_connected(self) -> None:
         """See streams.Listener.handle_connected."""
+        self._checks_since_ping = 0
+        self._awaits_pong = False
         target = ws_uri.parse_uri(f"ws://{self.address}/link")
         self._protocol = ws_client.ClientProtocol(target,
                                                   max_size=MAX_CONTROL_BYTES)
@@ -203,7 +242,10 @@
             return
         was_open = self.is_open
         self._protocol.receive_data(data)
-        self._protocol.events_received()
+        for event in self._protocol.events_received():
+            if (isinstance(event, frames.Frame) and
+                    event.opcode is frames.Opcode.PONG):
+                self._awaits_pong = False
         self._flush()
         if self.is_open and not was_open:
             self._record_open()
@@ -384,12 +426,12 @@
 
     def __init__(self, *, secret: str, connector: streams.Connector,
                  timers: timer.Timers, byte_counter: traffic.ByteCounter):
-        """Starts to redial links that are down.
+        """Starts to check links and to redial those that are down.
 
         Args:
             secret: Secret that the other nodes require.
             connector: Opens the connections.
-            timers: Schedules the attempts.
+            timers: Schedules the checks.
             byte_counter: Counts the bytes sent.
         """
         self._secret = secret
@@ -397,7 +439,7 @@
         self._timers = timers
         self._byte_counter = byte_counter
         self._diallers: dict[str, Dialler] = {}
-        timers.call_every(REDIAL_INTERVAL_S, self._redial)
+        timers.call_every(REDIAL_INTERVAL_S, self._check_links)
 
     def set_addresses(self, addresses: set[str]) -> None:
         """See Links.set_addresses."""
@@ -427,6 +469,6 @@
         for dialler in self._diallers.values():
             dialler.send(message)
 
-    def _redial(self) -> None:
+    def _check_links(self) -> None:
         for dialler in self._diallers.values():
-            dialler.dial()
+            dialler.check()
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -9,7 +9,9 @@
 from circuits.core import pollers
 import pytest
 from websockets import frames
+from websockets import http11
 from websockets import protocol
+from websockets import server as ws_server
 
 from trefoilroad_core import errors
 from trefoilroad_node import links
@@ -190,6 +192,12 @@
                              timers=self.timers,
                              byte_counter=traffic.ByteCounter())
 
+    def make_links(self):
+        return links.WebsocketLinks(secret="secret",
+                                    connector=self.connector,
+                                    timers=self.timers,
+                                    byte_counter=traffic.ByteCounter())
+
     def make_acceptor(self, port):
         acceptor = links.Acceptor(listen=f"127.0.0.1:{port}",
                                   secret="secret",
@@ -251,3 +259,178 @@
         caller.run(lambda: not caller.connector.open_streams)
         dialler.dial()
         assert caller.connector.open_streams == 1
+
+
+class _Peer:
+    """Accepts links; the test decides which pings it answers.
+
+    Attributes:
+        answers: Whether pings are answered.
+        protocols: The protocol of each accepted connection, oldest first.
+        pings: Number of pings received.
+        messages: Messages received.
+    """
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.protocols = []
+        self.pings = 0
+        self.messages = []
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self._server.setblocking(False)
+        self._sockets = []
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.getsockname()[1]}"
+
+    def step(self):
+        """Accepts a connection and reads from all of them."""
+        try:
+            sock, _ = self._server.accept()
+            sock.setblocking(False)
+            self._sockets.append(sock)
+            self.protocols.append(ws_server.ServerProtocol())
+        except BlockingIOError:
+            pass
+        for sock, link in zip(self._sockets, self.protocols, strict=True):
+            self._read(sock, link)
+
+    def flush(self, link):
+        """Sends what the protocol has to send, but never ends a connection."""
+        sock = self._sockets[self.protocols.index(link)]
+        sock.sendall(b"".join(link.data_to_send()))
+
+    def close(self):
+        for sock in [self._server, *self._sockets]:
+            sock.close()
+
+    def _read(self, sock, link):
+        try:
+            data = sock.recv(1 << 16)
+        except BlockingIOError:
+            return
+        if not data:
+            return
+        link.receive_data(data)
+        for event in link.events_received():
+            if isinstance(event, http11.Request):
+                link.send_response(link.accept(event))
+                self.flush(link)
+            elif event.opcode is frames.Opcode.PING:
+                self.pings += 1
+            elif event.opcode is frames.Opcode.BINARY:
+                self.messages.append(cbor2.loads(event.data))
+        if self.answers:
+            self.flush(link)
+        else:
+            link.data_to_send()
+
+
+@pytest.fixture
+def build_peer():
+    peers = []
+
+    def build(*, answers):
+        peers.append(_Peer(answers))
+        return peers[-1]
+
+    yield build
+    for peer in peers:
+        peer.close()
+
+
+def _run_with_peer(caller, peer, until):
+    """Runs the loop and the peer until a condition holds."""
+
+    def step():
+        peer.step()
+        return until()
+
+    caller.run(step)
+
+
+def test_link_to_a_silent_peer_is_replaced(build_peer, monkeypatch):
+    """Guards against a link that went silent without a reset.
+
+    Nothing is read on an outgoing link in normal operation, so messages went
+    into such a link for good, although new connections worked.
+    """
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=False)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    _run_with_peer(caller, peer, lambda: len(peer.protocols) == 2)
+    assert caller.connector.open_streams == 1
+    peer.answers = True
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    message = {"type": "beat"}
+    assert outgoing.send(peer.address, message)
+    _run_with_peer(caller, peer, lambda: peer.messages == [message])
+
+
+def test_silent_peer_is_detected_within_five_seconds():
+    """Guards against constants that add up to more than the target of 5 s."""
+    checks = links.PING_INTERVAL_CHECKS + links.MAX_UNANSWERED_CHECKS
+    assert checks * links.REDIAL_INTERVAL_S <= 5.0
+    assert links.PING_INTERVAL_CHECKS * links.REDIAL_INTERVAL_S >= 2.0
+
+
+def test_link_to_a_peer_that_answers_pings_is_kept(build_peer, monkeypatch):
+    """Guards against sound links that are closed as silent."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    _run_with_peer(caller, peer, lambda: peer.pings == 6)
+    assert len(peer.protocols) == 1
+    assert outgoing.is_open(peer.address)
+
+
+def test_acceptor_answers_pings(monkeypatch):
+    """Guards against an acceptor that does not send its pongs."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    acceptor = caller.make_acceptor(0)
+    dialler = caller.make_dialler(acceptor.port)
+    dialler.dial()
+    caller.run(lambda: dialler.is_open)
+    link = dialler._protocol
+    checks = 0
+
+    def check():
+        nonlocal checks
+        checks += 1
+        dialler.check()
+
+    caller.timers.call_every(links.REDIAL_INTERVAL_S, check)
+    caller.run(lambda: checks == 15)
+    assert dialler._protocol is link
+
+
+def test_suspended_process_keeps_sound_links(build_peer, monkeypatch):
+    """Guards against links closed by the age of a ping after a suspension.
+
+    The process is suspended for a minute before each round of its loop, also
+    between a ping and its answer.
+    """
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    read_clock = caller.timers.read_clock
+    suspended_s = 0.0
+    monkeypatch.setattr(caller.timers, "read_clock",
+                        lambda: read_clock() + suspended_s)
+    for _ in range(60):
+        suspended_s += 60.0
+        caller.root.tick(0.01)
+        peer.step()
+    assert peer.pings >= 5
+    assert len(peer.protocols) == 1
+    assert outgoing.is_open(peer.address)
