Replace a link whose peer closes it but never ends the connection

Cause: after a close frame, or after a frame that breaks the protocol, the protocol of an outgoing link is closing and waits for the peer to end the TCP connection. If that never comes (a FIN that is lost for good), the link is neither open nor dialled again. The limit for the handshake covered this only in the first 2 s of a link. Change: the next check closes such a connection and dials again. Measured: test_link_whose_peer_never_ends_the_connection_is_replaced fails on the code before (the link is not open again within the 5 s of the test) and passes now.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -154,8 +154,15 @@
         """
         if self.is_open:
             self._check_pong()
+        elif self._is_closing():
+            self.close()
+            self._record_loss("the peer has not ended the connection")
         self.dial()
 
+    def _is_closing(self) -> bool:
+        return (self._protocol is not None and self._protocol.state
+                in (protocol.State.CLOSING, protocol.State.CLOSED))
+
     def _check_pong(self) -> None:
         self._checks_since_ping += 1
         if self._awaits_pong:
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -434,3 +434,27 @@
     assert peer.pings >= 5
     assert len(peer.protocols) == 1
     assert outgoing.is_open(peer.address)
+
+
+def test_link_whose_peer_never_ends_the_connection_is_replaced(
+        build_peer, monkeypatch):
+    """Guards against a link that waits for good for the end of its connection.
+
+    The peer sends a close frame, and the network then loses its FIN. The link
+    was no longer open, but it was not dialled again either.
+    """
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.3)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    # Longer than the limit for the handshake, which would close the link too.
+    _run_with_peer(caller, peer, lambda: peer.pings == 6)
+    count = len(peer.protocols)
+    peer.protocols[-1].fail(frames.CloseCode.INTERNAL_ERROR)
+    peer.flush(peer.protocols[-1])
+    _run_with_peer(caller, peer, lambda: not outgoing.is_open(peer.address))
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    assert len(peer.protocols) == count + 1
+    assert caller.connector.open_streams == 1
