Send the frames of an outgoing link in one write

Cause: a write that meets a reset connection fails at once and calls handle_closed, which forgets the stream. If the protocol had two frames to send, such as the pongs for two pings that were read together, the loop over them went on and raised AttributeError out of the event handler, which is logged as a fault of the node. Change: the frames are joined and written once. Measured: test_reset_while_frames_are_sent_raises_nothing fails on the code before with that AttributeError and passes now.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -209,10 +209,11 @@
     def _flush(self) -> None:
         if self._protocol is None or self._stream is None:
             return
-        for data in self._protocol.data_to_send():
-            if data:
-                self._byte_counter.sent_bytes += len(data)
-                self._stream.write(data)
+        # A write that fails closes the link at once, so there is only one.
+        data = b"".join(self._protocol.data_to_send())
+        if data:
+            self._byte_counter.sent_bytes += len(data)
+            self._stream.write(data)
 
     def _record_loss(self, reason: str) -> None:
         """Logs the loss of a link, and the first failure to open it."""
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+import struct
 import time
 
 import cbor2
@@ -301,6 +302,13 @@
         sock = self._sockets[self.protocols.index(link)]
         sock.sendall(b"".join(link.data_to_send()))
 
+    def reset(self):
+        """Ends the only connection with a reset."""
+        (sock,) = self._sockets
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+        sock.close()
+
     def close(self):
         for sock in [self._server, *self._sockets]:
             sock.close()
@@ -458,3 +466,40 @@
     _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
     assert len(peer.protocols) == count + 1
     assert caller.connector.open_streams == 1
+
+
+class _Faults(circuits.BaseComponent):
+    """Records exceptions that leave an event handler."""
+
+    def __init__(self):
+        super().__init__()
+        self.errors = []
+
+    @circuits.handler("exception", channel="*")
+    def _on_exception(self, _, error, *_args, **_options):
+        self.errors.append(error)
+
+
+def test_reset_while_frames_are_sent_raises_nothing(build_peer):
+    """Guards against a write to a link that the write before has closed.
+
+    Two frames had to be sent at once. The first one failed, which closed the
+    link, and the second one raised out of the event handler.
+    """
+    caller = _Caller()
+    faults = _Faults().register(caller.root)
+    peer = build_peer(answers=True)
+    dialler = caller.make_dialler(int(peer.address.rpartition(":")[2]))
+    dialler.dial()
+    _run_with_peer(caller, peer, lambda: dialler.is_open)
+    link = peer.protocols[0]
+    link.send_ping(b"1")
+    link.send_ping(b"2")
+    peer.flush(link)
+    peer.reset()
+    caller.run(lambda: not caller.connector.open_streams)
+    # An exception is an event of a later round of the loop.
+    for _ in range(3):
+        caller.root.tick(0.01)
+    assert not faults.errors
+    assert not dialler.is_open
