Report a message that meets a reset link as not sent

Cause: Dialler.send returned True for a message whose write failed at once and closed the link. Its last bytes were never taken by the socket, so the other node cannot have it. A request to the leader then waited for its time limit instead of failing at once. Change: send returns whether the link is still open after the write. Measured: test_message_that_meets_a_reset_is_not_reported_as_sent fails on the code before (True) and passes now.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -193,7 +193,8 @@
             message: The message.
 
         Returns:
-            False if the link is not open; the message is then dropped.
+            False if the link is not open or the write closes it; the message
+            is then dropped.
         """
         if not self.is_open or self._protocol is None:
             return False
@@ -204,7 +205,8 @@
             return False
         self._protocol.send_binary(cbor2.dumps(message))
         self._flush()
-        return True
+        # The write may have closed the link. The message is then incomplete.
+        return self.is_open
 
     def _flush(self) -> None:
         if self._protocol is None or self._stream is None:
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -503,3 +503,15 @@
         caller.root.tick(0.01)
     assert not faults.errors
     assert not dialler.is_open
+
+
+def test_message_that_meets_a_reset_is_not_reported_as_sent(build_peer):
+    """Guards against a request that waits for the answer to a lost message."""
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    dialler = caller.make_dialler(int(peer.address.rpartition(":")[2]))
+    dialler.dial()
+    _run_with_peer(caller, peer, lambda: dialler.is_open)
+    peer.reset()
+    assert not dialler.send({"type": "write"})
+    assert not caller.connector.open_streams
