Keep a malformed link address from stopping other links

Cause: the port of an address was decoded when the link was made, inside set_addresses. Addresses come from the messages and rows of other nodes; one without a number as its port raised ValueError before the remaining addresses were dialled and dropped ones closed, at each call until the address was no longer listed. Ports with signs, spaces or underscores, which `int` takes, are refused too: a URI cannot have them.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -85,6 +85,14 @@
     return message
 
 
+def _decode_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    # `int` takes signs, spaces and underscores, which a URI cannot have.
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError("no port in the address")
+    return host, int(port)
+
+
 class Dialler(streams.Listener):
     """The outgoing link to one other node."""
 
@@ -94,7 +102,8 @@
         """Creates a link that is not dialled yet.
 
         Args:
-            address: "host:port" of the other node.
+            address: "host:port" of the other node. A malformed one is never
+                open.
             secret: Secret that the other node requires.
             connector: Opens the connections.
             timers: Bounds the time until a link is open.
@@ -105,9 +114,6 @@
         self._connector = connector
         self._timers = timers
         self._byte_counter = byte_counter
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
         self._stream: streams.Stream | None = None
         self._protocol: ws_client.ClientProtocol | None = None
         self._checks_since_ping = 0
@@ -130,7 +136,8 @@
         if self._stream is not None:
             return
         try:
-            stream = self._connector.open(self._host, self._port, self)
+            host, port = _decode_address(self.address)
+            stream = self._connector.open(host, port, self)
         except (OSError, ValueError, OverflowError) as error:
             self._record_loss(str(error))
             return
