Test links that fail at once, are removed or not open yet

Cause: none; by reading these paths are sound, but no test held them: a connect that fails inside Connector.open, an address that is removed and added again while it is connecting, during the handshake and when the link is open, and messages sent before the handshake has ended. Change: three tests, no change of the product.

--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -533,3 +533,71 @@
     assert caller.connector.open_streams == 1
     outgoing.set_addresses({peer.address})
     assert outgoing.is_open(peer.address)
+
+
+def test_connection_that_fails_at_once_is_dialled_again():
+    """Guards against a link that keeps the stream of a failed attempt.
+
+    There is no route to the broadcast address, so connect fails in the call.
+    """
+    caller = _Caller()
+    dialler = links.Dialler(address="255.255.255.255:9",
+                            secret="secret",
+                            connector=caller.connector,
+                            timers=caller.timers,
+                            byte_counter=traffic.ByteCounter())
+    dialler.dial()
+    assert not caller.connector.open_streams
+    assert dialler._stream is None
+    dialler.dial()
+    assert not caller.connector.open_streams
+
+
+def test_message_during_the_handshake_is_dropped(build_peer):
+    """Guards against frames that are sent before the handshake has ended."""
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    dialler = caller.make_dialler(int(peer.address.rpartition(":")[2]))
+    dialler.dial()
+    assert not dialler.send({"type": "early"})
+    caller.run(lambda: dialler._protocol)
+    assert not dialler.send({"type": "early"})
+    dialler.check()
+    _run_with_peer(caller, peer, lambda: dialler.is_open)
+    message = {"type": "late"}
+    assert dialler.send(message)
+    _run_with_peer(caller, peer, lambda: peer.messages)
+    assert peer.messages == [message]
+
+
+def test_address_removed_and_added_again_has_one_link(build_peer, monkeypatch):
+    """Guards against a removed link whose timer or socket stays in use.
+
+    The address is removed while it is connecting, during the handshake and
+    when the link is open.
+    """
+    monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+
+    def replace():
+        outgoing.set_addresses(set())
+        assert not caller.connector.open_streams
+        outgoing.set_addresses({peer.address})
+        assert caller.connector.open_streams == 1
+
+    outgoing.set_addresses({peer.address})
+    replace()
+    caller.run(lambda: outgoing._diallers[peer.address]._protocol)
+    replace()
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    replace()
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    count = len(peer.protocols)
+    # Longer than the limit for the handshakes of the removed links.
+    _run_with_peer(caller, peer, lambda: peer.pings >= 8)
+    assert len(peer.protocols) == count
+    assert caller.connector.open_streams == 1
+    assert outgoing.is_open(peer.address)
