Give the error of the socket as the reason of a lost connection

Cause: the poller reports a refused or aborted connection as an event without the error, and streams.Connector passed it on as "disconnected". Change: the error is read from the socket, so that `link not opened` and the reasons of failed calls say ECONNREFUSED. Measured: test_log_says_why_links_are_down fails on the code before ("disconnected") and passes now; it also holds the lines and reasons of a silent link and of one that is open again.

--- a/packages/node/src/trefoilroad_node/streams.py
+++ b/packages/node/src/trefoilroad_node/streams.py
@@ -17,6 +17,10 @@
 _IN_PROGRESS = (0, errno.EINPROGRESS, errno.EALREADY, errno.EWOULDBLOCK)
 
 
+def _describe_error(code: int) -> str:
+    return errno.errorcode.get(code, str(code))
+
+
 class Listener(abc.ABC):
     """Receives the events of a stream."""
 
@@ -113,7 +117,7 @@
         if code in _IN_PROGRESS:
             self._poller.addWriter(self, sock)
         else:
-            self._fail(stream, errno.errorcode.get(code, str(code)))
+            self._fail(stream, _describe_error(code))
         return stream
 
     def flush(self, stream: Stream) -> None:
@@ -151,7 +155,7 @@
         if not stream.connected:
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                self._fail(stream, errno.errorcode.get(code, str(code)))
+                self._fail(stream, _describe_error(code))
                 return
             stream.connected = True
             self._poller.addReader(self, sock)
@@ -180,4 +184,7 @@
     def _on_disconnect(self, sock: socket.socket, *_: Any) -> None:
         stream = self._streams.get(sock)
         if stream is not None:
-            self._fail(stream, "disconnected")
+            # The poller reports a refused connection in this way, too.
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self._fail(stream,
+                       _describe_error(code) if code else "disconnected")
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -10,6 +10,7 @@
 import circuits
 from circuits.core import pollers
 import pytest
+import structlog.testing
 from websockets import frames
 from websockets import http11
 from websockets import protocol
@@ -250,6 +251,26 @@
     caller.run(lambda: dialler.is_open)
 
 
+def test_log_says_why_links_are_down(build_peer, monkeypatch):
+    """Guards against reasons that do not tell a refusal from a silent peer."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        refused = f"127.0.0.1:{server.getsockname()[1]}"
+    silent = build_peer(answers=False)
+    outgoing = caller.make_links()
+    with structlog.testing.capture_logs() as lines:
+        outgoing.set_addresses({refused, silent.address})
+        _run_with_peer(caller, silent, lambda: len(lines) == 3)
+    assert {
+        (line["event"], line["address"], line.get("reason")) for line in lines
+    } == {
+        ("link not opened", refused, "ECONNREFUSED"),
+        ("link lost", silent.address, "pings are not answered"),
+        ("link open again", silent.address, None),
+    }
+
+
 def test_handshake_without_answer_is_given_up(monkeypatch):
     """Guards against a link that waits forever for a node that is frozen."""
     monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.1)
