--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -31,7 +31,15 @@
 MAX_MESSAGE_BYTES = 4 << 20
 # Longest time from the start of a connection to the end of the handshake.
 OPEN_TIMEOUT_S = 2.0
+# Interval at which links are checked, and dialled again if they are down.
 REDIAL_INTERVAL_S = 1.0
+# Checks from one ping on an open link to the next one, which bounds the cost.
+PING_INTERVAL_CHECKS = 2
+# A link with a ping that is unanswered at this many checks is replaced. Checks
+# are counted, as the age of a ping includes the time that the own process was
+# suspended; sockets are polled between two checks. Together with the interval
+# of pings a silent link is found within 5 s.
+MAX_UNANSWERED_CHECKS = 3
 # An accepted link without data for this time is closed, and the other node
 # dials again; each node sends a heartbeat twice a second.
 LINK_IDLE_TIMEOUT_S = 5.0
@@ -45,7 +53,8 @@
 MAX_HELD_BYTES = 16 << 20
 # What may wait to be sent on a link to a node that does not read.
 MAX_UNSENT_BYTES = 4 << 20
-# The other node sends only control frames on a link that it has accepted.
+# The other node sends only control frames on a link that it has accepted: a
+# pong for each ping.
 MAX_CONTROL_BYTES = 16 << 10
 
 _log = structlog.get_logger()
@@ -76,6 +85,14 @@
     return message
 
 
+def _decode_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    # `int` takes signs, spaces and underscores, which a URI cannot have.
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError("no port in the address")
+    return host, int(port)
+
+
 class Dialler(streams.Listener):
     """The outgoing link to one other node."""
 
@@ -85,7 +102,8 @@
         """Creates a link that is not dialled yet.
 
         Args:
-            address: "host:port" of the other node.
+            address: "host:port" of the other node. A malformed one is never
+                open.
             secret: Secret that the other node requires.
             connector: Opens the connections.
             timers: Bounds the time until a link is open.
@@ -96,11 +114,10 @@
         self._connector = connector
         self._timers = timers
         self._byte_counter = byte_counter
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
         self._stream: streams.Stream | None = None
         self._protocol: ws_client.ClientProtocol | None = None
+        self._checks_since_ping = 0
+        self._awaits_pong = False
         self._was_open = False
         self._lost_s: float | None = None
 
@@ -119,7 +136,8 @@
         if self._stream is not None:
             return
         try:
-            stream = self._connector.open(self._host, self._port, self)
+            host, port = _decode_address(self.address)
+            stream = self._connector.open(host, port, self)
         except (OSError, ValueError, OverflowError) as error:
             self._record_loss(str(error))
             return
@@ -135,6 +153,39 @@
             self.close()
             self._record_loss("not open in time")
 
+    def check(self) -> None:
+        """Pings an open link, and replaces one that is down or silent.
+
+        To be called every REDIAL_INTERVAL_S. A peer that is cut off or has lost
+        its state sends no reset, and messages into such a link do not fail.
+        """
+        if self.is_open:
+            self._check_pong()
+        elif self._is_closing():
+            self.close()
+            self._record_loss("the peer has not ended the connection")
+        self.dial()
+
+    def _is_closing(self) -> bool:
+        return (self._protocol is not None and self._protocol.state
+                in (protocol.State.CLOSING, protocol.State.CLOSED))
+
+    def _check_pong(self) -> None:
+        self._checks_since_ping += 1
+        if self._awaits_pong:
+            if self._checks_since_ping >= MAX_UNANSWERED_CHECKS:
+                self.close()
+                self._record_loss("pings are not answered")
+        elif self._checks_since_ping >= PING_INTERVAL_CHECKS:
+            self._send_ping()
+
+    def _send_ping(self) -> None:
+        if self._protocol is not None:
+            self._checks_since_ping = 0
+            self._awaits_pong = True
+            self._protocol.send_ping(b"")
+            self._flush()
+
     def close(self) -> None:
         """Closes the connection; `dial` opens another one."""
         if self._stream is not None:
@@ -149,7 +200,8 @@
             message: The message.
 
         Returns:
-            False if the link is not open; the message is then dropped.
+            False if the link is not open or the write closes it; the message
+            is then dropped.
         """
         if not self.is_open or self._protocol is None:
             return False
@@ -160,15 +212,17 @@
             return False
         self._protocol.send_binary(cbor2.dumps(message))
         self._flush()
-        return True
+        # The write may have closed the link. The message is then incomplete.
+        return self.is_open
 
     def _flush(self) -> None:
         if self._protocol is None or self._stream is None:
             return
-        for data in self._protocol.data_to_send():
-            if data:
-                self._byte_counter.sent_bytes += len(data)
-                self._stream.write(data)
+        # A write that fails closes the link at once, so there is only one.
+        data = b"".join(self._protocol.data_to_send())
+        if data:
+            self._byte_counter.sent_bytes += len(data)
+            self._stream.write(data)
 
     def _record_loss(self, reason: str) -> None:
         """Logs the loss of a link, and the first failure to open it."""
@@ -189,6 +243,8 @@
 
     def handle_connected(self) -> None:
         """See streams.Listener.handle_connected."""
+        self._checks_since_ping = 0
+        self._awaits_pong = False
         target = ws_uri.parse_uri(f"ws://{self.address}/link")
         self._protocol = ws_client.ClientProtocol(target,
                                                   max_size=MAX_CONTROL_BYTES)
@@ -203,7 +259,10 @@
             return
         was_open = self.is_open
         self._protocol.receive_data(data)
-        self._protocol.events_received()
+        for event in self._protocol.events_received():
+            if (isinstance(event, frames.Frame) and
+                    event.opcode is frames.Opcode.PONG):
+                self._awaits_pong = False
         self._flush()
         if self.is_open and not was_open:
             self._record_open()
@@ -384,12 +443,12 @@
 
     def __init__(self, *, secret: str, connector: streams.Connector,
                  timers: timer.Timers, byte_counter: traffic.ByteCounter):
-        """Starts to redial links that are down.
+        """Starts to check links and to redial those that are down.
 
         Args:
             secret: Secret that the other nodes require.
             connector: Opens the connections.
-            timers: Schedules the attempts.
+            timers: Schedules the checks.
             byte_counter: Counts the bytes sent.
         """
         self._secret = secret
@@ -397,7 +456,7 @@
         self._timers = timers
         self._byte_counter = byte_counter
         self._diallers: dict[str, Dialler] = {}
-        timers.call_every(REDIAL_INTERVAL_S, self._redial)
+        timers.call_every(REDIAL_INTERVAL_S, self._check_links)
 
     def set_addresses(self, addresses: set[str]) -> None:
         """See Links.set_addresses."""
@@ -427,6 +486,6 @@
         for dialler in self._diallers.values():
             dialler.send(message)
 
-    def _redial(self) -> None:
+    def _check_links(self) -> None:
         for dialler in self._diallers.values():
-            dialler.dial()
+            dialler.check()
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -1,15 +1,20 @@
 """Tests of the links between nodes."""
 
+import contextlib
 import random
 import socket
+import struct
 import time
 
 import cbor2
 import circuits
 from circuits.core import pollers
 import pytest
+import structlog.testing
 from websockets import frames
+from websockets import http11
 from websockets import protocol
+from websockets import server as ws_server
 
 from trefoilroad_core import errors
 from trefoilroad_node import links
@@ -190,6 +195,12 @@
                              timers=self.timers,
                              byte_counter=traffic.ByteCounter())
 
+    def make_links(self):
+        return links.WebsocketLinks(secret="secret",
+                                    connector=self.connector,
+                                    timers=self.timers,
+                                    byte_counter=traffic.ByteCounter())
+
     def make_acceptor(self, port):
         acceptor = links.Acceptor(listen=f"127.0.0.1:{port}",
                                   secret="secret",
@@ -240,6 +251,26 @@
     caller.run(lambda: dialler.is_open)
 
 
+def test_log_says_why_links_are_down(build_peer, monkeypatch):
+    """Guards against reasons that do not tell a refusal from a silent peer."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        refused = f"127.0.0.1:{server.getsockname()[1]}"
+    silent = build_peer(answers=False)
+    outgoing = caller.make_links()
+    with structlog.testing.capture_logs() as lines:
+        outgoing.set_addresses({refused, silent.address})
+        _run_with_peer(caller, silent, lambda: len(lines) == 3)
+    assert {
+        (line["event"], line["address"], line.get("reason")) for line in lines
+    } == {
+        ("link not opened", refused, "ECONNREFUSED"),
+        ("link lost", silent.address, "pings are not answered"),
+        ("link open again", silent.address, None),
+    }
+
+
 def test_handshake_without_answer_is_given_up(monkeypatch):
     """Guards against a link that waits forever for a node that is frozen."""
     monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.1)
@@ -251,3 +282,343 @@
         caller.run(lambda: not caller.connector.open_streams)
         dialler.dial()
         assert caller.connector.open_streams == 1
+
+
+class _Peer:
+    """Accepts links; the test decides which pings it answers.
+
+    Attributes:
+        answers: Whether pings are answered.
+        protocols: The protocol of each accepted connection, oldest first.
+        pings: Number of pings received.
+        messages: Messages received.
+    """
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.protocols = []
+        self.pings = 0
+        self.messages = []
+        self._server = socket.create_server(("127.0.0.1", 0))
+        self._server.setblocking(False)
+        self._sockets = []
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.getsockname()[1]}"
+
+    def step(self):
+        """Accepts a connection and reads from all of them."""
+        try:
+            sock, _ = self._server.accept()
+            sock.setblocking(False)
+            self._sockets.append(sock)
+            self.protocols.append(ws_server.ServerProtocol())
+        except BlockingIOError:
+            pass
+        for sock, link in zip(self._sockets, self.protocols, strict=True):
+            with contextlib.suppress(BlockingIOError, ConnectionError):
+                self._read(sock, link)
+
+    def flush(self, link):
+        """Sends what the protocol has to send, but never ends a connection."""
+        sock = self._sockets[self.protocols.index(link)]
+        sock.sendall(b"".join(link.data_to_send()))
+
+    def reset(self):
+        """Ends the only connection with a reset."""
+        (sock,) = self._sockets
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+        sock.close()
+
+    def close(self):
+        for sock in [self._server, *self._sockets]:
+            sock.close()
+
+    def _read(self, sock, link):
+        data = sock.recv(1 << 16)
+        if not data:
+            return
+        link.receive_data(data)
+        for event in link.events_received():
+            if isinstance(event, http11.Request):
+                link.send_response(link.accept(event))
+                self.flush(link)
+            elif event.opcode is frames.Opcode.PING:
+                self.pings += 1
+            elif event.opcode is frames.Opcode.BINARY:
+                self.messages.append(cbor2.loads(event.data))
+        if self.answers:
+            self.flush(link)
+        else:
+            link.data_to_send()
+
+
+@pytest.fixture
+def build_peer():
+    peers = []
+
+    def build(*, answers):
+        peers.append(_Peer(answers))
+        return peers[-1]
+
+    yield build
+    for peer in peers:
+        peer.close()
+
+
+def _run_with_peer(caller, peer, until):
+    """Runs the loop and the peer until a condition holds."""
+
+    def step():
+        peer.step()
+        return until()
+
+    caller.run(step)
+
+
+def test_link_to_a_silent_peer_is_replaced(build_peer, monkeypatch):
+    """Guards against a link that went silent without a reset.
+
+    Nothing is read on an outgoing link in normal operation, so messages went
+    into such a link for good, although new connections worked.
+    """
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=False)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    _run_with_peer(caller, peer, lambda: len(peer.protocols) == 2)
+    assert caller.connector.open_streams == 1
+    peer.answers = True
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    message = {"type": "beat"}
+    assert outgoing.send(peer.address, message)
+    _run_with_peer(caller, peer, lambda: peer.messages == [message])
+
+
+def test_silent_peer_is_detected_within_five_seconds():
+    """Guards against constants that add up to more than the target of 5 s."""
+    checks = links.PING_INTERVAL_CHECKS + links.MAX_UNANSWERED_CHECKS
+    assert checks * links.REDIAL_INTERVAL_S <= 5.0
+    assert links.PING_INTERVAL_CHECKS * links.REDIAL_INTERVAL_S >= 2.0
+
+
+def test_link_to_a_peer_that_answers_pings_is_kept(build_peer, monkeypatch):
+    """Guards against sound links that are closed as silent."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    _run_with_peer(caller, peer, lambda: peer.pings == 6)
+    assert len(peer.protocols) == 1
+    assert outgoing.is_open(peer.address)
+
+
+def test_acceptor_answers_pings(monkeypatch):
+    """Guards against an acceptor that does not send its pongs."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    acceptor = caller.make_acceptor(0)
+    dialler = caller.make_dialler(acceptor.port)
+    dialler.dial()
+    caller.run(lambda: dialler.is_open)
+    link = dialler._protocol
+    checks = 0
+
+    def check():
+        nonlocal checks
+        checks += 1
+        dialler.check()
+
+    caller.timers.call_every(links.REDIAL_INTERVAL_S, check)
+    caller.run(lambda: checks == 15)
+    assert dialler._protocol is link
+
+
+def test_suspended_process_keeps_sound_links(build_peer, monkeypatch):
+    """Guards against links closed by the age of a ping after a suspension.
+
+    The process is suspended for a minute before each round of its loop, also
+    between a ping and its answer.
+    """
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    read_clock = caller.timers.read_clock
+    suspended_s = 0.0
+    monkeypatch.setattr(caller.timers, "read_clock",
+                        lambda: read_clock() + suspended_s)
+    for _ in range(60):
+        suspended_s += 60.0
+        caller.root.tick(0.01)
+        peer.step()
+    assert peer.pings >= 5
+    assert len(peer.protocols) == 1
+    assert outgoing.is_open(peer.address)
+
+
+def test_link_whose_peer_never_ends_the_connection_is_replaced(
+        build_peer, monkeypatch):
+    """Guards against a link that waits for good for the end of its connection.
+
+    The peer sends a close frame, and the network then loses its FIN. The link
+    was no longer open, but it was not dialled again either.
+    """
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.3)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    outgoing.set_addresses({peer.address})
+    # Longer than the limit for the handshake, which would close the link too.
+    _run_with_peer(caller, peer, lambda: peer.pings == 6)
+    count = len(peer.protocols)
+    peer.protocols[-1].fail(frames.CloseCode.INTERNAL_ERROR)
+    peer.flush(peer.protocols[-1])
+    _run_with_peer(caller, peer, lambda: not outgoing.is_open(peer.address))
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    assert len(peer.protocols) == count + 1
+    assert caller.connector.open_streams == 1
+
+
+class _Faults(circuits.BaseComponent):
+    """Records exceptions that leave an event handler."""
+
+    def __init__(self):
+        super().__init__()
+        self.errors = []
+
+    @circuits.handler("exception", channel="*")
+    def _on_exception(self, _, error, *_args, **_options):
+        self.errors.append(error)
+
+
+def test_reset_while_frames_are_sent_raises_nothing(build_peer):
+    """Guards against a write to a link that the write before has closed.
+
+    Two frames had to be sent at once. The first one failed, which closed the
+    link, and the second one raised out of the event handler.
+    """
+    caller = _Caller()
+    faults = _Faults().register(caller.root)
+    peer = build_peer(answers=True)
+    dialler = caller.make_dialler(int(peer.address.rpartition(":")[2]))
+    dialler.dial()
+    _run_with_peer(caller, peer, lambda: dialler.is_open)
+    link = peer.protocols[0]
+    link.send_ping(b"1")
+    link.send_ping(b"2")
+    peer.flush(link)
+    peer.reset()
+    caller.run(lambda: not caller.connector.open_streams)
+    # An exception is an event of a later round of the loop.
+    for _ in range(3):
+        caller.root.tick(0.01)
+    assert not faults.errors
+    assert not dialler.is_open
+
+
+def test_message_that_meets_a_reset_is_not_reported_as_sent(build_peer):
+    """Guards against a request that waits for the answer to a lost message."""
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    dialler = caller.make_dialler(int(peer.address.rpartition(":")[2]))
+    dialler.dial()
+    _run_with_peer(caller, peer, lambda: dialler.is_open)
+    peer.reset()
+    assert not dialler.send({"type": "write"})
+    assert not caller.connector.open_streams
+
+
+def test_malformed_address_does_not_keep_links_from_others(build_peer):
+    """Guards against an address of another node that raises.
+
+    Addresses come from the messages and rows of other nodes. One without a
+    port raised before the other addresses were dialled.
+    """
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+    malformed = {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:x", "name:7000"}
+    malformed |= {"10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1\0:7000"}
+    malformed |= {peer.address.replace(":", ": ")}
+    outgoing.set_addresses(malformed | {peer.address})
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    assert caller.connector.open_streams == 1
+    outgoing.set_addresses({peer.address})
+    assert outgoing.is_open(peer.address)
+
+
+def test_connection_that_fails_at_once_is_dialled_again():
+    """Guards against a link that keeps the stream of a failed attempt.
+
+    There is no route to the broadcast address, so connect fails in the call.
+    """
+    caller = _Caller()
+    dialler = links.Dialler(address="255.255.255.255:9",
+                            secret="secret",
+                            connector=caller.connector,
+                            timers=caller.timers,
+                            byte_counter=traffic.ByteCounter())
+    dialler.dial()
+    assert not caller.connector.open_streams
+    assert dialler._stream is None
+    dialler.dial()
+    assert not caller.connector.open_streams
+
+
+def test_message_during_the_handshake_is_dropped(build_peer):
+    """Guards against frames that are sent before the handshake has ended."""
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    dialler = caller.make_dialler(int(peer.address.rpartition(":")[2]))
+    dialler.dial()
+    assert not dialler.send({"type": "early"})
+    caller.run(lambda: dialler._protocol)
+    assert not dialler.send({"type": "early"})
+    dialler.check()
+    _run_with_peer(caller, peer, lambda: dialler.is_open)
+    message = {"type": "late"}
+    assert dialler.send(message)
+    _run_with_peer(caller, peer, lambda: peer.messages)
+    assert peer.messages == [message]
+
+
+def test_address_removed_and_added_again_has_one_link(build_peer, monkeypatch):
+    """Guards against a removed link whose timer or socket stays in use.
+
+    The address is removed while it is connecting, during the handshake and
+    when the link is open.
+    """
+    monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links()
+
+    def replace():
+        outgoing.set_addresses(set())
+        assert not caller.connector.open_streams
+        outgoing.set_addresses({peer.address})
+        assert caller.connector.open_streams == 1
+
+    outgoing.set_addresses({peer.address})
+    replace()
+    caller.run(lambda: outgoing._diallers[peer.address]._protocol)
+    replace()
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    replace()
+    _run_with_peer(caller, peer, lambda: outgoing.is_open(peer.address))
+    count = len(peer.protocols)
+    # Longer than the limit for the handshakes of the removed links.
+    _run_with_peer(caller, peer, lambda: peer.pings >= 8)
+    assert len(peer.protocols) == count
+    assert caller.connector.open_streams == 1
+    assert outgoing.is_open(peer.address)
