Let the test of an attempt that fails at once stay on this machine

Cause: the test dialled the broadcast address, which no test may. Change: connect fails at once by a patch, and the test now also shows that the next attempt opens the link, which is stricter.

--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the links between nodes."""
 
 import contextlib
+import errno
 import random
 import socket
 import struct
@@ -556,22 +557,18 @@
     assert outgoing.is_open(peer.address)
 
 
-def test_connection_that_fails_at_once_is_dialled_again():
-    """Guards against a link that keeps the stream of a failed attempt.
-
-    There is no route to the broadcast address, so connect fails in the call.
-    """
+def test_connection_that_fails_at_once_is_dialled_again(monkeypatch):
+    """Guards against a link that keeps the stream of a failed attempt."""
     caller = _Caller()
-    dialler = links.Dialler(address="255.255.255.255:9",
-                            secret="secret",
-                            connector=caller.connector,
-                            timers=caller.timers,
-                            byte_counter=traffic.ByteCounter())
-    dialler.dial()
-    assert not caller.connector.open_streams
-    assert dialler._stream is None
+    acceptor = caller.make_acceptor(0)
+    dialler = caller.make_dialler(acceptor.port)
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "connect_ex", lambda *_: errno.ENETUNREACH)
+        dialler.dial()
+        assert not caller.connector.open_streams
+        assert dialler._stream is None
     dialler.dial()
-    assert not caller.connector.open_streams
+    caller.run(lambda: dialler.is_open)
 
 
 def test_message_during_the_handshake_is_dropped(build_peer):
