Run one request after the limit in the test of leaving workers

Cause: test_leaving_workers_get_no_work stops submitting 1 s after the limit and then requires a start in that second. A run that is submitted before the limit and lasts beyond it leaves no start there. Change: the test goes on until a request that was submitted after the limit has run, and for 1 s at least. Its checks are as before.

--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -399,15 +399,16 @@
     self_reported = run_one()
     cluster.workers.change_state([self_reported], leaving=True)
     self_reported_s = time.time()
-    while time.time() < self_reported_s + LEAVING_LIMIT_S + 1.0:
+    limit_s = self_reported_s + LEAVING_LIMIT_S
+    submitted_s = self_reported_s
+    # At least one run is submitted after the limit, however long runs take.
+    while submitted_s <= limit_s or time.time() < limit_s + 1.0:
+        submitted_s = time.time()
         run_one()
     starts = [(entry["worker"], entry["wall_s"])
               for entry in cluster.workers.read_history()
               if entry["event"] == "start"]
-    assert [
-        start for start in starts
-        if start[1] > self_reported_s + LEAVING_LIMIT_S
-    ]
+    assert [start for start in starts if start[1] > limit_s]
     for worker_id, marked_s in ((listed, listed_s), (self_reported,
                                                      self_reported_s)):
         late = [
