Test that a stopping node refuses requests as not run

Cause: test_planned_stops_interrupt_no_request accepted "not_run" for requests that came late, and so covered that answer by chance; since it sends each request before the stop, no test of a node's API does. Change: a test calls the API before and during a stop: the request is recorded once, then answered 503, not_run, Retry-After 0.

--- a/packages/node/tests/test_api.py
+++ b/packages/node/tests/test_api.py
@@ -1,6 +1,9 @@
 """Tests of the api module."""
 
 import hashlib
+import io
+import types
+from unittest import mock
 
 import pytest
 
@@ -39,3 +42,28 @@
 def test_no_bootstrap_token_by_default():
     """Guards against an empty setting that matches some token."""
     assert api.identify("bootstrap", CONFIGURATION, "") is None
+
+
+def test_stopping_node_records_no_request():
+    """Guards against a request that a node still records while it stops."""
+    edge = mock.Mock(configuration=CONFIGURATION)
+    server = api.Api(listen="127.0.0.1:0",
+                     edge=edge,
+                     operator_actions=mock.Mock(),
+                     bootstrap_sha256="",
+                     max_open_requests=1)
+    request = types.SimpleNamespace(method="POST",
+                                    path="/v1/requests",
+                                    qs="",
+                                    headers={"Authorization": "Bearer team"},
+                                    body=io.BytesIO(b"{}"))
+    responses = []
+    server.dispatch(request, responses.append)
+    assert edge.submit.call_count == 1
+    server.stopping = True
+    server.dispatch(request, responses.append)
+    assert edge.submit.call_count == 1
+    assert [(response.status, response.body["outcome"], response.headers)
+            for response in responses] == [(503, "not_run", {
+                "Retry-After": "0"
+            })]
