Let rows join transactions that are due anyway

Cause: the leader is to write its counts of waiting jobs about twice a second. A transaction for that alone is priced, and a value that is encoded when it is marked is old by up to 0.6 s when it is written. Change: `Ledger.write_row_deferred` takes a `RowSource`, which is encoded when the row is put into a transaction. The ledger also tells a time that the store's clock has certainly reached; `read_store_ms` runs ahead by the duration of the last call, which would make ages too low.

--- a/packages/jobs/src/trefoilroad_jobs/changes.py
+++ b/packages/jobs/src/trefoilroad_jobs/changes.py
@@ -1,5 +1,6 @@
 """Changes of rows that wait to be written, and the batches that hold them."""
 
+import abc
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -23,12 +24,22 @@
 RETRY_MAX_S = 10.0
 
 Callback = Callable[[], None]
-Source = progress.Job | bytes | None
-"""What a change writes: the progress of a job, or a row; None removes it."""
 
 _log = structlog.get_logger()
 
 
+class RowSource(abc.ABC):
+    """Content of a row as of the transaction that writes it."""
+
+    @abc.abstractmethod
+    def encode_row(self) -> bytes:
+        """Returns the content as it is now."""
+
+
+Source = progress.Job | RowSource | bytes | None
+"""What a change writes: the progress of a job, or a row; None removes it."""
+
+
 class Change(NamedTuple):
     """Rows that are written and removed together.
 
@@ -91,6 +102,8 @@
             return Change(subject, source, {}, [subject])
         if isinstance(source, bytes):
             return Change(subject, source, {subject: source}, [])
+        if isinstance(source, RowSource):
+            return Change(subject, source, {subject: source.encode_row()}, [])
         job_id = source.job_id
         encoded = progress_rows.encode_rows(
             source,
--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -119,6 +119,7 @@
         self.confirmed_s = claimed_s
         self.store_ms = 0.0
         self.store_read_s = self.confirmed_s
+        self._store_answered_s = self.confirmed_s
         self.store_failing = False
         self._refused_since_s = float("inf")
         self._store = store
@@ -130,8 +131,8 @@
         # Changes of the next wave.
         self._jobs: dict[ports.RowName, changes.Source] = {}
         self._rows: dict[ports.RowName, changes.Source] = {}
-        # Jobs that are written with the next wave but cause none.
-        self._deferred_jobs: dict[ports.RowName, changes.Source] = {}
+        # Changes that are written with the next wave but cause none.
+        self._deferred: dict[ports.RowName, changes.Source] = {}
         self._callbacks: list[_Callback] = []
         # Changes of the current wave that are in no transaction yet.
         self._wave: dict[ports.RowName, changes.Source] = {}
@@ -171,12 +172,21 @@
         """
         subject = tables.get_progress_row_name(job.job_id)
         if not self._update_set_aside(subject, job):
-            self._deferred_jobs[subject] = job
+            self._deferred[subject] = job
+
+    def write_row_deferred(self, name: ports.RowName,
+                           source: changes.RowSource) -> None:
+        """Writes a row with a transaction that is due anyway.
+
+        That is at the latest the next renewal of the head row.
+        """
+        if not self._update_set_aside(name, source):
+            self._deferred[name] = source
 
     def remove_progress(self, job_id: str) -> None:
         """Removes the progress of a job when a transaction has room."""
         subject = tables.get_progress_row_name(job_id)
-        for queue in (self._jobs, self._deferred_jobs, self._rows, self._wave):
+        for queue in (self._jobs, self._deferred, self._rows, self._wave):
             queue.pop(subject, None)
         self._set_aside.pop(subject, None)
         self._apart.discard(subject)
@@ -220,6 +230,14 @@
         elapsed_s = self._timers.read_clock() - self.store_read_s
         return self.store_ms + elapsed_s * 1000.0
 
+    def read_earliest_store_ms(self) -> float:
+        """Returns a time in milliseconds that the store's clock has reached.
+
+        An age that is computed from it is never too low.
+        """
+        elapsed_s = self._timers.read_clock() - self._store_answered_s
+        return self.store_ms + elapsed_s * 1000.0
+
     def update_store_clock(self, store_ms: float, sent_s: float) -> None:
         """Records a reading of the store's clock.
 
@@ -232,6 +250,7 @@
         """
         self.store_ms = store_ms
         self.store_read_s = sent_s
+        self._store_answered_s = self._timers.read_clock()
 
     def is_store_refusing(self) -> bool:
         """Returns whether the store has refused this node for some time."""
@@ -269,10 +288,10 @@
         if self._closed:
             return
         if not self._wave and not self._wave_callbacks:
-            self._wave = self._rows | self._jobs | self._deferred_jobs
+            self._wave = self._rows | self._jobs | self._deferred
             self._wave_callbacks = self._callbacks
             self._rows, self._jobs, self._callbacks = {}, {}, []
-            self._deferred_jobs = {}
+            self._deferred = {}
         content: list[changes.Change] = []
         self._take_changes(self._wave, content)
         if not self._wave:
@@ -306,7 +325,7 @@
             size += change.size
             # It is written as it is now, so the next wave need not repeat it.
             self._jobs.pop(subject, None)
-            self._deferred_jobs.pop(subject, None)
+            self._deferred.pop(subject, None)
             if subject in self._set_aside:
                 self._set_aside[subject].changed = False
 
@@ -421,7 +440,7 @@
     def _set_change_aside(self, change: changes.Change, reason: str) -> None:
         entry = self._set_aside.setdefault(
             change.subject, changes.SetAside(source=change.source))
-        for queue in (self._rows, self._jobs, self._deferred_jobs):
+        for queue in (self._rows, self._jobs, self._deferred):
             if change.subject in queue:
                 entry.source = queue.pop(change.subject)
                 entry.changed = True
--- a/packages/jobs/tests/test_ledger.py
+++ b/packages/jobs/tests/test_ledger.py
@@ -398,3 +398,40 @@
     timers.run(2 * ledgers.HEAD_RENEWAL_INTERVAL_S)
     assert _subject(job) in store.calls[-1][0] or _subject(
         job) in store.calls[-2][0]
+
+
+class _Clock(changes.RowSource):
+    """Content that tells when it was encoded."""
+
+    def __init__(self, timers):
+        self._timers = timers
+
+    def encode_row(self):
+        return f"{self._timers.now_s:.1f}".encode()
+
+
+def test_deferred_row_has_its_content_as_of_the_transaction(
+        ledger, store, timers):
+    """Guards against rows that are old when they are written."""
+    timers.run(0.01)
+    calls = len(store.calls)
+    ledger.write_row_deferred(("table", "key"), _Clock(timers))
+    timers.run(0.2)
+    assert len(store.calls) == calls
+    ledger.mark_dirty(_make_job("0" * 16))
+    timers.run(0.05)
+    assert len(store.calls) == calls + 1
+    assert store.rows["table", "key"] == b"100.2"
+
+
+def test_earliest_store_time_does_not_count_the_way_to_the_store(
+        ledger, store, timers):
+    """Guards against ages that are too low by the duration of a call."""
+    timers.run(0.01)
+    store.held = True
+    ledger.mark_dirty(_make_job("0" * 16))
+    timers.run(1.0)
+    store.reply()
+    timers.run(0.1)
+    assert ledger.read_earliest_store_ms() == pytest.approx(timers.now_s * 1000)
+    assert ledger.read_store_ms() == pytest.approx(timers.now_s * 1000 + 1000)
