Bound the age of the number of waiting jobs

Cause: a node answered from the last heartbeat, however old it was; a heartbeat of an older epoch replaced the counts and worker capacities of a newer one; a leader answered with its own count although its last confirmed transaction may have been long ago. Change: each count has an age, the time since its leader was last known to lead. A node answers from its dispatcher, the last heartbeat or the leader's row in the new table `counts`, the first that is at most 2 s old. The row is read on demand, once for all callers that wait; a read ends after 0.4 s and its result is used for 0.5 s. Otherwise the answer is 503 with Retry-After 1. `waiting jobs counted` has the `source`; its `epoch` is now that of the leader that counted. test_formats also records a row with a count, for which its schedule is longer by one job.

--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -19,6 +19,7 @@
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import tables
+from trefoilroad_jobs import waiting_counts
 from trefoilroad_jobs import watch
 from trefoilroad_jobs import workload
 from trefoilroad_jobs import writes
@@ -139,8 +140,8 @@
         self._evacuations: frozenset[str] = frozenset()
         self._store_ms = 0.0
         self._store_read_s = timers.read_clock()
-        self._pending: dict[str, int] = {}
-        self._pending_read_s = float("-inf")
+        self._waiting_counts = waiting_counts.WaitingCounts(store=store,
+                                                            timers=timers)
         self._request_ids = itertools.count(1)
         self._requests: dict[int, OnLeaderReply] = {}
         self._followers: dict[str, float] = {}
@@ -192,21 +193,27 @@
         """Epoch of the leader as last seen by this node."""
         return self._leadership.leader.epoch
 
-    def count_pending(self, queue: str) -> int:
-        """Returns the number of jobs of a queue that have not started."""
-        if self._dispatcher is not None and self._dispatcher.ready:
-            count = self._dispatcher.count_pending().get(queue, 0)
-            age_s = 0.0
-        else:
-            count = self._pending.get(queue, 0)
-            age_s = self._timers.read_clock() - self._pending_read_s
-        _log.info("waiting jobs counted",
-                  queue=queue,
-                  pending=count,
-                  epoch=self.epoch,
-                  leading=self.leading,
-                  age_s=round(min(age_s, 1e6), 3))
-        return count
+    def count_pending(self, queue: str, on_count: Callable[[int | None],
+                                                           None]) -> None:
+        """Gives the number of jobs of a queue that have not started.
+
+        Args:
+            queue: Name of the queue.
+            on_count: Gets the number, or None if none is known that is recent
+                enough.
+        """
+
+        def handle_answer(answer: waiting_counts.Answer) -> None:
+            _log.info("waiting jobs counted",
+                      queue=queue,
+                      pending=answer.pending,
+                      epoch=answer.epoch,
+                      leading=self.leading,
+                      age_s=round(min(answer.age_s, 1e6), 3),
+                      source=answer.source)
+            on_count(answer.pending)
+
+        self._waiting_counts.count(queue, handle_answer)
 
     def begin_stop(self, on_done: Callable[[], None]) -> None:
         """Releases the leadership before a planned stop.
@@ -335,6 +342,7 @@
             on_newer_leader=self._leadership.step_down)
         self._ledger = ledger
         self._dispatcher = dispatcher
+        self._waiting_counts.begin_leading(dispatcher, ledger)
         dispatcher.update_configuration(self.configuration)
         self._forward_evacuations(self._config_watch.fresh_s,
                                   self._config_watch.version)
@@ -454,6 +462,7 @@
         for table_watch in self._leader_watches:
             table_watch.close()
         self._leader_watches = []
+        self._waiting_counts.end_leading()
         if self._dispatcher is not None:
             self._dispatcher.close()
         self._dispatcher = None
@@ -516,15 +525,7 @@
                                               float(message["age_s"]),
                                               bool(message["refused"]))
             if "pending" in message:
-                self._pending = dict(message["pending"])
-                self._pending_read_s = self._timers.read_clock()
-                self._admission_control.update_worker_capacities({
-                    service: [
-                        workload.Demand(*capacity)
-                        for capacity in service_capacities
-                    ] for service, service_capacities in
-                    message["shapes"].items()
-                })
+                self._handle_counts(message)
         elif kind == "row":
             if self._dispatcher is not None and self._dispatcher.ready:
                 self._dispatcher.apply_intake_rows([
@@ -539,6 +540,18 @@
             if on_reply is not None:
                 on_reply(message)
 
+    def _handle_counts(self, message: node_links.Message) -> None:
+        """Takes over what a heartbeat says, unless its leader is replaced."""
+        epoch = int(message["epoch"])
+        if epoch < self.epoch or not self._waiting_counts.handle_heartbeat(
+                epoch, dict(message["pending"]), float(message["age_s"])):
+            return
+        self._admission_control.update_worker_capacities({
+            service: [
+                workload.Demand(*capacity) for capacity in service_capacities
+            ] for service, service_capacities in message["shapes"].items()
+        })
+
     def _handle_hello(self, link: str) -> None:
         if self._dispatcher is None:
             return
--- a/packages/jobs/src/trefoilroad_jobs/tables.py
+++ b/packages/jobs/src/trefoilroad_jobs/tables.py
@@ -18,6 +18,9 @@
 """When the leases of workers have ended, for the next leaders; written by the
 leader."""
 
+COUNTS_ROW: ports.RowName = ("counts", "pending")
+"""Numbers of waiting jobs, written by the leader; see waiting_counts."""
+
 MAX_KEY_BYTES = 200
 """Longest key that the store accepts."""
 
--- a/packages/jobs/tests/test_pending.py
+++ b/packages/jobs/tests/test_pending.py
@@ -43,11 +43,15 @@
 def _count_pending(site):
     """Returns the numbers that the live nodes give."""
     site.run(1.0)
-    return {
-        site_node.node.count_pending("queue")
-        for site_node in site.nodes.values()
-        if site_node.host.alive
-    }
+    counts = []
+    live = [
+        site_node for site_node in site.nodes.values() if site_node.host.alive
+    ]
+    for site_node in live:
+        site_node.node.count_pending("queue", counts.append)
+    site.run(0.6)
+    assert len(counts) == len(live)
+    return set(counts)
 
 
 def _submit_refused_jobs(site):
--- a/packages/standins/tests/test_formats.py
+++ b/packages/standins/tests/test_formats.py
@@ -61,9 +61,13 @@
 
     def record_commit(conditions, puts, removals):
         for (table, key), value in puts.items():
-            if table in ("intake", "progress", "leader", "head", "leases"):
+            if table in ("intake", "progress", "leader", "head", "leases",
+                         "counts"):
                 name = f"{table} {key.partition('/')[0]}" if "/" in key else (
                     table)
+                if table == "counts":
+                    # The first rows have no counts.
+                    rows.pop(name, None)
                 rows.setdefault(name, describe(cbor2.loads(value)))
         return commit(conditions, puts, removals)
 
@@ -87,7 +91,8 @@
         worker_state.reachable = False
     site.run(4.0)
     site.cancel("2" * 16, through=follower)
-    site.run(1.0)
+    site.submit_steps("3" * 16, steps, [0.5], through=follower)
+    site.run(1.5)
     assert isinstance(site.nodes[leader].node, job_nodes.Node)
     return {"messages": messages, "rows": rows}
 
