Judge a cancellation of a waiting job by its confirmation

Cause: the judge of numbers above the waiting jobs took a job as gone from the time its cancellation was sent. Cancellations that a node answers with "no such job" have no effect: LeaderSeries cancels all jobs as one team and is refused for the jobs of the other. Change: only a confirmed end or cancellation takes a job from what may be counted. A cancellation that was sent still takes it from what must be counted. Measured: test_waiting passes, with a case that fails before.

--- a/packages/standins/src/trefoilroad_standins/jobs/fault_schedule.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fault_schedule.py
@@ -70,6 +70,7 @@
         return [
             *self._check_outcome(),
             *[finding.text for finding in idle_jobs],
+            *self.observer.find_wrong_answers(),
         ]
 
     def _record(self, text: str) -> None:
--- a/packages/standins/src/trefoilroad_standins/jobs/leader_series.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/leader_series.py
@@ -96,6 +96,7 @@
         return [
             *self.site.find_violations(),
             *[finding.text for finding in findings],
+            *self.observer.find_wrong_answers(),
         ]
 
     def _schedule_at(self, at_s: float, callback: Callable[[], None]) -> None:
--- a/packages/standins/tests/test_waiting.py
+++ b/packages/standins/tests/test_waiting.py
@@ -115,6 +115,10 @@
     assert not _is_excess(_make_jobs(3), _make_answer(None))
     assert _is_excess(_make_jobs(3, begun_s=14.9), _make_answer(1))
     assert not _is_excess(_make_jobs(3, begun_s=15.1), _make_answer(3))
+    assert _is_excess(_make_jobs(3, ended_s=14.9), _make_answer(1))
+    assert not _is_excess(_make_jobs(3, ended_s=15.1), _make_answer(3))
+    # A cancellation has no effect before it is confirmed.
+    assert not _is_excess(_make_jobs(3, cancelled_s=11.0), _make_answer(3))
     assert _is_excess(_make_jobs(1, accepted_s=20.1), _make_answer(1))
     unconfirmed = [waiting.Job("a", "queue", 19.9, None)]
     assert not _is_excess(unconfirmed, _make_answer(1))
