--- a/packages/standins/src/trefoilroad_standins/jobs/observer.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/observer.py
@@ -134,7 +134,6 @@
         """Returns what was seen until now of the jobs that wait."""
         site = self._site
         begun_s = waiting.find_first_starts(site.history)
-        failed_s = self._find_failed_jobs()
         jobs = [
             waiting.Job(job_id,
                         job.queue,
@@ -142,7 +141,7 @@
                         site.accepted_s.get(job_id),
                         begun_s=begun_s.get(job_id),
                         cancelled_s=site.cancelled_s.get(job_id),
-                        ended_s=failed_s.get(job_id))
+                        ended_s=site.cancel_confirmed_s.get(job_id))
             for job_id, job in site.workloads.items()
         ]
         unanswered = [
--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -78,8 +78,7 @@
         if peer is None or peer is not self._site.find_peer(
                 self._origin, address):
             return False
-        self._site.deliver(peer, message)
-        return True
+        return self._site.deliver(self._origin, address, message)
 
     def broadcast(self, message: node_links.Message) -> None:
         """See Links.broadcast."""
@@ -161,6 +160,8 @@
         submitted_s: When each job was first submitted, in seconds.
         accepted_s: When each job was first known to be accepted, in seconds.
         cancelled_s: When each job was first cancelled, in seconds.
+        cancel_confirmed_s: When each cancellation was first confirmed, in
+            seconds.
     """
 
     def __init__(self,
@@ -201,6 +202,7 @@
         self.submitted_s: dict[str, float] = {}
         self.accepted_s: dict[str, float] = {}
         self.cancelled_s: dict[str, float] = {}
+        self.cancel_confirmed_s: dict[str, float] = {}
         self.configuration = configurations.Configuration(
             version=1,
             queues=queues,
@@ -308,11 +310,20 @@
             return None
         return target
 
-    def deliver(self, target: SiteNode, message: node_links.Message) -> None:
-        """Delivers a message to a node after the delay of the link."""
+    def deliver(self, origin: str, address: str,
+                message: node_links.Message) -> bool:
+        """Delivers a message from one node to another.
+
+        Returns:
+            False if the target is not alive or the link is cut.
+        """
+        target = self.find_peer(origin, address)
+        if target is None:
+            return False
         self.clock.schedule(
             LINK_DELAY_S, lambda: target.host.deliver(lambda: target.node.
                                                       handle_message(message)))
+        return True
 
     # Actions.
 
@@ -419,6 +430,8 @@
             self.replies[job_id] = reply
             if reply.outcome is intake.Outcome.ACCEPTED:
                 self.accepted_s.setdefault(job_id, self.clock.now_s)
+            elif reply.outcome is intake.Outcome.CANCELLED:
+                self.cancel_confirmed_s.setdefault(job_id, self.clock.now_s)
 
         site_node.host.deliver(lambda: call(site_node.node, record))
 
