Judge the numbers of waiting jobs in the soak

Change: from the first fault to 12 s after the repair each node is asked twice a second and judged as on the virtual site. Jobs that no worker can run are submitted, three before the leader is killed with SIGKILL and nine after it was restarted 0.5 s later at its address, so that a number from before is under half of them. Each node must have been judged at least once. The choices have their own source, so the faults of a seed stay the same. What a slow stand-in, a paused, starting or stopping process and a faulty store connection disturb is noted and not judged.

--- a/packages/jobs/tests/test_soak.py
+++ b/packages/jobs/tests/test_soak.py
@@ -15,7 +15,11 @@
 # port. 7008 failed in the same way between two soaks side by side.
 @pytest.mark.parametrize("seed", [1, 39, 93])
 def test_short_run(seed, tmp_path):
-    """Guards against tasks that are lost, run twice or run after a refusal."""
+    """Guards against tasks that are lost, run twice or run after a refusal.
+
+    And against nodes that give an old number of waiting jobs while they are in
+    touch.
+    """
     assert soak.run_seed(seed, tmp_path) == []
 
 
--- a/packages/standins/src/trefoilroad_standins/jobs/node_process.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/node_process.py
@@ -86,6 +86,8 @@
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
         self._ports = allocate_ports(4)
+        self._paused = False
+        self._stopping = False
 
     @property
     def port(self) -> int:
@@ -112,6 +114,12 @@
         """Whether the process has ended."""
         return self.exit_code is not None
 
+    @property
+    def running(self) -> bool:
+        """Whether the process runs, is not paused and was not told to stop."""
+        return (self._process is not None and not self.has_ended and
+                not self._paused and not self._stopping)
+
     async def prepare(self) -> None:
         """Starts the proxy and writes the settings file."""
         await self.proxy.start()
@@ -134,6 +142,7 @@
         """
         if self._process is not None and not self.has_ended:
             return
+        self._paused = self._stopping = False
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -148,11 +157,14 @@
         """Sends a signal to this process, if it runs."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self._paused = number == signal.SIGSTOP
 
     async def stop(self, number: signal.Signals) -> None:
         """Sends a signal and waits; kills the process after a grace time."""
         if self._process is None:
             return
+        self._stopping = True
         self.send_signal(signal.SIGCONT)
         self.send_signal(number)
         try:
--- a/packages/standins/src/trefoilroad_standins/jobs/open_connections.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/open_connections.py
@@ -25,12 +25,14 @@
         status: Status of the response, 0 if there was none.
         waited_s: Time from the last byte of the request to the end of the
             response or of the connection, in seconds.
+        ended_s: That end, on the clock of the event loop, in seconds.
     """
 
     job_id: str
     method: str
     status: int
     waited_s: float
+    ended_s: float
 
 
 class Caller:
@@ -102,9 +104,9 @@
                                  asyncio.IncompleteReadError):
             status, stays_open = await asyncio.wait_for(_read_response(reader),
                                                         RESPONSE_TIMEOUT_S)
+        ended_s = loop.time()
         self.exchanges.append(
-            Exchange(job_id, method, status,
-                     loop.time() - sent_s))
+            Exchange(job_id, method, status, ended_s - sent_s, ended_s))
         return stays_open
 
 
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -21,11 +21,15 @@
 
 import click
 
+from trefoilroad_jobs import leadership
+from trefoilroad_jobs import tables
+from trefoilroad_standins.jobs import count_observer
 from trefoilroad_standins.jobs import fleet_server
 from trefoilroad_standins.jobs import node_process
 from trefoilroad_standins.jobs import odd_rows
 from trefoilroad_standins.jobs import open_connections
 from trefoilroad_standins.jobs import proxy as proxies
+from trefoilroad_standins.jobs import waiting
 from trefoilroad_standins.jobs import workers as worker_module
 
 NODE_COUNT = 3
@@ -46,6 +50,16 @@
 PLANNED_CALLERS_PER_NODE = 16
 PLANNED_STOP_COUNT = 4
 CALL_TIMEOUT_S = 3.0
+# Jobs that no worker can run wait for the whole soak. Most are submitted after
+# the loss of the leader, so that a number from before it is too small.
+WAITING_LABEL = "absent"
+WAITING_JOB_COUNTS = (3, 9)
+LEADER_LOSS_S = (2.0, 4.0)
+LEADER_RESTART_S = 0.5
+# Nodes are asked at least this long after the repair of all faults: they start,
+# are in touch 3 s later, and jobs must be counted 5 s after their acceptance.
+COUNT_RECOVERY_S = 12.0
+SUBMIT_TIMEOUT_S = 10.0
 API_KEY = "soak-key"
 QUEUE_PREFIX = "/jobs/"
 
@@ -143,12 +157,14 @@
         self._rng = random.Random(seed)
         # Separate, so that the other faults of a seed stay the same.
         self._extra_rng = random.Random(f"extra {seed}")
+        self._count_rng = random.Random(f"count {seed}")
         self._folder = folder
         self._fleet = fleet_server.FleetServer(worker_count=WORKER_COUNT)
         self._nodes: list[node_process.NodeProcess] = []
         self._proxies: dict[str, proxies.Proxy] = {}
         self._submissions: dict[str, SubmissionResult] = {}
-        self._cancelled: set[str] = set()
+        self._accepted_s: dict[str, float] = {}
+        self._cancelled_s: dict[str, float] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._callers: list[open_connections.Caller] = []
         self._caller_tasks: list[asyncio.Task[None]] = []
@@ -173,12 +189,23 @@
                                         action, number)))
             self._tasks += [
                 asyncio.create_task(self._write_odd_rows()),
-                asyncio.create_task(self._cut_worker_for_long())
+                asyncio.create_task(self._cut_worker_for_long()),
+                asyncio.create_task(self._lose_leader_beside_waiting_jobs())
             ]
+            counts = count_observer.CountObserver(fleet=self._fleet,
+                                                  nodes=self._nodes,
+                                                  queue="jobs",
+                                                  ask=self._ask_pending)
+            observation = asyncio.create_task(counts.run())
             await asyncio.gather(*self._tasks)
             await self._stop_callers()
             await self._repair_all()
-            return await self._check_outcome()
+            repaired_s = self._fleet.clock.now_s
+            violations = await self._check_outcome()
+            await asyncio.sleep(repaired_s + COUNT_RECOVERY_S -
+                                self._fleet.clock.now_s)
+            observation.cancel()
+            return violations + counts.find_wrong_answers(self._list_jobs())
         finally:
             await self._stop_all()
 
@@ -233,6 +260,9 @@
         for caller in self._callers:
             for exchange in caller.exchanges:
                 if exchange.method == "POST":
+                    if exchange.status == 200:
+                        self._accepted_s[exchange.job_id] = (
+                            exchange.ended_s - self._fleet.started_s)
                     self._submissions[exchange.job_id] = SubmissionResult(
                         accepted=exchange.status == 200,
                         refused=exchange.status in (429, 503))
@@ -312,6 +342,7 @@
                                    body)
             statuses.append(status)
             if status == 200:
+                self._accepted_s[job_id] = self._fleet.clock.now_s
                 break
             await asyncio.sleep(0.3)
         self._submissions[job_id] = SubmissionResult(accepted=200 in statuses,
@@ -319,15 +350,66 @@
                                                      <= {429, 503})
         if statuses[-1] == 200 and self._rng.random() < 0.2:
             await asyncio.sleep(self._rng.uniform(0, 2))
-            self._cancelled.add(job_id)
+            self._cancelled_s[job_id] = self._fleet.clock.now_s
             node = self._rng.choice(self._nodes)
             status, _ = await call(node.port, "DELETE", QUEUE_PREFIX + job_id)
             self._record(f"cancel {job_id}: {status}")
             if status == 410:
                 self._record(f"FAULT accepted {job_id} is unknown")
 
+    async def _submit_waiting_jobs(self, count: int) -> None:
+        """Submits jobs that no worker can run."""
+        step = open_connections.STEP | {"requirements": WAITING_LABEL}
+        body = {"spec": "text", "steps": [step]}
+        for _ in range(count):
+            job_id = f"{self._count_rng.getrandbits(64):016x}"
+            deadline_s = self._fleet.clock.now_s + SUBMIT_TIMEOUT_S
+            status = 0
+            while status != 200 and self._fleet.clock.now_s < deadline_s:
+                node = self._count_rng.choice(self._nodes)
+                status, _ = await call(node.port, "POST", QUEUE_PREFIX + job_id,
+                                       body)
+                if status != 200:
+                    await asyncio.sleep(0.1)
+            if status == 200:
+                self._accepted_s[job_id] = self._fleet.clock.now_s
+            else:
+                self._record(f"waiting job {job_id} not accepted: {status}")
+
+    async def _ask_pending(self, port: int) -> tuple[int, int | None]:
+        """Asks a node how many jobs wait; see count_observer.Ask."""
+        status, answer = await call(port, "GET", QUEUE_PREFIX)
+        pending = answer.get("pending") if status == 200 else None
+        return status, pending if isinstance(pending, int) else None
+
+    def _list_jobs(self) -> list[waiting.Job]:
+        """Returns the accepted jobs as the judge of counts needs them."""
+        return [
+            waiting.Job(job_id,
+                        "jobs",
+                        accepted_s,
+                        accepted_s,
+                        cancelled_s=self._cancelled_s.get(job_id))
+            for job_id, accepted_s in self._accepted_s.items()
+        ]
+
     # Faults.
 
+    async def _lose_leader_beside_waiting_jobs(self) -> None:
+        """Kills the leader, which starts again at once at its address."""
+        await self._submit_waiting_jobs(WAITING_JOB_COUNTS[0])
+        await asyncio.sleep(self._count_rng.uniform(*LEADER_LOSS_S))
+        row = self._fleet.tables.rows.get("leader|leader",
+                                          {}).get(tables.LEADER_ROW[1])
+        leader = leadership.decode_leader(row and row.value)
+        for node in self._nodes:
+            if node.name == leader.node_id:
+                self._record(f"leader {node.name} killed")
+                await node.stop(signal.SIGKILL)
+                await asyncio.sleep(LEADER_RESTART_S)
+                await node.start()
+        await self._submit_waiting_jobs(WAITING_JOB_COUNTS[1])
+
     async def _inject_fault(self, _: int) -> None:
         duration_s = self._rng.uniform(0.5, 4.0)
         # The names of these methods are part of the printed log.
@@ -461,7 +543,7 @@
                                             QUEUE_PREFIX + job_id)
                 states[job_id] = answer.get("state", status)
                 allowed = {"completed"}
-                if job_id in self._cancelled:
+                if job_id in self._cancelled_s:
                     allowed.add("cancelled")
                 if states[job_id] in allowed:
                     open_jobs.discard(job_id)
--- a/packages/standins/src/trefoilroad_standins/jobs/waiting.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/waiting.py
@@ -168,6 +168,14 @@
     return findings
 
 
+def list_judged_nodes(record: Record) -> set[str]:
+    """Returns the nodes of which an answer had to count at least one job."""
+    return {
+        answer.node for answer in record.answers if
+        _was_in_touch(record, answer) and _count_waiting(record.jobs, answer)
+    }
+
+
 def find_excess_answers(record: Record) -> list[Finding]:
     """Finds answers above the number of jobs that can have waited.
 
--- a/packages/standins/tests/test_waiting.py
+++ b/packages/standins/tests/test_waiting.py
@@ -103,6 +103,18 @@
         (), _make_answer(None), disruptions=[idleness.Interval(15.0, 17.5)])
 
 
+def test_judged_nodes():
+    """Guards against a run that judges nothing and passes."""
+    answers = [
+        _make_answer(3),
+        _make_answer(3, node="n1"),
+        _make_answer(3, at_s=12.0, node="n2")
+    ]
+    disturbed = [idleness.Interval(18.0, 18.0)]
+    record = _make_record(_make_jobs(3), *answers, disruptions=disturbed)
+    assert waiting.list_judged_nodes(record) == {"n1"}
+
+
 def _is_excess(jobs, *answers, **fields):
     return bool(
         waiting.find_excess_answers(_make_record(jobs, *answers, **fields)))
