--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -446,7 +446,7 @@
         """
         site_node = self.nodes[through]
         site_node.host.deliver(
-            lambda: on_count(site_node.node.count_pending(queue)))
+            lambda: site_node.node.count_pending(queue, on_count))
 
     def ask_state(self, job_id: str, through: str = "n0") -> str:
         """Asks for the state of a job and waits 1 s for the answer.
