Cancel jobs of the virtual site as their own teams

Cause: Site.cancel called as one team, so cancellations of bulk jobs in LeaderSeries were answered with no such job, and the judge of idle jobs no longer looked at these jobs. Change: the team of the job is used, for its state too. Measured: test_fault_schedule passes with it, on this code.

--- a/packages/standins/src/trefoilroad_standins/jobs/site.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/site.py
@@ -410,16 +410,21 @@
                    lambda node, reply: node.intake.submit(job, reply))
 
     def cancel(self, job_id: str, through: str = "n0") -> None:
-        """Cancels a job through a node."""
+        """Cancels a job through a node, as its team."""
         self.cancelled_s.setdefault(job_id, self.clock.now_s)
-        self._call(
-            through, job_id,
-            lambda node, reply: node.intake.cancel(job_id, "team", reply))
+        team = self._find_team(job_id)
+        self._call(through, job_id,
+                   lambda node, reply: node.intake.cancel(job_id, team, reply))
 
     def show(self, job_id: str, through: str = "n0") -> None:
-        """Asks for the state of a job through a node."""
+        """Asks for the state of a job through a node, as its team."""
+        team = self._find_team(job_id)
         self._call(through, job_id,
-                   lambda node, reply: node.intake.show(job_id, "team", reply))
+                   lambda node, reply: node.intake.show(job_id, team, reply))
+
+    def _find_team(self, job_id: str) -> str:
+        job = self.workloads.get(job_id)
+        return job.team if job is not None else "team"
 
     def _call(self, through: str, job_id: str,
               call: Callable[[nodes.Node, intake.OnReply], None]) -> None:
