Close idle connections that went silent together with a lost call

Callers saw, after a partition that healed or a server back under its address: several calls in a row to the store or a worker that each waited for their full timeout, while new connections were served. A renewal of the leader's lease lost this way can cost the lead. Cause: a timeout closed only the connection of its own call. The other idle connections to the address were as dead, without a reset, and each was used for one more call. On real sockets, test_silent_connections_cost_one_call_together fails on the code before: the second call is lost, too. Change: if a call times out without a byte of its response, idle connections of the same address that have received nothing since that call was sent are closed, before the caller hears of the loss, as it may send again at once. Those that have received something since or were opened since are kept, so a server that answers other calls late keeps its connections; so are all if the response had begun or the call was never sent. Busy connections are never closed: a call that waits for an event ends by its own timeout. Order is taken from a count of events, not from a clock. Cost, by reading: a lost call opens one new connection for the calls that follow one by one, as before; where calls to the address are concurrent, up to as many more as were closed (three to the store, five to a worker). Not mended: the first call on a silent connection is still lost; calls and watches of the store have separate clients, which do not tell each other. Of the four new tests three fail on the code before and all pass now; the fourth, on a response that has begun, guards the limit of the change.

--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -2,7 +2,9 @@
 
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
 from typing import Any
 from typing import NamedTuple
 
@@ -53,6 +55,7 @@
         data: The encoded request.
         on_done: Called once with the result.
         sent: Whether any part of the request may have been sent.
+        sent_number: Event number of the sending, 0 until then.
         ended: Whether the result has been reported.
         timeout: Timer that ends the exchange.
     """
@@ -61,6 +64,7 @@
         self.data = data
         self.on_done = on_done
         self.sent = False
+        self.sent_number = 0
         self.ended = False
         self.timeout: timer.TimerHandle | None = None
 
@@ -100,8 +104,20 @@
     """
 
     def __init__(self, *, on_idle: Callable[[], Any],
-                 byte_counter: traffic.ByteCounter, reply_bounds: ReplyBounds):
+                 byte_counter: traffic.ByteCounter, reply_bounds: ReplyBounds,
+                 event_numbers: Iterator[int]):
+        """Creates a connection that is not open yet.
+
+        Args:
+            on_idle: Called when the connection is free or closed.
+            byte_counter: Counts the bytes received.
+            reply_bounds: Limits shared by the connections of the client.
+            event_numbers: Numbers the events of all connections of the client
+                from 1 on, in their order.
+        """
         self.closed = False
+        self._event_numbers = event_numbers
+        self._received_number = next(event_numbers)
         self._reply_bounds = reply_bounds
         self._reply_bytes = 0
         self._on_idle = on_idle
@@ -137,13 +153,24 @@
         elif self._stream.connected:
             self._write()
 
-    def abort(self, exchange: Exchange, reason: str) -> None:
-        """Closes the connection if it carries the exchange.
+    def carries(self, exchange: Exchange) -> bool:
+        """Returns whether it waits for the response of an exchange."""
+        return self._exchange is exchange
+
+    def has_received_since(self, exchange: Exchange) -> bool:
+        """Returns whether the peer was heard after a request was sent.
+
+        A connection that was opened after it counts as heard, and so does any
+        if the request was not sent.
+        """
+        return self._received_number > exchange.sent_number
+
+    def abort(self, reason: str) -> None:
+        """Closes the connection and ends the exchange that it carries.
 
         A late response is then never read.
         """
-        if self._exchange is exchange:
-            self._fail(reason)
+        self._fail(reason)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -154,10 +181,12 @@
 
     def handle_connected(self) -> None:
         """See streams.Listener.handle_connected."""
+        self._received_number = next(self._event_numbers)
         self._write()
 
     def handle_data(self, data: bytes) -> None:
         """See streams.Listener.handle_data."""
+        self._received_number = next(self._event_numbers)
         self._byte_counter.received_bytes += len(data)
         if self._exchange is None:
             # Data without a request would be taken for the next response.
@@ -185,6 +214,7 @@
         exchange = self._exchange
         if exchange is not None and not exchange.ended and self._stream:
             exchange.sent = True
+            exchange.sent_number = next(self._event_numbers)
             self._stream.write(exchange.data)
 
     def _hold(self, count: int) -> None:
@@ -253,6 +283,7 @@
         self._headers = dict(headers)
         self._byte_counter = byte_counter
         self._pools: dict[str, ConnectionPool] = {}
+        self._event_numbers = itertools.count(1)
 
     def send(self,
              *,
@@ -331,6 +362,7 @@
         connection = Connection(
             reply_bounds=self._reply_bounds,
             byte_counter=self._byte_counter,
+            event_numbers=self._event_numbers,
             on_idle=lambda: self._timers.call_later(
                 0, lambda: self._send_queued(address, pool)))
         connection.open(self._connector, address)
@@ -339,5 +371,21 @@
 
     def _time_out(self, pool: ConnectionPool, exchange: Exchange) -> None:
         for connection in pool.connections:
-            connection.abort(exchange, "timeout")
+            if connection.carries(exchange):
+                if not connection.has_received_since(exchange):
+                    _close_silent(pool, exchange)
+                # Ends the exchange, whose caller may send again at once.
+                connection.abort("timeout")
         exchange.end(NoReply(exchange.sent, "timeout"))
+
+
+def _close_silent(pool: ConnectionPool, exchange: Exchange) -> None:
+    """Closes idle connections not heard since a lost request was sent.
+
+    After a partition or a restart of the peer they may be as dead as the one
+    that carried the request, and each would cost another timeout. One that was
+    heard since shows that the peer is only slow, and is kept.
+    """
+    for connection in pool.connections:
+        if connection.idle and not connection.has_received_since(exchange):
+            connection.close()
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -16,6 +16,7 @@
 REQUESTS = 400
 CONCURRENT_REQUESTS = 8
 TEST_TIMEOUT_S = 20.0
+LOST_CALL_TIMEOUT_S = 2.0
 
 
 class EchoServer(circuits.BaseComponent):
@@ -258,3 +259,202 @@
         _call(client, results)
         _call(client, results, "127.0.0.1:10")
     assert len(connector.streams) == 2
+
+
+class _SilentServer(circuits.BaseComponent):
+    """Server that stops to answer on chosen connections.
+
+    Attributes:
+        accepted: Sockets of all connections, in the order of their opening.
+        open_socks: Those that are open.
+        silent_socks: Those on which nothing is answered, for good.
+        socks: Sockets of the requests that have come, by path.
+    """
+
+    channel = "silent"
+
+    def __init__(self):
+        super().__init__()
+        self.accepted = []
+        self.open_socks = set()
+        self.silent_socks = set()
+        self.socks = {}
+        self.server = sockets.TCPServer(("127.0.0.1", 0),
+                                        channel=self.channel).register(self)
+
+    def answer(self, path):
+        """Answers a request for "/wait...", which is not answered at once."""
+        self._write(self.socks[path], path)
+
+    @circuits.handler("connect")
+    def _on_connect(self, sock, *_):
+        self.accepted.append(sock)
+        self.open_socks.add(sock)
+
+    @circuits.handler("disconnect")
+    def _on_disconnect(self, sock):
+        self.open_socks.discard(sock)
+
+    @circuits.handler("read")
+    def _on_read(self, sock, data):
+        path = data.split()[1].decode()
+        self.socks[path] = sock
+        if sock in self.silent_socks:
+            return
+        if path.startswith("/part"):
+            self.fire(net_events.write(sock, b"HTTP/1.1 200 OK\r\n"),
+                      self.channel)
+        elif not path.startswith("/wait"):
+            self._write(sock, path)
+
+    def _write(self, sock, path):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(path)}\r\n\r\n"
+        self.fire(net_events.write(sock, (head + path).encode()), self.channel)
+
+
+class _SilentSite:
+    """A client and a silent server on a loop that the test drives.
+
+    Attributes:
+        server: The server.
+        client: The client.
+        results: Results by path: "own", "lost", or "crossed".
+    """
+
+    def __init__(self, **options):
+        self._root = circuits.BaseComponent()
+        poller = pollers.EPoll().register(self._root)
+        self._timers = timer.TimerService(rng=random.Random(1)).register(
+            self._root)
+        self.client = httpclient.HttpClient(
+            connector=streams.Connector(poller=poller).register(self._root),
+            timers=self._timers,
+            headers={},
+            byte_counter=traffic.ByteCounter(),
+            **options)
+        self.server = _SilentServer().register(self._root)
+        # Without it, `tick` polls no sockets.
+        self._root._running = True
+        self.results = {}
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server.port}"
+
+    def send(self, path, timeout_s=TEST_TIMEOUT_S, on_result=lambda: None):
+        """Sends a call, and calls `on_result` within the call of its end."""
+
+        def handle_result(result):
+            if isinstance(result, httpclient.NoReply):
+                self.results[path] = "lost"
+            else:
+                is_own = result.body == path.encode()
+                self.results[path] = "own" if is_own else "crossed"
+            on_result()
+
+        self.client.send(address=self.address,
+                         method="GET",
+                         path=path,
+                         body=b"",
+                         timeout_s=timeout_s,
+                         on_done=handle_result)
+
+    def run(self, condition):
+        """Drives the loop until a condition holds."""
+        end_s = self._timers.read_clock() + TEST_TIMEOUT_S
+        while not condition():
+            assert self._timers.read_clock() < end_s, "not in time"
+            self._root.tick(0.01)
+
+    def wait_for(self, *paths):
+        """Drives the loop until calls have ended."""
+        self.run(lambda: self.results.keys() >= set(paths))
+
+    def open_connections(self, count):
+        """Opens connections, which are idle afterwards."""
+        paths = [f"/open{number}" for number in range(count)]
+        for path in paths:
+            self.send(path)
+        self.wait_for(*paths)
+        assert set(self.results.values()) == {"own"}
+        assert len(self.server.accepted) == count
+
+
+def test_silent_connections_cost_one_call_together():
+    """Guards against a time-out for each connection that went silent.
+
+    After a partition or a restart, all connections of before are silent without
+    a reset and new ones are served. The second call is sent by the callback of
+    the first, as callers do that must not lose time.
+    """
+    site = _SilentSite()
+    site.open_connections(httpclient.MAX_CONNECTIONS_PER_ADDRESS)
+    site.server.silent_socks = set(site.server.accepted)
+    site.send("/1", LOST_CALL_TIMEOUT_S,
+              lambda: site.send("/2", LOST_CALL_TIMEOUT_S))
+    site.wait_for("/1", "/2")
+    assert (site.results["/1"], site.results["/2"]) == ("lost", "own")
+    site.run(lambda: len(site.server.open_socks) == 1)
+    assert len(site.server.accepted) == 5
+
+
+def test_connections_of_a_slow_server_are_kept():
+    """Guards against new connections where a server is late but answers.
+
+    Of three connections one loses its call, one answers another call in the
+    meantime, and one is idle throughout. Only the one that answered is kept.
+    """
+    site = _SilentSite()
+    site.open_connections(3)
+    site.send("/wait1", LOST_CALL_TIMEOUT_S)
+    site.send("/1")
+    site.wait_for("/1")
+    site.wait_for("/wait1")
+    assert site.results["/wait1"] == "lost"
+    site.run(lambda: site.server.open_socks == {site.server.socks["/1"]})
+    site.send("/2")
+    site.wait_for("/2")
+    assert len(site.server.accepted) == 3
+    site.send("/3")
+    site.send("/4")
+    site.wait_for("/3", "/4")
+    assert len(site.server.accepted) == 4
+
+
+def test_connections_are_kept_after_a_late_end_of_a_response():
+    """Guards against closed connections where a response is only slow.
+
+    A response that has begun shows that the connection works.
+    """
+    site = _SilentSite()
+    site.open_connections(3)
+    site.send("/part1", LOST_CALL_TIMEOUT_S)
+    site.wait_for("/part1")
+    assert site.results["/part1"] == "lost"
+    site.send("/1")
+    site.send("/2")
+    site.wait_for("/1", "/2")
+    assert len(site.server.accepted) == 3
+    site.run(lambda: len(site.server.open_socks) == 2)
+
+
+def test_lost_call_closes_no_busy_connection():
+    """Guards against a call that waits for an event and is ended by another.
+
+    Both kinds of call use the same connections to a worker.
+    """
+    site = _SilentSite()
+    site.open_connections(3)
+    site.send("/wait1")
+    site.run(lambda: "/wait1" in site.server.socks)
+    site.server.silent_socks = (set(site.server.accepted) -
+                                {site.server.socks["/wait1"]})
+    site.send("/1", LOST_CALL_TIMEOUT_S)
+    site.wait_for("/1")
+    assert site.results["/1"] == "lost"
+    site.run(lambda: len(site.server.open_socks) == 1)
+    assert "/wait1" not in site.results
+    site.server.answer("/wait1")
+    site.wait_for("/wait1")
+    assert site.results["/wait1"] == "own"
+    assert len(site.server.accepted) == 3
