Close connections to addresses that are no longer called

Operators would see connections of a leader to workers that never go away: they take descriptors, of which the largest VMs have 8,192, and places among the connections of the worker. Cause, by reading: connections were closed only by PlatformWorkers.forget, which is called when a worker is no longer registered. If the address of a worker changes under the same id, Fleet.update replaces the registration and nobody closes the connections to the old address. A leader that loses the lead keeps its connections to all workers, too. Change: the client closes the connections to an address that has not been called between two checks 150 s apart and has no open call, and forgets the address. Leaders call each worker every 60 s at least, for its clock, so that connections in use cost nothing more. One timer for all addresses; the limit is an option for tests. Rejected: PlatformWorkers closing the old address when it sees a new one. It would not cover a former leader, and would close the connections of another worker that has taken over the address. Measured: test_connections_to_an_unused_address_are_closed fails on the code before (with the option accepted and ignored) and passes now. Two tests guard connections with a long call and those in use at intervals. Trials on mutants, each fails: open calls do not count, the check is made once only, two checks run at a time. packages/node/tests (176) and the tests of platform/ (105) pass.

--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -19,6 +19,9 @@
 # of the store has at most 500 rows of 65,536 bytes, 44 MB in base64.
 MAX_REPLY_BYTES = 64 << 20
 MAX_HELD_BYTES = 128 << 20
+# Connections to an address that is not called for this long are closed. Longer
+# than the 60 s after which a leader calls a worker that has no runs.
+MIN_UNUSED_S = 150.0
 
 
 class Reply(NamedTuple):
@@ -241,11 +244,26 @@
 
 
 class ConnectionPool:
-    """Connections to one address and the requests queued for them."""
+    """Connections to one address and the requests queued for them.
+
+    Attributes:
+        connections: Connections, closed ones among them.
+        queue: Requests that wait for a connection.
+        recently_used: Whether a request was made since the last check for
+            unused pools.
+    """
 
     def __init__(self) -> None:
         self.connections: list[Connection] = []
         self.queue: deque[Exchange] = deque()
+        self.recently_used = True
+
+    @property
+    def has_open_exchange(self) -> bool:
+        """Whether a request is queued or waits for its response."""
+        return (any(not exchange.ended for exchange in self.queue) or
+                any(not connection.idle and not connection.closed
+                    for connection in self.connections))
 
 
 class HttpClient:
@@ -260,6 +278,7 @@
                  max_connections: int = MAX_CONNECTIONS_PER_ADDRESS,
                  max_reply_bytes: int = MAX_REPLY_BYTES,
                  max_held_bytes: int = MAX_HELD_BYTES,
+                 min_unused_s: float = MIN_UNUSED_S,
                  may_connect: Callable[[], bool] = lambda: True):
         """Creates a client without connections.
 
@@ -271,12 +290,16 @@
             max_connections: Maximum number of connections to one address.
             max_reply_bytes: Maximum size of a reply with its headers.
             max_held_bytes: Maximum size of all incomplete replies.
+            min_unused_s: Connections to an address that is not called are
+                closed after once to twice this time, in seconds.
             may_connect: Returns whether there are descriptors for more than
                 one connection to an address.
         """
         self._max_connections = max_connections
         self._reply_bounds = ReplyBounds(max_reply_bytes=max_reply_bytes,
                                          max_held_bytes=max_held_bytes)
+        self._min_unused_s = min_unused_s
+        self._unused_check_scheduled = False
         self._may_connect = may_connect
         self._connector = connector
         self._timers = timers
@@ -314,6 +337,8 @@
         self._byte_counter.sent_bytes += len(data)
         exchange = Exchange(data=data, on_done=on_done)
         pool = self._pools.setdefault(address, ConnectionPool())
+        pool.recently_used = True
+        self._schedule_unused_check()
         exchange.timeout = self._timers.call_later(
             timeout_s, lambda: self._time_out(pool, exchange))
         pool.queue.append(exchange)
@@ -325,6 +350,20 @@
         for connection in pool.connections if pool else []:
             connection.close()
 
+    def _schedule_unused_check(self) -> None:
+        if self._pools and not self._unused_check_scheduled:
+            self._unused_check_scheduled = True
+            self._timers.call_later(self._min_unused_s, self._close_unused)
+
+    def _close_unused(self) -> None:
+        """Closes connections to addresses not called since the last check."""
+        self._unused_check_scheduled = False
+        for address, pool in list(self._pools.items()):
+            if not pool.recently_used and not pool.has_open_exchange:
+                self.disconnect(address)
+            pool.recently_used = False
+        self._schedule_unused_check()
+
     def _encode(self, address: str, method: str, path: str, body: bytes,
                 extra_headers: Mapping[str, str]) -> bytes:
         headers = self._headers | dict(extra_headers) | {
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -337,6 +337,11 @@
         self._root._running = True
         self.results = {}
 
+    @property
+    def pools(self):
+        """Number of addresses for which the client keeps something."""
+        return len(self.client._pools)
+
     @property
     def address(self):
         return f"127.0.0.1:{self.server.server.port}"
@@ -366,6 +371,11 @@
             assert self._timers.read_clock() < end_s, "not in time"
             self._root.tick(0.01)
 
+    def run_for(self, duration_s):
+        """Drives the loop for some time."""
+        end_s = self._timers.read_clock() + duration_s
+        self.run(lambda: self._timers.read_clock() >= end_s)
+
     def wait_for(self, *paths):
         """Drives the loop until calls have ended."""
         self.run(lambda: self.results.keys() >= set(paths))
@@ -458,3 +468,45 @@
     site.wait_for("/wait1")
     assert site.results["/wait1"] == "own"
     assert len(site.server.accepted) == 3
+
+
+def test_connections_to_an_unused_address_are_closed():
+    """Guards against connections that are kept for good.
+
+    The address of a worker changes under the same id, or its leader is
+    replaced; nothing tells the client that the old address is not called again.
+    """
+    site = _SilentSite(min_unused_s=0.5)
+    site.open_connections(3)
+    site.run(lambda: not site.server.open_socks)
+    assert site.pools == 0
+    site.send("/1")
+    site.wait_for("/1")
+    assert site.results["/1"] == "own"
+    site.run(lambda: not site.server.open_socks)
+    assert len(site.server.accepted) == 4
+
+
+def test_connection_of_a_long_call_is_not_unused():
+    """Guards against a closed connection that waits for an event."""
+    site = _SilentSite(min_unused_s=0.1)
+    site.send("/wait1")
+    # Eight checks at least.
+    site.run_for(0.9)
+    assert site.results == {}
+    site.server.answer("/wait1")
+    site.wait_for("/wait1")
+    assert site.results["/wait1"] == "own"
+    site.run(lambda: not site.server.open_socks)
+    assert len(site.server.accepted) == 1
+
+
+def test_connections_to_an_address_in_use_are_kept():
+    """Guards against new connections for calls that come at intervals."""
+    site = _SilentSite(min_unused_s=3.0)
+    site.open_connections(2)
+    for number in range(10):
+        site.send(f"/{number}")
+        site.wait_for(f"/{number}")
+        site.run_for(0.7)
+    assert len(site.server.accepted) == 2
