Keep open calls when another worker leaves their address

Callers would see, after a worker was replaced under its address by one with another id: calls to the new worker, a start or the renewal of its lease among them, that wait for their full timeout although the worker answers at once. Cause, by reading: the removal of the old registration calls PlatformWorkers.forget, and HttpClient.disconnect closed all connections to the address, busy ones too. The calls on them were not ended but ran into their timeouts. Calls that were queued lived on in a pool that the client no longer knew, and opened connections there that nothing could close. Change: disconnect closes idle connections only. The pool stays while it has open calls; its connections are closed by the check for unused addresses. A call to a worker that is really gone ends by its timeout, as before, and holds its descriptor until then. Measured: test_disconnect_ends_no_open_call fails on the code before (the busy connection is closed) and passes now. packages/node/tests (177) and the tests of platform/ (105) pass.

--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -345,10 +345,18 @@
         self._send_queued(address, pool)
 
     def disconnect(self, address: str) -> None:
-        """Closes the connections to an address that is no longer used."""
-        pool = self._pools.pop(address, None)
-        for connection in pool.connections if pool else []:
-            connection.close()
+        """Closes the idle connections to an address that is no longer used.
+
+        Open calls go on: another worker may have the address by now.
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            return
+        for connection in pool.connections:
+            if connection.idle:
+                connection.close()
+        if not pool.has_open_exchange:
+            del self._pools[address]
 
     def _schedule_unused_check(self) -> None:
         if self._pools and not self._unused_check_scheduled:
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -510,3 +510,28 @@
         site.wait_for(f"/{number}")
         site.run_for(0.7)
     assert len(site.server.accepted) == 2
+
+
+def test_disconnect_ends_no_open_call():
+    """Guards against calls to a worker that are lost with another's removal.
+
+    A worker that has left and a new one may have had the same address. The
+    connections are closed once they are not used.
+    """
+    site = _SilentSite(min_unused_s=0.5, max_connections=2)
+    site.open_connections(2)
+    site.send("/wait1")
+    site.run(lambda: "/wait1" in site.server.socks)
+    site.client.disconnect(site.address)
+    site.run(lambda: site.server.open_socks == {site.server.socks["/wait1"]})
+    site.send("/wait2")
+    site.send("/queued")
+    site.run(lambda: "/wait2" in site.server.socks)
+    site.client.disconnect(site.address)
+    site.server.answer("/wait1")
+    site.server.answer("/wait2")
+    site.wait_for("/wait1", "/wait2", "/queued")
+    assert set(site.results.values()) == {"own"}
+    assert len(site.server.accepted) == 3
+    site.run(lambda: not site.server.open_socks)
+    assert site.pools == 0
