--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -2,7 +2,9 @@
 
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
 from typing import Any
 from typing import NamedTuple
 
@@ -17,6 +19,9 @@
 # of the store has at most 500 rows of 65,536 bytes, 44 MB in base64.
 MAX_REPLY_BYTES = 64 << 20
 MAX_HELD_BYTES = 128 << 20
+# Connections to an address that is not called for this long are closed. Longer
+# than the 60 s after which a leader calls a worker that has no runs.
+MIN_UNUSED_S = 150.0
 
 
 class Reply(NamedTuple):
@@ -53,6 +58,7 @@
         data: The encoded request.
         on_done: Called once with the result.
         sent: Whether any part of the request may have been sent.
+        sent_number: Event number of the sending, 0 until then.
         ended: Whether the result has been reported.
         timeout: Timer that ends the exchange.
     """
@@ -61,6 +67,7 @@
         self.data = data
         self.on_done = on_done
         self.sent = False
+        self.sent_number = 0
         self.ended = False
         self.timeout: timer.TimerHandle | None = None
 
@@ -100,8 +107,20 @@
     """
 
     def __init__(self, *, on_idle: Callable[[], Any],
-                 byte_counter: traffic.ByteCounter, reply_bounds: ReplyBounds):
+                 byte_counter: traffic.ByteCounter, reply_bounds: ReplyBounds,
+                 event_numbers: Iterator[int]):
+        """Creates a connection that is not open yet.
+
+        Args:
+            on_idle: Called when the connection is free or closed.
+            byte_counter: Counts the bytes received.
+            reply_bounds: Limits shared by the connections of the client.
+            event_numbers: Numbers the events of all connections of the client
+                from 1 on, in their order.
+        """
         self.closed = False
+        self._event_numbers = event_numbers
+        self._received_number = next(event_numbers)
         self._reply_bounds = reply_bounds
         self._reply_bytes = 0
         self._on_idle = on_idle
@@ -137,13 +156,24 @@
         elif self._stream.connected:
             self._write()
 
-    def abort(self, exchange: Exchange, reason: str) -> None:
-        """Closes the connection if it carries the exchange.
+    def carries(self, exchange: Exchange) -> bool:
+        """Returns whether it waits for the response of an exchange."""
+        return self._exchange is exchange
+
+    def has_received_since(self, exchange: Exchange) -> bool:
+        """Returns whether the peer was heard after a request was sent.
+
+        A connection that was opened after it counts as heard, and so does any
+        if the request was not sent.
+        """
+        return self._received_number > exchange.sent_number
+
+    def abort(self, reason: str) -> None:
+        """Closes the connection and ends the exchange that it carries.
 
         A late response is then never read.
         """
-        if self._exchange is exchange:
-            self._fail(reason)
+        self._fail(reason)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -154,10 +184,12 @@
 
     def handle_connected(self) -> None:
         """See streams.Listener.handle_connected."""
+        self._received_number = next(self._event_numbers)
         self._write()
 
     def handle_data(self, data: bytes) -> None:
         """See streams.Listener.handle_data."""
+        self._received_number = next(self._event_numbers)
         self._byte_counter.received_bytes += len(data)
         if self._exchange is None:
             # Data without a request would be taken for the next response.
@@ -185,6 +217,7 @@
         exchange = self._exchange
         if exchange is not None and not exchange.ended and self._stream:
             exchange.sent = True
+            exchange.sent_number = next(self._event_numbers)
             self._stream.write(exchange.data)
 
     def _hold(self, count: int) -> None:
@@ -211,11 +244,26 @@
 
 
 class ConnectionPool:
-    """Connections to one address and the requests queued for them."""
+    """Connections to one address and the requests queued for them.
+
+    Attributes:
+        connections: Connections, closed ones among them.
+        queue: Requests that wait for a connection.
+        recently_used: Whether a request was made since the last check for
+            unused pools.
+    """
 
     def __init__(self) -> None:
         self.connections: list[Connection] = []
         self.queue: deque[Exchange] = deque()
+        self.recently_used = True
+
+    @property
+    def has_open_exchange(self) -> bool:
+        """Whether a request is queued or waits for its response."""
+        return (any(not exchange.ended for exchange in self.queue) or
+                any(not connection.idle and not connection.closed
+                    for connection in self.connections))
 
 
 class HttpClient:
@@ -230,6 +278,7 @@
                  max_connections: int = MAX_CONNECTIONS_PER_ADDRESS,
                  max_reply_bytes: int = MAX_REPLY_BYTES,
                  max_held_bytes: int = MAX_HELD_BYTES,
+                 min_unused_s: float = MIN_UNUSED_S,
                  may_connect: Callable[[], bool] = lambda: True):
         """Creates a client without connections.
 
@@ -241,18 +290,23 @@
             max_connections: Maximum number of connections to one address.
             max_reply_bytes: Maximum size of a reply with its headers.
             max_held_bytes: Maximum size of all incomplete replies.
+            min_unused_s: Connections to an address that is not called are
+                closed after once to twice this time, in seconds.
             may_connect: Returns whether there are descriptors for more than
                 one connection to an address.
         """
         self._max_connections = max_connections
         self._reply_bounds = ReplyBounds(max_reply_bytes=max_reply_bytes,
                                          max_held_bytes=max_held_bytes)
+        self._min_unused_s = min_unused_s
+        self._unused_check_scheduled = False
         self._may_connect = may_connect
         self._connector = connector
         self._timers = timers
         self._headers = dict(headers)
         self._byte_counter = byte_counter
         self._pools: dict[str, ConnectionPool] = {}
+        self._event_numbers = itertools.count(1)
 
     def send(self,
              *,
@@ -283,16 +337,40 @@
         self._byte_counter.sent_bytes += len(data)
         exchange = Exchange(data=data, on_done=on_done)
         pool = self._pools.setdefault(address, ConnectionPool())
+        pool.recently_used = True
+        self._schedule_unused_check()
         exchange.timeout = self._timers.call_later(
             timeout_s, lambda: self._time_out(pool, exchange))
         pool.queue.append(exchange)
         self._send_queued(address, pool)
 
     def disconnect(self, address: str) -> None:
-        """Closes the connections to an address that is no longer used."""
-        pool = self._pools.pop(address, None)
-        for connection in pool.connections if pool else []:
-            connection.close()
+        """Closes the idle connections to an address that is no longer used.
+
+        Open calls go on: another worker may have the address by now.
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            return
+        for connection in pool.connections:
+            if connection.idle:
+                connection.close()
+        if not pool.has_open_exchange:
+            del self._pools[address]
+
+    def _schedule_unused_check(self) -> None:
+        if self._pools and not self._unused_check_scheduled:
+            self._unused_check_scheduled = True
+            self._timers.call_later(self._min_unused_s, self._close_unused)
+
+    def _close_unused(self) -> None:
+        """Closes connections to addresses not called since the last check."""
+        self._unused_check_scheduled = False
+        for address, pool in list(self._pools.items()):
+            if not pool.recently_used and not pool.has_open_exchange:
+                self.disconnect(address)
+            pool.recently_used = False
+        self._schedule_unused_check()
 
     def _encode(self, address: str, method: str, path: str, body: bytes,
                 extra_headers: Mapping[str, str]) -> bytes:
@@ -331,6 +409,7 @@
         connection = Connection(
             reply_bounds=self._reply_bounds,
             byte_counter=self._byte_counter,
+            event_numbers=self._event_numbers,
             on_idle=lambda: self._timers.call_later(
                 0, lambda: self._send_queued(address, pool)))
         connection.open(self._connector, address)
@@ -339,5 +418,21 @@
 
     def _time_out(self, pool: ConnectionPool, exchange: Exchange) -> None:
         for connection in pool.connections:
-            connection.abort(exchange, "timeout")
+            if connection.carries(exchange):
+                if not connection.has_received_since(exchange):
+                    _close_silent(pool, exchange)
+                # Ends the exchange, whose caller may send again at once.
+                connection.abort("timeout")
         exchange.end(NoReply(exchange.sent, "timeout"))
+
+
+def _close_silent(pool: ConnectionPool, exchange: Exchange) -> None:
+    """Closes idle connections not heard since a lost request was sent.
+
+    After a partition or a restart of the peer they may be as dead as the one
+    that carried the request, and each would cost another timeout. One that was
+    heard since shows that the peer is only slow, and is kept.
+    """
+    for connection in pool.connections:
+        if connection.idle and not connection.has_received_since(exchange):
+            connection.close()
