--- a/packages/jobs/src/trefoilroad_jobs/ports.py
+++ b/packages/jobs/src/trefoilroad_jobs/ports.py
@@ -337,7 +337,7 @@
 
     @abc.abstractmethod
     def forget(self, worker: Worker) -> None:
-        """Closes the connections to a worker that has left the fleet."""
+        """Closes the idle connections to a worker that has left the fleet."""
 
     @abc.abstractmethod
     def format_name(self, key: progress.TaskKey) -> str:
