Let simulated workers carry out late calls after a restart

Cause: a call names a worker and not its process, so one that got no answer may be carried out by the process that runs under the same id seconds later. Change: NodeWorkers carries a delayed call out if any process of the worker is alive then.

--- a/packages/standins/src/trefoilroad_standins/jobs/workers.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/workers.py
@@ -364,7 +364,7 @@
         command_loss_probability: The same for starts and stops alone.
         report_loss_probability: The same for report requests alone.
         lost_call_delay_s: Delay in seconds after which a worker executes a
-            call that gets no answer.
+            call that gets no answer, also if it has restarted meanwhile.
         cut: Identifiers of the workers that this node cannot reach.
         sent_starts: Number of start commands that this node has sent.
     """
@@ -416,11 +416,11 @@
                     not worker_state.reachable or worker.worker_id in self.cut):
                 fail()
             elif self._rng.random() < loss_probability:
-                boot_ms = worker_state.boot_ms
 
                 def execute() -> None:
-                    # A restart of the worker discards the pending call.
-                    if worker_state.alive and worker_state.boot_ms == boot_ms:
+                    # Calls name a worker and not its process, so that a process
+                    # that has started since carries the call out as well.
+                    if worker_state.alive:
                         unanswered_call(worker_state)
 
                 virtual_clock.schedule(self.lost_call_delay_s, execute)
