Expect earlier attempts to start a run after its worker has restarted

Callers saw: a task that ran on two workers at once (TWICE). The first attempt to start it got no answer and was delayed, the second was answered. Cause: an answer or a report settled all attempts. The claim was ended at the restart, and a release told the next leader of no doubt. Change: a claim keeps when the last attempt was sent that got no answer. For 6 s (LATE_CALL_S) after that a restart does not end the run: the new process gets a stop, after which it refuses the start, and a later report ends the run. The longest lease of an unanswered attempt stays in doubt, for the planned handover as well, unless the run was reported and had one attempt only. Measured: the tests pass.

--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -75,9 +75,12 @@
         start_settled: Whether the run is known to have begun, by an answer or
             a report.
         longest_lease_end_s: When the longest lease that a worker accepts has
-            ended, if the start is not settled: the worker may have restarted
-            unnoticed, and its new process takes the end of the lease for one on
-            its own clock. Minus infinity if there is no such doubt.
+            ended, if an attempt to start the run may still be carried out: the
+            worker may have restarted unnoticed, and its new process takes the
+            end of the lease for one on its own clock. Minus infinity if there
+            is no such doubt.
+        unanswered_start_s: When the last attempt to start it was sent that got
+            no answer and may be carried out late, or minus infinity.
         stop_acked_s: When the worker confirmed a stop, or infinity.
         since_s: When the phase began.
         started_s: When the start was first sent, in seconds; before that, and
@@ -99,7 +102,7 @@
                  "longest_lease_end_s", "percent", "percent_s", "phase",
                  "resumed", "retry_s", "run", "since_s", "start_settled",
                  "started_ms", "started_s", "starts_sent", "stop_acked_s",
-                 "tries", "why", "worker_id")
+                 "tries", "unanswered_start_s", "why", "worker_id")
 
     def __init__(self,
                  *,
@@ -123,6 +126,7 @@
         self.starts_sent = int(phase is Phase.RECOVERING)
         self.start_settled = False
         self.longest_lease_end_s = float("-inf")
+        self.unanswered_start_s = float("-inf")
         self.stop_acked_s = float("inf")
         self.since_s = now_s
         self.started_s = now_s
@@ -136,9 +140,14 @@
         self.why = ""
 
     def settle_start(self) -> None:
-        """Records that the run has begun, by an answer or a report."""
+        """Records that the run has begun, by an answer or a report.
+
+        If there was more than one attempt, it is not known which of them began
+        the run, and the others may still be carried out.
+        """
         self.start_settled = True
-        self.longest_lease_end_s = float("-inf")
+        if self.starts_sent == 1:
+            self.longest_lease_end_s = float("-inf")
 
     def set_phase(self, phase: Phase, now_s: float) -> None:
         """Enters a phase and resets the retries."""
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -8,7 +8,8 @@
 - it was known to run, and a complete report requested after that omits it, or
 - an earlier leader claimed it, and a complete report to this leader omits it,
   or
-- its worker process has restarted after the start was settled, or
+- its worker process has restarted after the start was settled, and no other
+  attempt to start it can still arrive, or
 - its worker does not answer and its lease has expired on the worker's clock;
   if no start of the run was answered, the longest lease that a worker accepts
   counts, as the worker may have restarted before the start.
@@ -52,6 +53,9 @@
 # Longest time from a claim to the last start command sent for it: the commit of
 # the claim, then the repeats of a start that gets no reply.
 START_SETTLE_S = 3.0
+# Longest time after which a worker, or its next process, carries out a call
+# that got no answer.
+LATE_CALL_S = 6.0
 # A worker that has been silent for this long gets a row that tells the next
 # leaders when its leases have ended. Most silences are shorter.
 LAPSE_RECORD_DELAY_S = 1.0
@@ -294,6 +298,7 @@
         if not self._prior_released:
             last_start_s = min(self._timers.read_clock(),
                                claim.started_s + START_SETTLE_S)
+            claim.unanswered_start_s = last_start_s
             claim.longest_lease_end_s = last_start_s + self._longest_lease_s
         self._keys_by_name[self._workers.format_name(claim.key)] = claim.key
         if stop:
@@ -452,6 +457,8 @@
         verdict = reply.verdict
         if verdict is Verdict.DONE:
             self._settle_start(claim, "its start was answered")
+            claim.longest_lease_end_s = (claim.unanswered_start_s +
+                                         self._longest_lease_s)
             if claim.phase is Phase.STARTING:
                 claim.set_phase(Phase.RUNNING, now_s)
                 claim.percent_s = now_s
@@ -460,6 +467,8 @@
             self._handle_refusal(tracked, claim, reply, now_s)
         else:
             tracked.record_loss(now_s)
+            if claim.starts_sent > 1 or not claim.start_settled:
+                claim.unanswered_start_s = sent_s
             if claim.phase is not Phase.STARTING:
                 return
             if (now_s - claim.since_s < self._bounds.start_patience_s and
@@ -873,7 +882,12 @@
             # delayed start of an earlier leader from now on.
             self._end_run(claim, None, "was never started")
         elif claim.phase is Phase.RUNNING and claim.since_s < sent_s:
-            self._end_run(claim, ports.EndState.LAPSED, "its worker lost it")
+            if self._may_start_in_new_process(tracked, claim):
+                claim.boot_ms = tracked.boot_ms
+                self.stop(claim, "its worker has restarted")
+            else:
+                self._end_run(claim, ports.EndState.LAPSED,
+                              "its worker lost it")
         elif claim.phase is Phase.STOPPING:
             self._handle_unlisted_stopping_run(tracked, claim, sent_s)
 
@@ -881,17 +895,26 @@
                                       claim: progress.Claim,
                                       sent_s: float) -> None:
         """Handles a run that is being stopped and that a report omits."""
-        if claim.boot_ms != tracked.boot_ms and claim.start_settled:
-            self._end_run(claim, None, "its worker has restarted")
-        elif claim.boot_ms != tracked.boot_ms:
-            # The start may still arrive, and the restarted worker would accept
-            # it.
+        if self._may_start_in_new_process(tracked, claim):
             claim.boot_ms = tracked.boot_ms
             claim.stop_acked_s = float("inf")
             self._send_stop(claim)
+        elif claim.boot_ms != tracked.boot_ms:
+            self._end_run(claim, None, "its worker has restarted")
         elif claim.stop_acked_s < sent_s:
             self._end_run(claim, None, claim.why)
 
+    def _may_start_in_new_process(self, tracked: fleets.TrackedWorker,
+                                  claim: progress.Claim) -> bool:
+        """Returns whether a start may arrive that a new process would accept.
+
+        The process of the worker has changed since that of the claim.
+        """
+        if claim.boot_ms == tracked.boot_ms:
+            return False
+        late_s = self._timers.read_clock() - claim.unanswered_start_s
+        return not claim.start_settled or late_s < LATE_CALL_S
+
     def _stop_unclaimed(self, tracked: fleets.TrackedWorker,
                         task: ports.RunningTask) -> None:
         """Stops a run for which there is no claim."""
