Take no report from before a start for proof that the run was lost

Cause: `_handle_unlisted_stopping_run` ended a settled run as soon as a report came from another process than that of the claim. The new process had made the report, then begun the run and answered; the report arrived last. Change: a claim keeps when its start was settled, in place of a flag. Only a report that was requested later proves an end, for running runs too; otherwise the new process gets a stop, and a report after its confirmation ends the run.

--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -72,8 +72,9 @@
         phase: Phase of the run.
         starts_sent: Number of start commands that may have been sent; 1 for a
             run that an earlier leader claimed.
-        start_settled: Whether the run is known to have begun, by an answer or
-            a report.
+        settled_s: When the run was known to have begun, by an answer or else by
+            the first report of it; infinity before that. A report that was
+            requested earlier may have been made before the run began.
         longest_lease_end_s: When the longest lease that a worker accepts has
             ended, if an attempt to start the run may still be carried out: the
             worker may have restarted unnoticed, and its new process takes the
@@ -100,7 +101,7 @@
 
     __slots__ = ("boot_ms", "checkpoint", "demand", "image", "key",
                  "longest_lease_end_s", "percent", "percent_s", "phase",
-                 "resumed", "retry_s", "run", "since_s", "start_settled",
+                 "resumed", "retry_s", "run", "settled_s", "since_s",
                  "started_ms", "started_s", "starts_sent", "stop_acked_s",
                  "tries", "unanswered_start_s", "why", "worker_id")
 
@@ -124,7 +125,7 @@
         self.boot_ms = boot_ms
         self.phase = phase
         self.starts_sent = int(phase is Phase.RECOVERING)
-        self.start_settled = False
+        self.settled_s = float("inf")
         self.longest_lease_end_s = float("-inf")
         self.unanswered_start_s = float("-inf")
         self.stop_acked_s = float("inf")
@@ -139,13 +140,21 @@
         self.resumed = bool(checkpoint) or phase is Phase.RECOVERING
         self.why = ""
 
-    def settle_start(self) -> None:
-        """Records that the run has begun, by an answer or a report.
+    @property
+    def start_settled(self) -> bool:
+        """Whether the run is known to have begun."""
+        return self.settled_s < float("inf")
+
+    def settle_start(self, now_s: float) -> None:
+        """Records that the run has begun, by an answer or the first report.
 
         If there was more than one attempt, it is not known which of them began
         the run, and the others may still be carried out.
+
+        Args:
+            now_s: Current time in seconds.
         """
-        self.start_settled = True
+        self.settled_s = now_s
         if self.starts_sent == 1:
             self.longest_lease_end_s = float("-inf")
 
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -8,8 +8,8 @@
 - it was known to run, and a complete report requested after that omits it, or
 - an earlier leader claimed it, and a complete report to this leader omits it,
   or
-- its worker process has restarted after the start was settled, and no other
-  attempt to start it can still arrive, or
+- a report requested after the start was settled shows that its worker process
+  has restarted, and no other attempt to start it can still arrive, or
 - its worker does not answer and its lease has expired on the worker's clock;
   if no start of the run was answered, the longest lease that a worker accepts
   counts, as the worker may have restarted before the start.
@@ -457,6 +457,7 @@
         verdict = reply.verdict
         if verdict is Verdict.DONE:
             self._settle_start(claim, "its start was answered")
+            claim.settled_s = now_s
             claim.longest_lease_end_s = (claim.unanswered_start_s +
                                          self._longest_lease_s)
             if claim.phase is Phase.STARTING:
@@ -481,7 +482,7 @@
         """Records that a run has begun, by an answer or a report."""
         if not claim.start_settled:
             self._on_begin(claim, evidence)
-        claim.settle_start()
+            claim.settle_start(self._timers.read_clock())
 
     def _handle_refusal(self, tracked: fleets.TrackedWorker,
                         claim: progress.Claim, reply: ports.CommandReply,
@@ -881,8 +882,8 @@
             # The request carried this leader's epoch, so the worker refuses a
             # delayed start of an earlier leader from now on.
             self._end_run(claim, None, "was never started")
-        elif claim.phase is Phase.RUNNING and claim.since_s < sent_s:
-            if self._may_start_in_new_process(tracked, claim):
+        elif claim.phase is Phase.RUNNING and claim.settled_s < sent_s:
+            if self._may_start_in_new_process(tracked, claim, sent_s):
                 claim.boot_ms = tracked.boot_ms
                 self.stop(claim, "its worker has restarted")
             else:
@@ -895,7 +896,7 @@
                                       claim: progress.Claim,
                                       sent_s: float) -> None:
         """Handles a run that is being stopped and that a report omits."""
-        if self._may_start_in_new_process(tracked, claim):
+        if self._may_start_in_new_process(tracked, claim, sent_s):
             claim.boot_ms = tracked.boot_ms
             claim.stop_acked_s = float("inf")
             self._send_stop(claim)
@@ -905,15 +906,18 @@
             self._end_run(claim, None, claim.why)
 
     def _may_start_in_new_process(self, tracked: fleets.TrackedWorker,
-                                  claim: progress.Claim) -> bool:
-        """Returns whether a start may arrive that a new process would accept.
+                                  claim: progress.Claim, sent_s: float) -> bool:
+        """Returns whether a run may begin in a process that is new to it.
 
-        The process of the worker has changed since that of the claim.
+        Args:
+            tracked: The worker.
+            claim: Claim of the run.
+            sent_s: Time at which the last report was requested.
         """
         if claim.boot_ms == tracked.boot_ms:
             return False
         late_s = self._timers.read_clock() - claim.unanswered_start_s
-        return not claim.start_settled or late_s < LATE_CALL_S
+        return claim.settled_s >= sent_s or late_s < LATE_CALL_S
 
     def _stop_unclaimed(self, tracked: fleets.TrackedWorker,
                         task: ports.RunningTask) -> None:
