Name an end in a report request only if the worker has ends to forget

Callers saw: a task that ran again although it had ended (TWICE). Cause: each request named the last recorded end, and a new process numbers its ends from 1. Evidence: test_late_report_request_does_not_acknowledge_ends_of_the_next_process and test_end_is_acknowledged_once_only fail on the code before. Change: a request names an end above 0 only if the last report of this process listed one that is recorded. All others name 0, which is safe for any process. The request after an end can still do harm; it is one in a few seconds.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -138,6 +138,8 @@
             have expired, whichever process of the worker got them.
         recorded_end: Highest number of an end that is recorded durably.
         processed_end: Highest number of an end that has been processed.
+        listed_end: Lowest number of an end in the last report, 0 if it listed
+            none.
         unrecorded_ends: Jobs of processed ends that may not be recorded yet, by
             number of the end.
         silent_since_s: Time since which it has not answered, or infinity.
@@ -173,6 +175,7 @@
         self.sent_leases_end_s = float("-inf")
         self.recorded_end = 0
         self.processed_end = 0
+        self.listed_end = 0
         self.unrecorded_ends: dict[int, str] = {}
         self.silent_since_s = float("inf")
         self.polling = False
@@ -365,6 +368,7 @@
         self.failures = []
         self.recorded_end = 0
         self.processed_end = 0
+        self.listed_end = 0
         self.unrecorded_ends = {}
 
     def record_ends(self, number: int, is_refused: Callable[[str],
@@ -395,6 +399,17 @@
         self.recorded_end = max(self.recorded_end, recorded)
         return has_more
 
+    def compute_acknowledged_end(self) -> int:
+        """Returns the number of the last end to acknowledge, 0 for none.
+
+        A request may reach a later process, which numbers its ends anew and
+        would forget some of them. So a number is given only if the worker has
+        ends to forget.
+        """
+        if 0 < self.listed_end <= self.recorded_end:
+            return self.recorded_end
+        return 0
+
     def has_refused_ends(self, is_refused: Callable[[str], bool]) -> bool:
         """Returns whether ends wait for a job that cannot be written."""
         return any(
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -606,7 +606,7 @@
             # The lease of a worker that may be lost must be able to expire.
             lease_ms = self._compute_lease_ms(tracked, now_s)
         if tracked.contacted and not tracked.maybe_restarted:
-            acknowledged_end = tracked.recorded_end
+            acknowledged_end = tracked.compute_acknowledged_end()
             if tracked.processed_end == tracked.recorded_end and tracked.claims:
                 wait_ms = self._find_report_wait_ms(tracked)
             if any(claim.phase is Phase.STOPPING
@@ -755,6 +755,8 @@
             Keys of the claimed tasks that have ended.
         """
         newly_ended: set[progress.TaskKey] = set()
+        tracked.listed_end = min((end.number for end in report.ended),
+                                 default=0)
         for end in sorted(report.ended, key=lambda end: end.number):
             if end.number <= tracked.processed_end:
                 continue
--- a/packages/jobs/tests/test_late_calls.py
+++ b/packages/jobs/tests/test_late_calls.py
@@ -172,3 +172,86 @@
     assert starts[0].worker_id == restarted.worker_id
     assert site.find_violations() == []
     assert site.ask_state(JOB_ID) == "completed"
+
+
+def _record_acknowledgements(site):
+    """Returns a list that gets the numbers of ends that requests name."""
+    workers = site.find_leader().workers
+    request = workers.renew
+    numbers = []
+
+    def renew(worker, *, acknowledged_end, **fields):
+        numbers.append(acknowledged_end)
+        request(worker, acknowledged_end=acknowledged_end, **fields)
+
+    workers.renew = renew
+    return numbers
+
+
+def _run_short_jobs(site):
+    """Runs jobs that end at once beside one that goes on."""
+    site.submit("b" * 16, run_s=60.0, tasks=2, max_per_worker=1)
+    for number in range(6):
+        site.submit(f"{number:016x}", run_s=0.5, tasks=4)
+        site.run(0.4)
+    site.run(2.0)
+
+
+def test_late_report_request_does_not_acknowledge_ends_of_the_next_process(
+        site):
+    """Guards against an end that is forgotten before a report has listed it.
+
+    Each request named the last end. One that arrived late acknowledged the
+    ends of the new process, which numbers them from 1, and their tasks ran
+    again.
+    """
+    _run_short_jobs(site)
+    numbers = _record_acknowledgements(site)
+    site.run(3.0)
+    late_number = max(numbers)
+    epoch = site.find_leader().node.epoch
+    worker_state = next(
+        state for state in site.worker_states.values() if state.runs)
+    worker_state.restart()
+    site.register(worker_state)
+    site.run(0.6)
+    arrived = []
+    end_run = worker_state._end
+
+    def end_run_before_late_request(name, run, end_state):
+        is_awaited = bool(worker_state._end_callbacks)
+        end_run(name, run, end_state)
+        if not is_awaited and not arrived:
+            arrived.append(name)
+            worker_state.renew(epoch, late_number, None)
+
+    worker_state._end = end_run_before_late_request
+    for number in range(60):
+        site.submit(f"c{number:015x}", run_s=0.3, tasks=2)
+        site.run(0.07)
+    site.run(20.0)
+    assert arrived
+    assert site.find_violations() == []
+
+
+@pytest.mark.parametrize("loss_probability", [0.0, 0.2])
+def test_ends_are_acknowledged_soon(site, loss_probability):
+    """Guards against workers that keep ends which the leader has recorded."""
+    leader = site.find_leader()
+    leader.workers.report_loss_probability = loss_probability
+    _run_short_jobs(site)
+    site.run(3.0)
+    assert site.count_events("noted") == site.count_events("done") == 24
+    assert not any(
+        state.unacknowledged_ends for state in site.worker_states.values())
+
+
+def test_end_is_acknowledged_once_only(site):
+    """Guards against requests that keep naming an end that is forgotten."""
+    numbers = _record_acknowledgements(site)
+    _run_short_jobs(site)
+    assert any(numbers)
+    numbers.clear()
+    site.run(3.0)
+    assert numbers
+    assert not any(numbers)
