Clear the doubt about a restart only by a report requested after it

Cause: any report cleared the doubt, also one that was requested before a new registration or a clock that falls behind showed the restart. The next request acknowledged the ends of the new process by the numbers of the one before. Evidence: test_late_report_of_the_process_before_clears_no_doubt fails in both cases on the code before. Change: the doubt stays until a report that was requested after it arose. A report from before, of a process older than the registered one, is dropped with a log line; ends that only it lists are not seen, and their tasks run again. One requested later is accepted whatever its birth is, so that a clock that is set back keeps no worker out. A lost call beside an open request costs one more request.

--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -129,6 +129,8 @@
         maybe_restarted: Whether it may have restarted unnoticed. End numbers
             begin anew with each start, so an acknowledgement for the old
             process would acknowledge ends of the new one.
+        asked_in_doubt: Whether a report has been requested since that doubt
+            arose last. An earlier report may be that of the old process.
         clock_ms: Its steady clock at the last answer, in milliseconds.
         clock_s: Time of that answer on the leader's clock.
         clock_known: Whether its clock has been read.
@@ -168,6 +170,7 @@
         self.boot_ms = 0
         self.contacted = False
         self.maybe_restarted = True
+        self.asked_in_doubt = False
         self.clock_ms = 0.0
         self.clock_s = 0.0
         self.clock_known = False
@@ -233,7 +236,7 @@
             if clock_ms < MIN_NOTICED_AGE_MS:
                 self.lease_end_ms = longest_ms
         elif self.contacted and clock_ms < expected_ms - BOOT_CLOCK_SLACK_MS:
-            self.maybe_restarted = True
+            self.record_doubt()
             self.longest_lease_end_s = now_s + compute_lease_duration_s(
                 max_lease_s)
             if clock_ms >= self.clock_ms:
@@ -243,20 +246,25 @@
         self.clock_s = now_s
         self.silent_since_s = float("inf")
 
+    def record_doubt(self) -> None:
+        """Records that the worker may have restarted."""
+        self.maybe_restarted = True
+        self.asked_in_doubt = False
+
     def record_loss(self, now_s: float) -> None:
         """Records that a call got no reply within its timeout.
 
         After a single lost reply the worker still gets new runs: if it has
         failed, the next reply is lost too.
         """
-        self.maybe_restarted = True
+        self.record_doubt()
         self.last_loss_s = now_s
         if self.reply_time.record_loss() >= LOSSES_OF_SILENT_WORKER:
             self.record_silence(now_s)
 
     def record_silence(self, now_s: float) -> None:
         """Records that a call got no answer."""
-        self.maybe_restarted = True
+        self.record_doubt()
         if self.silent_since_s == float("inf"):
             self.silent_since_s = now_s
 
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -276,7 +276,7 @@
             self._restore_lapse(tracked)
             if tracked.boot_ms not in (0, tracked.worker.boot_ms):
                 tracked.contacted = False
-                tracked.maybe_restarted = True
+                tracked.record_doubt()
             self._poll(tracked)
         self._remove_gone_workers()
 
@@ -598,6 +598,7 @@
         if not self._has_authority():
             return
         tracked.polling = True
+        tracked.asked_in_doubt = tracked.maybe_restarted
         lease_ms = None
         wait_ms = 0
         acknowledged_end = 0
@@ -646,15 +647,24 @@
         if isinstance(report, ports.CommandReply):
             self._handle_missing_report(tracked, report, now_s)
             return
+        boot_ms = report.boot_ms or tracked.worker.boot_ms
+        is_late = tracked.maybe_restarted and not tracked.asked_in_doubt
+        if is_late and boot_ms < tracked.worker.boot_ms:
+            _log.info("report of an earlier process dropped",
+                      worker=worker_id,
+                      life_ms=boot_ms,
+                      registered_ms=tracked.worker.boot_ms)
+            self._poll_now(tracked, now_s)
+            return
         if tracked.silent_since_s < float("inf"):
             _log.info("worker answers again",
                       worker=worker_id,
                       silent_s=round(now_s - tracked.silent_since_s, 3))
-        boot_ms = report.boot_ms or tracked.worker.boot_ms
         if not tracked.contacted or boot_ms != tracked.boot_ms:
             tracked.record_boot(boot_ms)
             self._on_change()
-        tracked.maybe_restarted = False
+        if not is_late:
+            tracked.maybe_restarted = False
         tracked.update_clock(report.clock_ms, now_s, self._bounds.max_lease_s)
         tracked.reply_time.record_reply()
         self._remove_lapse(tracked)
--- a/packages/jobs/tests/test_late_calls.py
+++ b/packages/jobs/tests/test_late_calls.py
@@ -255,3 +255,62 @@
     site.run(3.0)
     assert numbers
     assert not any(numbers)
+
+
+def _get_tracked(site, worker_state):
+    dispatcher = site.find_leader().node._dispatcher
+    return dispatcher._fleet.tracked_workers[worker_state.worker_id]
+
+
+@pytest.mark.parametrize("registered", [False, True])
+def test_late_report_of_the_process_before_clears_no_doubt(site, registered):
+    """Guards against a process that is taken for the one that answers.
+
+    A report of the process before arrived after a sign of the restart, which
+    was forgotten with it, and the ends of the new process were acknowledged by
+    the numbers of the one before.
+    """
+    _run_short_jobs(site)
+    worker_state = next(iter(site.worker_states.values()))
+    tracked = _get_tracked(site, worker_state)
+    made_s = _hold_first_report(site, worker_state, 0.8)
+    _run_until(site, lambda: made_s)
+    site.run(0.05)
+    worker_state.restart()
+    if registered:
+        site.register(worker_state)
+    else:
+        for other in site.worker_states.values():
+            if other is not worker_state:
+                other.draining = True
+                site.register(other)
+        site.submit(JOB_ID, run_s=0.2, tasks=4)
+    site.run(made_s[0] + 0.7995 - site.clock.now_s)
+    assert tracked.maybe_restarted
+    assert tracked.polling
+    # The report arrives, but not yet the answer to the request after it.
+    site.run(0.001)
+    assert tracked.maybe_restarted
+    assert not (registered and tracked.contacted)
+    site.run(0.5)
+    assert not tracked.maybe_restarted
+    assert tracked.boot_ms == worker_state.boot_ms
+    site.run(10.0)
+    assert site.find_violations() == []
+
+
+def test_report_with_an_earlier_birth_is_accepted_in_the_end(site):
+    """Guards against a worker that is never heard after its clock was set back.
+
+    The birth of a process is a time of day.
+    """
+    worker_state = next(iter(site.worker_states.values()))
+    worker_state.restart()
+    worker_state.boot_ms -= 3_600_000
+    site.register(worker_state)
+    site.run(1.0)
+    worker_state.boot_ms -= 3_600_000
+    site.run(80.0)
+    tracked = _get_tracked(site, worker_state)
+    assert tracked.contacted
+    assert tracked.boot_ms == worker_state.boot_ms
