--- a/packages/jobs/src/trefoilroad_jobs/fleet.py
+++ b/packages/jobs/src/trefoilroad_jobs/fleet.py
@@ -129,6 +129,8 @@
         maybe_restarted: Whether it may have restarted unnoticed. End numbers
             begin anew with each start, so an acknowledgement for the old
             process would acknowledge ends of the new one.
+        asked_in_doubt: Whether a report has been requested since that doubt
+            arose last. An earlier report may be that of the old process.
         clock_ms: Its steady clock at the last answer, in milliseconds.
         clock_s: Time of that answer on the leader's clock.
         clock_known: Whether its clock has been read.
@@ -138,6 +140,8 @@
             have expired, whichever process of the worker got them.
         recorded_end: Highest number of an end that is recorded durably.
         processed_end: Highest number of an end that has been processed.
+        listed_end: Lowest number of an end in the last report, 0 if it listed
+            none.
         unrecorded_ends: Jobs of processed ends that may not be recorded yet, by
             number of the end.
         silent_since_s: Time since which it has not answered, or infinity.
@@ -166,6 +170,7 @@
         self.boot_ms = 0
         self.contacted = False
         self.maybe_restarted = True
+        self.asked_in_doubt = False
         self.clock_ms = 0.0
         self.clock_s = 0.0
         self.clock_known = False
@@ -173,6 +178,7 @@
         self.sent_leases_end_s = float("-inf")
         self.recorded_end = 0
         self.processed_end = 0
+        self.listed_end = 0
         self.unrecorded_ends: dict[int, str] = {}
         self.silent_since_s = float("inf")
         self.polling = False
@@ -230,7 +236,7 @@
             if clock_ms < MIN_NOTICED_AGE_MS:
                 self.lease_end_ms = longest_ms
         elif self.contacted and clock_ms < expected_ms - BOOT_CLOCK_SLACK_MS:
-            self.maybe_restarted = True
+            self.record_doubt()
             self.longest_lease_end_s = now_s + compute_lease_duration_s(
                 max_lease_s)
             if clock_ms >= self.clock_ms:
@@ -240,20 +246,25 @@
         self.clock_s = now_s
         self.silent_since_s = float("inf")
 
+    def record_doubt(self) -> None:
+        """Records that the worker may have restarted."""
+        self.maybe_restarted = True
+        self.asked_in_doubt = False
+
     def record_loss(self, now_s: float) -> None:
         """Records that a call got no reply within its timeout.
 
         After a single lost reply the worker still gets new runs: if it has
         failed, the next reply is lost too.
         """
-        self.maybe_restarted = True
+        self.record_doubt()
         self.last_loss_s = now_s
         if self.reply_time.record_loss() >= LOSSES_OF_SILENT_WORKER:
             self.record_silence(now_s)
 
     def record_silence(self, now_s: float) -> None:
         """Records that a call got no answer."""
-        self.maybe_restarted = True
+        self.record_doubt()
         if self.silent_since_s == float("inf"):
             self.silent_since_s = now_s
 
@@ -365,6 +376,7 @@
         self.failures = []
         self.recorded_end = 0
         self.processed_end = 0
+        self.listed_end = 0
         self.unrecorded_ends = {}
 
     def record_ends(self, number: int, is_refused: Callable[[str],
@@ -395,6 +407,17 @@
         self.recorded_end = max(self.recorded_end, recorded)
         return has_more
 
+    def compute_acknowledged_end(self) -> int:
+        """Returns the number of the last end to acknowledge, 0 for none.
+
+        A request may reach a later process, which numbers its ends anew and
+        would forget some of them. So a number is given only if the worker has
+        ends to forget.
+        """
+        if 0 < self.listed_end <= self.recorded_end:
+            return self.recorded_end
+        return 0
+
     def has_refused_ends(self, is_refused: Callable[[str], bool]) -> bool:
         """Returns whether ends wait for a job that cannot be written."""
         return any(
--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -8,7 +8,8 @@
 - it was known to run, and a complete report requested after that omits it, or
 - an earlier leader claimed it, and a complete report to this leader omits it,
   or
-- its worker process has restarted after the start was settled, or
+- a report requested after the start was settled shows that its worker process
+  has restarted, and no other attempt to start it can still arrive, or
 - its worker does not answer and its lease has expired on the worker's clock;
   if no start of the run was answered, the longest lease that a worker accepts
   counts, as the worker may have restarted before the start.
@@ -17,6 +18,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import structlog
 
@@ -52,6 +54,9 @@
 # Longest time from a claim to the last start command sent for it: the commit of
 # the claim, then the repeats of a start that gets no reply.
 START_SETTLE_S = 3.0
+# Longest time after which a worker, or its next process, carries out a call
+# that got no answer.
+LATE_CALL_S = 6.0
 # A worker that has been silent for this long gets a row that tells the next
 # leaders when its leases have ended. Most silences are shorter.
 LAPSE_RECORD_DELAY_S = 1.0
@@ -75,6 +80,20 @@
 _log = structlog.get_logger()
 
 
+class _LateStart(NamedTuple):
+    """An attempt to start an ended run that may still be carried out.
+
+    Attributes:
+        name: Name of the task.
+        run: Number of the run.
+        sent_s: When it was sent at the latest, in seconds.
+    """
+
+    name: str
+    run: int
+    sent_s: float
+
+
 class RunTracker:
     """Manages all runs that may be alive."""
 
@@ -136,6 +155,8 @@
         self._keys_by_name: dict[str, progress.TaskKey] = {}
         # Ends of leases that earlier leaders wrote, of workers not seen yet.
         self._recovered_lapses: dict[str, float] = {}
+        # By worker. A process that has started since would accept them.
+        self._late_starts: dict[str, list[_LateStart]] = {}
 
     @property
     def prior_leases_end_s(self) -> float:
@@ -272,7 +293,7 @@
             self._restore_lapse(tracked)
             if tracked.boot_ms not in (0, tracked.worker.boot_ms):
                 tracked.contacted = False
-                tracked.maybe_restarted = True
+                tracked.record_doubt()
             self._poll(tracked)
         self._remove_gone_workers()
 
@@ -294,6 +315,7 @@
         if not self._prior_released:
             last_start_s = min(self._timers.read_clock(),
                                claim.started_s + START_SETTLE_S)
+            claim.unanswered_start_s = last_start_s
             claim.longest_lease_end_s = last_start_s + self._longest_lease_s
         self._keys_by_name[self._workers.format_name(claim.key)] = claim.key
         if stop:
@@ -452,6 +474,9 @@
         verdict = reply.verdict
         if verdict is Verdict.DONE:
             self._settle_start(claim, "its start was answered")
+            claim.settled_s = now_s
+            claim.longest_lease_end_s = (claim.unanswered_start_s +
+                                         self._longest_lease_s)
             if claim.phase is Phase.STARTING:
                 claim.set_phase(Phase.RUNNING, now_s)
                 claim.percent_s = now_s
@@ -460,6 +485,8 @@
             self._handle_refusal(tracked, claim, reply, now_s)
         else:
             tracked.record_loss(now_s)
+            if claim.starts_sent > 1 or not claim.start_settled:
+                claim.unanswered_start_s = sent_s
             if claim.phase is not Phase.STARTING:
                 return
             if (now_s - claim.since_s < self._bounds.start_patience_s and
@@ -472,7 +499,7 @@
         """Records that a run has begun, by an answer or a report."""
         if not claim.start_settled:
             self._on_begin(claim, evidence)
-        claim.settle_start()
+            claim.settle_start(self._timers.read_clock())
 
     def _handle_refusal(self, tracked: fleets.TrackedWorker,
                         claim: progress.Claim, reply: ports.CommandReply,
@@ -562,8 +589,37 @@
         """Removes the claim of a run that has provably ended and reports it."""
         tracked = self._fleet.tracked_workers[claim.worker_id]
         tracked.remove_claim(claim)
+        sent_s = max(claim.unanswered_start_s,
+                     claim.longest_lease_end_s - self._longest_lease_s)
+        if self._timers.read_clock() - sent_s < LATE_CALL_S:
+            self._late_starts.setdefault(claim.worker_id, []).append(
+                _LateStart(self._workers.format_name(claim.key), claim.run,
+                           sent_s))
         self._on_end(claim, end_state, why)
 
+    def _stop_late_starts(self, tracked: fleets.TrackedWorker) -> None:
+        """Has a process refuse the starts that may still reach it."""
+        for start in self._late_starts.get(tracked.worker.worker_id, ()):
+            _log.info("stopping a start that may arrive late",
+                      worker=tracked.worker.worker_id,
+                      task=start.name,
+                      run=start.run)
+            self._workers.stop(tracked.worker,
+                               name=start.name,
+                               run=start.run,
+                               epoch=self._epoch,
+                               timeout_s=self._compute_timeout_s(tracked),
+                               on_done=lambda _: None)
+
+    def _remove_old_late_starts(self, now_s: float) -> None:
+        """Removes the starts that no process carries out any more."""
+        for worker_id, starts in list(self._late_starts.items()):
+            starts[:] = [
+                start for start in starts if now_s - start.sent_s < LATE_CALL_S
+            ]
+            if not starts:
+                del self._late_starts[worker_id]
+
     # Reports.
 
     def _poll_now(self, tracked: fleets.TrackedWorker, now_s: float) -> None:
@@ -588,6 +644,7 @@
         if not self._has_authority():
             return
         tracked.polling = True
+        tracked.asked_in_doubt = tracked.maybe_restarted
         lease_ms = None
         wait_ms = 0
         acknowledged_end = 0
@@ -596,7 +653,7 @@
             # The lease of a worker that may be lost must be able to expire.
             lease_ms = self._compute_lease_ms(tracked, now_s)
         if tracked.contacted and not tracked.maybe_restarted:
-            acknowledged_end = tracked.recorded_end
+            acknowledged_end = tracked.compute_acknowledged_end()
             if tracked.processed_end == tracked.recorded_end and tracked.claims:
                 wait_ms = self._find_report_wait_ms(tracked)
             if any(claim.phase is Phase.STOPPING
@@ -636,15 +693,25 @@
         if isinstance(report, ports.CommandReply):
             self._handle_missing_report(tracked, report, now_s)
             return
+        boot_ms = report.boot_ms or tracked.worker.boot_ms
+        is_late = tracked.maybe_restarted and not tracked.asked_in_doubt
+        if is_late and boot_ms < tracked.worker.boot_ms:
+            _log.info("report of an earlier process dropped",
+                      worker=worker_id,
+                      life_ms=boot_ms,
+                      registered_ms=tracked.worker.boot_ms)
+            self._poll_now(tracked, now_s)
+            return
         if tracked.silent_since_s < float("inf"):
             _log.info("worker answers again",
                       worker=worker_id,
                       silent_s=round(now_s - tracked.silent_since_s, 3))
-        boot_ms = report.boot_ms or tracked.worker.boot_ms
         if not tracked.contacted or boot_ms != tracked.boot_ms:
             tracked.record_boot(boot_ms)
+            self._stop_late_starts(tracked)
             self._on_change()
-        tracked.maybe_restarted = False
+        if not is_late:
+            tracked.maybe_restarted = False
         tracked.update_clock(report.clock_ms, now_s, self._bounds.max_lease_s)
         tracked.reply_time.record_reply()
         self._remove_lapse(tracked)
@@ -745,6 +812,8 @@
             Keys of the claimed tasks that have ended.
         """
         newly_ended: set[progress.TaskKey] = set()
+        tracked.listed_end = min((end.number for end in report.ended),
+                                 default=0)
         for end in sorted(report.ended, key=lambda end: end.number):
             if end.number <= tracked.processed_end:
                 continue
@@ -872,8 +941,13 @@
             # The request carried this leader's epoch, so the worker refuses a
             # delayed start of an earlier leader from now on.
             self._end_run(claim, None, "was never started")
-        elif claim.phase is Phase.RUNNING and claim.since_s < sent_s:
-            self._end_run(claim, ports.EndState.LAPSED, "its worker lost it")
+        elif claim.phase is Phase.RUNNING and claim.settled_s < sent_s:
+            if self._may_start_in_new_process(tracked, claim, sent_s):
+                claim.boot_ms = tracked.boot_ms
+                self.stop(claim, "its worker has restarted")
+            else:
+                self._end_run(claim, ports.EndState.LAPSED,
+                              "its worker lost it")
         elif claim.phase is Phase.STOPPING:
             self._handle_unlisted_stopping_run(tracked, claim, sent_s)
 
@@ -881,17 +955,29 @@
                                       claim: progress.Claim,
                                       sent_s: float) -> None:
         """Handles a run that is being stopped and that a report omits."""
-        if claim.boot_ms != tracked.boot_ms and claim.start_settled:
-            self._end_run(claim, None, "its worker has restarted")
-        elif claim.boot_ms != tracked.boot_ms:
-            # The start may still arrive, and the restarted worker would accept
-            # it.
+        if self._may_start_in_new_process(tracked, claim, sent_s):
             claim.boot_ms = tracked.boot_ms
             claim.stop_acked_s = float("inf")
             self._send_stop(claim)
+        elif claim.boot_ms != tracked.boot_ms:
+            self._end_run(claim, None, "its worker has restarted")
         elif claim.stop_acked_s < sent_s:
             self._end_run(claim, None, claim.why)
 
+    def _may_start_in_new_process(self, tracked: fleets.TrackedWorker,
+                                  claim: progress.Claim, sent_s: float) -> bool:
+        """Returns whether a run may begin in a process that is new to it.
+
+        Args:
+            tracked: The worker.
+            claim: Claim of the run.
+            sent_s: Time at which the last report was requested.
+        """
+        if claim.boot_ms == tracked.boot_ms:
+            return False
+        late_s = self._timers.read_clock() - claim.unanswered_start_s
+        return claim.settled_s >= sent_s or late_s < LATE_CALL_S
+
     def _stop_unclaimed(self, tracked: fleets.TrackedWorker,
                         task: ports.RunningTask) -> None:
         """Stops a run for which there is no claim."""
@@ -914,6 +1000,7 @@
             return
         now_s = self._timers.read_clock()
         self._remove_recovered_lapses(now_s)
+        self._remove_old_late_starts(now_s)
         for tracked in list(self._fleet.tracked_workers.values()):
             self._poll(tracked)
             if not tracked.claims:
