Submit costly legal jobs to a node process in tests

Callers of a node with 96 MB saw it exceed its memory, or answer nothing any more, after clients had handed in jobs that are legal.

The crowds of hostile_clients now send an ordinary job during the attack, legal jobs in whole bodies beside a store that needs 0.2 s, a malformed job whose error is long, and crowds for the listeners of readiness checks and metrics.

--- a/packages/standins/src/trefoilroad_standins/jobs/hostile_clients.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/hostile_clients.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import json
 import socket
 
 from trefoilroad_standins.jobs import soak
@@ -24,18 +25,39 @@
 ABANDON_DELAY_S = 0.5
 SEND_BYTES = 1 << 14
 UNREAD_REQUESTS = 200
-UNREAD_INTERVAL_S = 0.02
+# Longer than a request takes, as only one is served at a time.
+UNREAD_INTERVAL_S = 0.05
 # Receive buffer of a client that never reads.
 UNREAD_BUFFER_BYTES = 4096
 
 Behaviour = Callable[[socket.socket], Awaitable[None]]
 
 _FILLER = b"x" * OVERSIZE_BYTES
+_JOB_START = json.dumps({"spec": "text", "steps": [{"gpu": 1}]})[:-1]
 
 
-def _build_head(*headers: str, method: str = "POST") -> bytes:
+def _build_job(length: int) -> bytes:
+    """Returns a legal job of a length, with a field that is not read."""
+    start = f'{_JOB_START}, "filler": "'.encode()
+    return start + b"x" * (length - len(start) - 2) + b'"}'
+
+
+# A list that an error text could repeat; in a JSON text each of its characters
+# takes six bytes.
+_ERROR_JOB = json.dumps(
+    {
+        "steps": [{
+            "after": ["\u00e9" * (LEGAL_BYTES // 2 - 100)]
+        }]
+    },
+    ensure_ascii=False).encode()
+
+
+def _build_head(*headers: str,
+                method: str = "POST",
+                path: str = f"{soak.QUEUE_PREFIX}{'0' * 16}") -> bytes:
     lines = "".join(f"{header}\r\n" for header in headers)
-    return (f"{method} {soak.QUEUE_PREFIX}{'0' * 16} HTTP/1.1\r\nHost: soak\r\n"
+    return (f"{method} {path} HTTP/1.1\r\nHost: soak\r\n"
             f"Authorization: Bearer {soak.API_KEY}\r\n{lines}\r\n").encode()
 
 
@@ -53,10 +75,10 @@
 
 
 async def send_whole(sock: socket.socket) -> None:
-    """Sends a body of legal size and waits for the end of the connection."""
+    """Sends a job of legal size and waits for the end of the connection."""
     await _send(
         sock,
-        _build_head(f"Content-Length: {LEGAL_BYTES}") + _FILLER[:LEGAL_BYTES])
+        _build_head(f"Content-Length: {LEGAL_BYTES}") + _build_job(LEGAL_BYTES))
     while await asyncio.get_running_loop().sock_recv(sock, SEND_BYTES):
         pass
 
@@ -128,6 +150,21 @@
     await asyncio.Event().wait()
 
 
+async def take_no_error(sock: socket.socket) -> None:
+    """Sends a malformed job whose error could be long, and reads nothing."""
+    await _send(sock,
+                _build_head(f"Content-Length: {len(_ERROR_JOB)}") + _ERROR_JOB)
+    await asyncio.Event().wait()
+
+
+async def never_read_metrics(sock: socket.socket) -> None:
+    """Asks for the metrics again and again and reads no response."""
+    for _ in range(UNREAD_REQUESTS):
+        await _send(sock, _build_head(method="GET", path="/metrics"))
+        await asyncio.sleep(UNREAD_INTERVAL_S)
+    await asyncio.Event().wait()
+
+
 async def stay_silent(_: socket.socket) -> None:
     """Sends nothing."""
     await asyncio.Event().wait()
@@ -144,7 +181,7 @@
     for _ in range(1 + RECONNECTS):
         with socket.socket() as sock:
             sock.setblocking(False)
-            if behaviour is never_read:
+            if behaviour in (never_read, never_read_metrics, take_no_error):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                 UNREAD_BUFFER_BYTES)
             try:
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -108,9 +108,17 @@
 async def call(port: int,
                method: str,
                path: str,
-               body: object = None) -> tuple[int, dict[str, object]]:
+               body: object = None,
+               key: str = API_KEY) -> tuple[int, dict[str, object]]:
     """Makes one HTTP call.
 
+    Args:
+        port: Port of the node.
+        method: HTTP method.
+        path: Path of the call.
+        body: JSON value, bytes that are sent as they are, or None.
+        key: Key of the caller's team.
+
     Returns:
         The status, or 0 if there was no valid answer, and the document.
     """
@@ -118,9 +126,12 @@
     async def exchange() -> tuple[int, dict[str, object]]:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
-            data = json.dumps(body).encode() if body is not None else b""
+            if isinstance(body, bytes):
+                data = body
+            else:
+                data = json.dumps(body).encode() if body is not None else b""
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: soak\r\n"
-                         f"Authorization: Bearer {API_KEY}\r\n"
+                         f"Authorization: Bearer {key}\r\n"
                          f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
             status = int((await reader.readline()).split()[1])
             length = 0
