Release what a cancelled timer refers to

A node kept the body of each submission and the decoded job for up to 2.7 s after its answer: the time-out of the answer and the timer of the relay were not cancelled, and a timer that is cancelled kept its function until it was due. 40 clients that hand in jobs of 60 to 180 KB one after the other took a process with 96 MB to 111 MB and 287 MB, with nearly all jobs refused.

Both timers are cancelled with the answer, and a cancelled timer drops its function.

--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -87,6 +87,7 @@
         started_s: When the call started, in seconds.
         maybe_written: Whether a write of it may have taken effect.
         answered: Whether the reply has been given.
+        timeout: Gives the reply if a write is outstanding for too long.
     """
 
     def __init__(self, *, job: workload.Workload, on_done: OnReply,
@@ -97,6 +98,7 @@
         self.started_s = started_s
         self.maybe_written = False
         self.answered = False
+        self.timeout: timer.TimerHandle | None = None
 
 
 class Intake:
@@ -176,7 +178,7 @@
         submission = Submission(job=job,
                                 on_done=on_done,
                                 started_s=self._timers.read_clock())
-        self._timers.call_later(
+        submission.timeout = self._timers.call_later(
             ANSWER_TIMEOUT_S,
             lambda: self._conclude(submission, Reply(Outcome.UNKNOWN),
                                    "a write is still outstanding"))
@@ -231,6 +233,8 @@
         if submission.answered:
             return
         submission.answered = True
+        if submission.timeout is not None:
+            submission.timeout.cancel()
         waited_s = self._timers.read_clock() - submission.started_s
         _log.info("job submitted",
                   request=submission.job.job_id,
--- a/packages/jobs/src/trefoilroad_jobs/writes.py
+++ b/packages/jobs/src/trefoilroad_jobs/writes.py
@@ -69,7 +69,7 @@
         self._relayed = False
         self._pending_writes = 1
         self._maybe_written = False
-        timers.call_later(RELAY_AFTER_S, self._relay_write)
+        self._relay_timer = timers.call_later(RELAY_AFTER_S, self._relay_write)
         commit_row(store, row, self._handle_result)
 
     def _relay_write(self) -> None:
@@ -98,4 +98,5 @@
 
     def _finish(self, result: ports.CommitResult) -> None:
         self._done = True
+        self._relay_timer.cancel()
         self._on_done(result)
--- a/packages/node/src/trefoilroad_node/timer.py
+++ b/packages/node/src/trefoilroad_node/timer.py
@@ -16,6 +16,10 @@
 Callback = Callable[[], None]
 
 
+def _do_nothing() -> None:
+    """Takes the place of a function that is not to be called."""
+
+
 class TimerHandle:
     """A scheduled call, made once or at an interval.
 
@@ -31,8 +35,13 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Suppresses all further calls."""
+        """Suppresses all further calls, and drops the function.
+
+        The timer service keeps the handle until it is due. What the function
+        refers to, such as the body of a request, would be kept as long.
+        """
         self.cancelled = True
+        self.callback = _do_nothing
 
 
 class Timers(abc.ABC):
