Bound what a scheduling round considers

One client that handed in 28 legal jobs of 100 steps with 100 tasks had the leader answer next to nothing any more. Each ready step estimated the paths of its whole job anew, so that a round of 60 such jobs took 2.4 s, and a round that lasts over half a second was due again at its end, without a pause.

Steps of a job share its estimates in a round. A step of which nothing was placed has no progress in memory. Rounds without an event respect the share of the leader's time too.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -358,6 +358,7 @@
         job.state = state
         job.ended_ms = self._ledger.read_store_ms()
         self._active_jobs.pop(job.job_id, None)
+        self._rounds.forget_job(job.job_id)
         _log.info("job ended",
                   request=job.job_id,
                   state=str(state),
@@ -576,7 +577,9 @@
         now_s = self._timers.read_clock()
         self._runs.tick()
         self._drop_refused_claims()
-        if now_s - self._last_round_s >= ROUND_INTERVAL_S:
+        interval_s = max(ROUND_INTERVAL_S,
+                         self._round_duration_s / MAX_ROUND_SHARE)
+        if now_s - self._last_round_s >= interval_s:
             self._run_round()
 
     def _run_round(self) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
+++ b/packages/jobs/src/trefoilroad_jobs/gang_reservations.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Container
-from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -37,11 +36,10 @@
     def __len__(self) -> int:
         return len(self._workers)
 
-    def retain(self, keys: Iterable[units.UnitKey]) -> None:
+    def retain(self, keys: Container[units.UnitKey]) -> None:
         """Drops the reservations of all units except the given ones."""
-        waiting = set(keys)
         for key in list(self._workers):
-            if key not in waiting:
+            if key not in keys:
                 del self._workers[key]
 
     def release_workers(self, workers: Container[str]) -> None:
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -72,6 +72,19 @@
 NOTHING_HELD = HeldRoom(frozenset(), {}, {})
 
 
+class _Keys(Container[units.UnitKey]):
+    """Keys of some units, and of all units of some jobs."""
+
+    def __init__(self, *, units: Container[units.UnitKey],
+                 jobs: Container[str]):
+        self._units = units
+        self._jobs = jobs
+
+    def __contains__(self, key: object) -> bool:
+        return key in self._units or (isinstance(key, tuple) and
+                                      key[0] in self._jobs)
+
+
 class Planner:
     """Plans scheduling rounds; keeps holds and reservations between them."""
 
@@ -107,7 +120,8 @@
         headroom_accelerators: float = 0.0,
         resting: Container[str] = (),
         lowest_priority: int | None = None,
-        evacuated: Container[str] = ()
+        evacuated: Container[str] = (),
+        deferred: Container[str] = ()
     ) -> units.Plan:
         """Plans a round for one service.
 
@@ -129,6 +143,8 @@
             evacuated: Ids of workers that stay excluded until an operator
                 allows them again. Gang reservations on them are dropped at
                 once.
+            deferred: Ids of jobs that this round does not consider, or not with
+                all their steps. What is kept for them stays.
 
         Returns:
             The plan.
@@ -146,7 +162,7 @@
             usable, headroom_accelerators, list(withheld.values()))
         self._lowest_priority = lowest_priority
         self._gang_reservations.release_workers(evacuated)
-        self._drop_stale_holds(ready, by_id, resting, now_s)
+        self._drop_stale_holds(ready, by_id, resting, now_s, deferred)
         round_state = _RoundState(candidates=by_id,
                                   withheld=withheld,
                                   list_running=list_running,
@@ -197,11 +213,13 @@
 
     def _drop_stale_holds(self, ready: Sequence[units.Unit],
                           candidates: dict[str, placement.Candidate],
-                          resting: Container[str], now_s: float) -> None:
+                          resting: Container[str], now_s: float,
+                          deferred: Container[str]) -> None:
         """Drops holds and reservations of units or workers that are gone."""
-        waiting = {unit.key for unit in ready}
+        waiting = _Keys(units={unit.key for unit in ready}, jobs=deferred)
         self._gang_reservations.retain(waiting)
-        idle = {unit.key for unit in ready if unit.idle}
+        idle = _Keys(units={unit.key for unit in ready if unit.idle},
+                     jobs=deferred)
         for unit_patience in self._patiences:
             unit_patience.retain(idle)
         for searches in (self._next_search_s, self._next_search_elsewhere_s):
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -274,8 +274,8 @@
             yet.
     """
 
-    __slots__ = ("age_s", "ended_ms", "seen_s", "state", "steps", "unrecorded",
-                 "workload")
+    __slots__ = ("_first_open", "age_s", "ended_ms", "seen_s", "state", "steps",
+                 "unrecorded", "workload")
 
     def __init__(self, *, workload: workloads.Workload, now_s: float,
                  age_s: float):
@@ -286,6 +286,8 @@
         self.age_s = age_s
         self.ended_ms = 0.0
         self.unrecorded = 0
+        # All occurrences before this one are done.
+        self._first_open = 0
 
     @property
     def job_id(self) -> str:
@@ -324,9 +326,13 @@
 
     def is_done(self) -> bool:
         """Returns whether all occurrences are done."""
-        return all(
-            self.is_occurrence_done(occurrence)
-            for occurrence in range(self.workload.occurrences))
+        self._skip_done_occurrences()
+        return self._first_open >= self.workload.occurrences
+
+    def _skip_done_occurrences(self) -> None:
+        while (self._first_open < self.workload.occurrences and
+               self.is_occurrence_done(self._first_open)):
+            self._first_open += 1
 
     def has_begun(self) -> bool:
         """Returns whether some run is known to have begun.
@@ -342,7 +348,8 @@
         Args:
             wall_ms: The time in Unix milliseconds.
         """
-        for occurrence in range(self.workload.occurrences):
+        self._skip_done_occurrences()
+        for occurrence in range(self._first_open, self.workload.occurrences):
             if self.workload.get_due_ms(occurrence) > wall_ms:
                 return
             for number, step in enumerate(self.workload.steps):
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Mapping
+from collections.abc import Sequence
 import functools
 from typing import NamedTuple
 
@@ -22,6 +23,7 @@
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import progress
 from trefoilroad_jobs import reclaim
+from trefoilroad_jobs import round_window
 from trefoilroad_jobs import trials
 from trefoilroad_jobs import units
 from trefoilroad_jobs import victims as victim_lists
@@ -66,6 +68,26 @@
     evacuated: frozenset[str] = frozenset()
 
 
+class _JobEstimates(NamedTuple):
+    """What the units of a job share in a round.
+
+    Attributes:
+        run_s: Expected run time of a task, by number of the step.
+        remaining_s: Critical path from a step to the end, likewise.
+        critical_path_s: Critical path of all steps, in seconds.
+        size_ratio: Size of the job relative to the mean of its queue.
+        is_running: Whether some task of it runs on a worker that answers.
+        remaining_core_s: Expected core-seconds that remain, by occurrence.
+    """
+
+    run_s: list[float]
+    remaining_s: list[float]
+    critical_path_s: float
+    size_ratio: float
+    is_running: bool
+    remaining_core_s: dict[int, float]
+
+
 class RoundScheduler:
     """Plans rounds for all services."""
 
@@ -97,8 +119,11 @@
             collections.defaultdict(headroom.HeadroomEstimator))
         self._trials: dict[str, trials.Trials] = (collections.defaultdict(
             trials.Trials))
+        # Of the current round, by job.
         self._densities: dict[str, float] = {}
+        self._estimates: dict[str, _JobEstimates] = {}
         self._unplannable_jobs: set[str] = set()
+        self._window = round_window.RoundWindow()
 
     def record_job(self, job: progress.Job) -> None:
         """Counts an accepted job if it is urgent, to estimate the headroom."""
@@ -114,6 +139,7 @@
     def run(self, inputs: RoundInput) -> units.Plan:
         """Plans one round for each service and joins the plans."""
         self._densities = {}
+        self._estimates = {}
         ready: dict[str, list[units.Unit]] = collections.defaultdict(list)
         evacuated_workers = evacuation.find_workers(inputs.fleet,
                                                     inputs.evacuated)
@@ -142,7 +168,8 @@
                                      for queue in inputs.queues.values()
                                      if queue.service == service),
                                     default=None),
-                evacuated=evacuated_workers)
+                evacuated=evacuated_workers,
+                deferred=self._window.deferred)
             tried = {
                 worker_id for start in plan.starts
                 for worker_id in start.workers
@@ -154,6 +181,11 @@
             combined_plan.stops.extend(plan.stops)
         return combined_plan
 
+    def forget_job(self, job_id: str) -> None:
+        """Forgets a job that has ended."""
+        self._window.forget(job_id)
+        self._unplannable_jobs.discard(job_id)
+
     def is_disturbed(self, image: str) -> bool:
         """Returns whether an image is slowed down by others, or slows them."""
         return bool(image and self._disturbances.find_partners(image))
@@ -170,16 +202,34 @@
     def _collect_ready_units(self, inputs: RoundInput) -> list[units.Unit]:
         ready_units = []
         used_accelerators = self._sum_urgent_accelerators(inputs)
-        for job in sorted(inputs.jobs.values(), key=lambda job: job.accepted_s):
-            for unit in self._build_units(inputs, job):
+        jobs = sorted(inputs.jobs.values(),
+                      key=lambda job: (job.accepted_s, job.job_id))
+        urgent = {
+            job.job_id
+            for job in jobs
+            if self._find_priority(inputs, job) == workload.URGENT_PRIORITY
+        }
+        for job, steps in self._window.choose(jobs,
+                                              inputs.wall_ms,
+                                              kept=self._list_kept_jobs(),
+                                              urgent=urgent):
+            for unit in self._build_units(inputs, job, steps):
                 if unit.priority == workload.URGENT_PRIORITY:
                     unit = _apply_guarantee(inputs, unit, used_accelerators)
                 ready_units.append(unit)
         return ready_units
 
-    def _build_units(self, inputs: RoundInput,
-                     job: progress.Job) -> list[units.Unit]:
-        """Returns the ready units of a job.
+    def _list_kept_jobs(self) -> set[str]:
+        """Returns the ids of the jobs for which room is kept."""
+        return {
+            key[0]
+            for held in self.list_held_room().values()
+            for key in (*held.holds, *held.reservations)
+        }
+
+    def _build_units(self, inputs: RoundInput, job: progress.Job,
+                     steps: Sequence[tuple[int, int]]) -> list[units.Unit]:
+        """Returns the units of the ready steps of a job.
 
         A job for which that fails must not keep the others from running. It is
         logged once, as rounds follow each other within milliseconds.
@@ -187,7 +237,7 @@
         try:
             ready = [
                 self._build_unit(inputs, job, occurrence, number)
-                for occurrence, number in job.list_ready(inputs.wall_ms)
+                for occurrence, number in steps
             ]
         except Exception as error:
             if job.job_id not in self._unplannable_jobs:
@@ -221,8 +271,12 @@
                     occurrence: int, number: int) -> units.Unit | None:
         job_workload = job.workload
         step = job_workload.steps[number]
-        state = job.get_step(occurrence, number)
-        waiting = state.list_waiting(inputs.now_s)
+        # A step of which nothing was placed yet has no state, as clients may
+        # hand in many more tasks than ever run.
+        state = job.steps.get((occurrence, number))
+        waiting: Sequence[int] = range(step.tasks)
+        if state is not None:
+            waiting = tuple(state.list_waiting(inputs.now_s))
         if not waiting:
             return None
         if step.gang and len(waiting) < step.tasks:
@@ -233,39 +287,44 @@
         if due_ms:
             eligible_s = max(eligible_s,
                              inputs.now_s - (inputs.wall_ms - due_ms) / 1000.0)
-        critical_path_s = self._estimator.estimate_critical_path_ms(
-            job_workload) / 1000.0
+        estimates = self._get_estimates(inputs, job)
+        critical_path_s = estimates.critical_path_s
         slack = job_workload.slack if queue is None else queue.slack
         extra_ms = job_workload.objective_ms
         if queue is not None:
             extra_ms = queue.objective_ms
         priority = self._find_priority(inputs, job)
         objective_s = eligible_s + slack * critical_path_s + extra_ms / 1000.0
-        remaining_s = self._estimate_remaining_s(job, occurrence, number)
+        remaining_s = estimates.remaining_s[number]
+        remaining_core_s = estimates.remaining_core_s.get(occurrence)
+        if remaining_core_s is None:
+            remaining_core_s = _estimate_remaining_core_s(
+                job, occurrence, estimates.run_s)
+            estimates.remaining_core_s[occurrence] = remaining_core_s
         return units.Unit(
             job_id=job.job_id,
             occurrence=occurrence,
             step_number=number,
             step=step,
-            indexes=tuple(waiting),
+            indexes=waiting,
             used_by_worker=_count_by_worker(state)
-            if step.max_per_worker else {},
+            if state is not None and step.max_per_worker else {},
             service=job_workload.service if queue is None else queue.service,
             team=job_workload.team,
             priority=priority,
             accepted_s=eligible_s,
             objective_s=objective_s,
             remaining_s=remaining_s,
-            remaining_core_s=self._estimate_remaining_core_s(job, occurrence),
-            size_ratio=self._estimator.compare_size(job_workload),
+            remaining_core_s=remaining_core_s,
+            size_ratio=estimates.size_ratio,
             guaranteed=False,
             reclaim_s=self._compute_reclaim_s(eligible_s, slack,
                                               critical_path_s,
                                               extra_ms / 1000.0),
-            retry=any(
+            retry=state is not None and bool(state.retry_at_s) and any(
                 self._avoids_failing(state, index, inputs.now_s)
                 for index in waiting),
-            idle=step.long_running or not _is_running(inputs, job),
+            idle=step.long_running or not estimates.is_running,
             max_speed_class=self._find_max_speed_class(
                 step, priority, remaining_s, eligible_s - inputs.now_s,
                 objective_s - inputs.now_s),
@@ -322,30 +381,26 @@
         wait_s = min(spare_s, self._bounds.reclaim_patience_s)
         return eligible_s + max(0.0, wait_s)
 
-    def _estimate_remaining_s(self, job: progress.Job, occurrence: int,
-                              number: int) -> float:
-        """Returns the critical path from a step to the end, in seconds."""
-        steps = job.workload.steps
-        ends: dict[int, float] = {}
-        for index in range(number, len(steps)):
-            earlier = [ends[i] for i in steps[index].after if i in ends]
-            if index == number or earlier:
-                run_ms = self._estimator.estimate_run_ms(
-                    job.workload.queue, steps[index])
-                ends[index] = max(earlier, default=0.0) + run_ms / 1000.0
-        return max(ends.values())
-
-    def _estimate_remaining_core_s(self, job: progress.Job,
-                                   occurrence: int) -> float:
-        """Returns the expected core-seconds that remain of an occurrence."""
-        total = 0.0
-        for number, step in enumerate(job.workload.steps):
-            state = job.steps.get((occurrence, number))
-            remaining_tasks = step.tasks - (len(state.done) if state else 0)
-            run_ms = self._estimator.estimate_run_ms(job.workload.queue, step)
-            total += remaining_tasks * estimate.count_core_equivalents(
-                step.demand) * run_ms / 1000.0
-        return total
+    def _get_estimates(self, inputs: RoundInput,
+                       job: progress.Job) -> "_JobEstimates":
+        """Returns the estimates of a job, which all its units share."""
+        estimates = self._estimates.get(job.job_id)
+        if estimates is None:
+            job_workload = job.workload
+            run_s = [
+                self._estimator.estimate_run_ms(job_workload.queue, step) /
+                1000.0 for step in job_workload.steps
+            ]
+            estimates = _JobEstimates(
+                run_s=run_s,
+                remaining_s=_estimate_remaining_s(job_workload, run_s),
+                critical_path_s=self._estimator.estimate_critical_path_ms(
+                    job_workload) / 1000.0,
+                size_ratio=self._estimator.compare_size(job_workload),
+                is_running=_is_running(inputs, job),
+                remaining_core_s={})
+            self._estimates[job.job_id] = estimates
+        return estimates
 
     # Free resources.
 
@@ -481,6 +536,29 @@
         return density
 
 
+def _estimate_remaining_s(job_workload: workload.Workload,
+                          run_s: Sequence[float]) -> list[float]:
+    """Returns the critical path from each step to the end, in seconds."""
+    remaining_s = list(run_s)
+    for number in reversed(range(len(run_s))):
+        for earlier in job_workload.steps[number].after:
+            remaining_s[earlier] = max(remaining_s[earlier],
+                                       run_s[earlier] + remaining_s[number])
+    return remaining_s
+
+
+def _estimate_remaining_core_s(job: progress.Job, occurrence: int,
+                               run_s: Sequence[float]) -> float:
+    """Returns the expected core-seconds that remain of an occurrence."""
+    total = 0.0
+    for number, step in enumerate(job.workload.steps):
+        state = job.steps.get((occurrence, number))
+        remaining_tasks = step.tasks - (len(state.done) if state else 0)
+        total += remaining_tasks * estimate.count_core_equivalents(
+            step.demand) * run_s[number]
+    return total
+
+
 def _find_resting(inputs: RoundInput, service: str) -> frozenset[str]:
     """Returns the ids of workers that get no runs for a moment only."""
     return frozenset(tracked.worker.worker_id
--- a/packages/jobs/src/trefoilroad_jobs/units.py
+++ b/packages/jobs/src/trefoilroad_jobs/units.py
@@ -1,5 +1,6 @@
 """Data of a scheduling round: ready units, possible victims and the plan."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from trefoilroad_jobs import estimate
@@ -63,7 +64,7 @@
     occurrence: int
     step_number: int
     step: workload.Step
-    indexes: tuple[int, ...]
+    indexes: Sequence[int]
     used_by_worker: dict[str, int]
     service: str
     team: str
--- a/packages/jobs/tests/test_dispatcher.py
+++ b/packages/jobs/tests/test_dispatcher.py
@@ -84,3 +84,27 @@
     extra_s = 5.0 / dispatcher.ROUND_INTERVAL_S * round_s
     assert sum(spent_s) <= 5.0 * dispatcher.MAX_ROUND_SHARE + extra_s
     assert sum(spent_s) > 5.0 * dispatcher.MAX_ROUND_SHARE / 2
+
+
+def test_rounds_without_an_event_leave_time_for_other_work(site, monkeypatch):
+    """Guards against long rounds that follow each other without a pause.
+
+    A round is due after half a second at the latest. One that lasted longer was
+    due again at its end, so that the leader read no request and no report.
+    """
+    dispatched = site.find_leader().node._dispatcher
+    planned_s = []
+
+    def run(self, inputs):
+        planned_s.append(inputs.now_s)
+        return units.Plan([], [])
+
+    monkeypatch.setattr(rounds.RoundScheduler, "run", run)
+    dispatched._request_round = lambda: None
+    site.run(0.6)
+    del planned_s[:]
+    duration_s = 2.0
+    for _ in range(50):
+        dispatched._round_duration_s = duration_s
+        site.run(0.1)
+    assert len(planned_s) <= 5.0 * dispatcher.MAX_ROUND_SHARE / duration_s + 1
