Bound the occurrences of a job

One job of 146 bytes with 10^12 repetitions that are all due stopped the leader, and each successor, for good: the ready steps of all occurrences were collected for a round.

--- a/packages/jobs/src/trefoilroad_jobs/workload.py
+++ b/packages/jobs/src/trefoilroad_jobs/workload.py
@@ -8,6 +8,10 @@
 # Largest number of tasks in all steps of one occurrence.
 MAX_TASKS = 10_000
 MAX_STEPS = 100
+# Largest numbers of steps and of tasks in all occurrences. The leader keeps the
+# progress of each, and considers all occurrences that are due.
+MAX_STEPS_OF_ALL_OCCURRENCES = 10_000
+MAX_TASKS_OF_ALL_OCCURRENCES = 100_000
 # Priority of the jobs that a team's guarantee covers.
 URGENT_PRIORITY = 0
 
@@ -154,8 +158,14 @@
         """Returns which rule the job violates, or an empty text."""
         if not 1 <= len(self.steps) <= MAX_STEPS:
             return f"a job has 1 to {MAX_STEPS} steps"
-        if sum(step.tasks for step in self.steps) > MAX_TASKS:
+        tasks = sum(step.tasks for step in self.steps)
+        if tasks > MAX_TASKS:
             return f"a job has at most {MAX_TASKS} tasks"
+        if (self.occurrences * len(self.steps) > MAX_STEPS_OF_ALL_OCCURRENCES or
+                self.occurrences * tasks > MAX_TASKS_OF_ALL_OCCURRENCES):
+            return (f"{self.occurrences} occurrences have more than "
+                    f"{MAX_STEPS_OF_ALL_OCCURRENCES} steps or "
+                    f"{MAX_TASKS_OF_ALL_OCCURRENCES} tasks")
         for number, step in enumerate(self.steps):
             if step.tasks < 1 or min(step.demand) < 0:
                 return (f"step {number}: needs at least one task and no "
