Bound the memory of accepted jobs

Legal jobs were accepted whatever the leader held already: 40 clients took a process with 96 MB to 139 MB with jobs of 1,000 tasks, to 117 MB with payloads of 4,000 bytes, which Python may hold in 16,000, and to 567 MB with long labels.

The leader charges each job what it takes and sends the sums with its heartbeats. A node refuses a job beyond the budget, a quarter of the memory over that at rest, before it is written; unless an earlier call had it accepted. Half of the budget is for all teams, and each team has a share of the other half; large jobs have a quarter of it. The smallest budget of all nodes applies, as each may take the lead. An ended job drops its payload, a large one its steps. A VM of 160 MB holds some 3,000 ordinary jobs at least; the deployments in force hand in a few a second.

--- a/packages/jobs/src/trefoilroad_jobs/dispatcher.py
+++ b/packages/jobs/src/trefoilroad_jobs/dispatcher.py
@@ -14,6 +14,7 @@
 from trefoilroad_jobs import fleet
 from trefoilroad_jobs import interference
 from trefoilroad_jobs import interference_monitor
+from trefoilroad_jobs import job_budget
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
 from trefoilroad_jobs import planner
@@ -83,6 +84,8 @@
         self.jobs: dict[str, progress.Job] = {}
         self.ready = False
         self._active_jobs: dict[str, progress.Job] = {}
+        self._costs = job_budget.JobCosts()
+        self._row_bytes: dict[str, int] = {}
         self._cancelled_jobs: set[str] = set()
         # Jobs whose progress cannot be read. The watch lists their rows again,
         # and without their progress all their tasks would run again.
@@ -205,6 +208,8 @@
                   store_version=intake_rows.version)
         for job_id in self._cancelled_jobs:
             self._cancel(job_id)
+        for job in self.jobs.values():
+            self._release_if_ended(job)
         self._request_round()
 
     def apply_intake_rows(self, rows: Iterable[ports.Row]) -> None:
@@ -260,6 +265,9 @@
                 self._unreadable_jobs.add(job_id)
                 return
         self.jobs[job_id] = job
+        self._row_bytes[job_id] = len(value)
+        self._costs.set(job_id, accepted.team,
+                        job_budget.compute_cost(accepted, len(value)))
         self._estimator.record_job(accepted)
         self._rounds.record_job(job)
         self._interference.record_job(accepted)
@@ -338,6 +346,14 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def describe_held_jobs(self, max_bytes: int) -> job_budget.HeldJobs:
+        """Returns what the jobs take.
+
+        Args:
+            max_bytes: The budget for them.
+        """
+        return self._costs.describe(max_bytes)
+
     def list_worker_capacities(self) -> admission.WorkerCapacities:
         """Returns the largest worker capacities of each service."""
         return admission.list_worker_capacities(
@@ -381,6 +397,23 @@
 
     def _confirm_change(self, job: progress.Job) -> None:
         job.unrecorded -= 1
+        self._release_if_ended(job)
+
+    def _release_if_ended(self, job: progress.Job) -> None:
+        """Drops what is not needed of a job whose end is durable.
+
+        Its state is still shown to callers, for as long as its rows are kept.
+        The steps of an ordinary job take little.
+        """
+        if (not job.is_final or job.unrecorded or any(job.list_claims()) or
+                job.job_id not in self.jobs):
+            return
+        job.release_payload()
+        if job_budget.is_large(self._costs.get(job.job_id)):
+            job.release_steps()
+        self._costs.set(
+            job.job_id, job.workload.team,
+            job_budget.compute_cost(job.workload, self._row_bytes[job.job_id]))
 
     def _handle_begin(self, claim: progress.Claim, evidence: str) -> None:
         """Records that a run has begun, so that its job no longer waits.
@@ -755,7 +788,10 @@
             if not isinstance(result, ports.Committed) or self._closed:
                 return
             if not rows:
-                self.jobs.pop(job_id, None)
+                job = self.jobs.pop(job_id, None)
+                if job is not None:
+                    self._costs.set(job_id, job.workload.team, 0)
+                self._row_bytes.pop(job_id, None)
                 self._cancelled_jobs.discard(job_id)
                 self._ledger.remove_progress(job_id)
                 return
--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -1,6 +1,7 @@
 """Accepts, cancels and shows jobs; runs on every node."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import enum
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 
 from trefoilroad_jobs import admission
 from trefoilroad_jobs import configuration as configurations
+from trefoilroad_jobs import job_budget
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
 from trefoilroad_jobs import tables
@@ -27,6 +29,9 @@
 MAX_REMEMBERED_JOBS = 2_000
 # When a caller should try again after a temporary failure.
 RETRY_AFTER_S = 1
+# When a caller should try again while too many jobs are held: room comes with
+# the end of others, which takes seconds.
+FULL_RETRY_AFTER_S = 5
 # When a caller should try again with a job that fits no worker; that helps only
 # once there are other workers.
 IMPOSSIBLE_RETRY_AFTER_S = 60
@@ -43,6 +48,7 @@
     ABSENT = "no such job"
     NOT_ACCEPTED = "not accepted"
     IMPOSSIBLE = "no worker can ever run it"
+    FULL = "too many jobs are held"
     UNKNOWN = "the store did not answer in time"
 
 
@@ -109,6 +115,8 @@
                  ask_leader: Callable[[str, OnJobStatus], None],
                  read_store_ms: Callable[[], float], relay: writes.Relay,
                  admission_control: admission.AdmissionControl,
+                 budget: job_budget.JobBudget,
+                 list_teams: Callable[[], Collection[str]],
                  on_row_written: Callable[[str, bytes], None]):
         """Creates an intake.
 
@@ -121,6 +129,8 @@
             read_store_ms: Returns the store's clock in milliseconds.
             relay: Asks the leader to write a row.
             admission_control: Finds jobs that can never run.
+            budget: Bounds the memory of accepted jobs.
+            list_teams: Returns the names of all teams.
             on_row_written: Called with the key and the value of each new row;
                 the value of a cancellation is empty.
         """
@@ -131,6 +141,8 @@
         self._read_store_ms = read_store_ms
         self._relay = relay
         self._admission_control = admission_control
+        self._budget = budget
+        self._list_teams = list_teams
         self._on_row_written = on_row_written
         self._final: dict[str, JobStatus] = {}
 
@@ -143,20 +155,36 @@
             job: The job.
             on_done: Gets ACCEPTED once the job is durable, NOT_ACCEPTED only
                 if no write of this call can take effect any more, IMPOSSIBLE
-                if nothing was written because no worker can run it, else
+                if nothing was written because no worker can run it, FULL if
+                nothing was written because too many jobs are held, else
                 UNKNOWN.
         """
         obstacle = self._admission_control.find_obstacle(job)
         if obstacle:
-            self._refuse_unless_accepted(job, obstacle, on_done)
-        else:
-            self._begin_submission(job, on_done)
+            self._refuse_unless_accepted(
+                job, obstacle,
+                Reply(Outcome.IMPOSSIBLE,
+                      retry_after_s=IMPOSSIBLE_RETRY_AFTER_S), on_done)
+            return
+        cost = job_budget.compute_cost(job, len(workload.encode_workload(job)))
+        shortage = self._budget.find_shortage(job, cost, self._list_teams())
+        if shortage:
+            self._refuse_unless_accepted(
+                job, shortage,
+                Reply(Outcome.FULL, retry_after_s=FULL_RETRY_AFTER_S), on_done)
+            return
+        self._budget.record(job, cost)
+        self._begin_submission(job, on_done)
 
     def _refuse_unless_accepted(self, job: workload.Workload, obstacle: str,
-                                on_done: OnReply) -> None:
+                                refusal: Reply, on_done: OnReply) -> None:
         """Refuses a job, unless an earlier call may have had it accepted."""
 
         def on_status(status: JobStatus | None) -> None:
+            if status is None and refusal.outcome is Outcome.FULL:
+                # Nothing is written, but an earlier call may have been.
+                on_done(Reply(Outcome.UNKNOWN, retry_after_s=RETRY_AFTER_S))
+                return
             if status is None or status.state:
                 self._begin_submission(job, on_done)
                 return
@@ -165,10 +193,8 @@
                       queue=job.queue,
                       team=job.team,
                       reason=obstacle)
-            self._metrics.count("intake.impossible")
-            on_done(
-                Reply(Outcome.IMPOSSIBLE,
-                      retry_after_s=IMPOSSIBLE_RETRY_AFTER_S))
+            self._metrics.count(f"intake.{refusal.outcome.name.lower()}")
+            on_done(refusal)
 
         self._find_status(job.job_id, on_status)
 
--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -11,8 +11,8 @@
     """Time limits and intervals, in seconds unless the name says otherwise.
 
     The defaults fit workers that accept leases of up to 10 s. The platform's
-    settings replace `max_lease_s`, `checkpoint_interval_s`, `retention_s` and
-    `evacuation_s` and `row_bytes`, and limit `lease_s`.
+    settings replace `max_lease_s`, `checkpoint_interval_s`, `retention_s`,
+    `evacuation_s`, `row_bytes` and `max_job_bytes`, and limit `lease_s`.
 
     Attributes:
         lease_s: Lease that every leader gives to a worker. It outlasts a
@@ -63,6 +63,8 @@
             on different workers where there is room. Steps without an image
             are not affected.
         row_bytes: Longest content of a row of the store, in bytes.
+        max_job_bytes: Memory for accepted jobs, in bytes; the default is for
+            the largest VM.
     """
 
     lease_s: float = 6.0
@@ -90,6 +92,7 @@
     evacuation_s: float = 0.0
     keep_images_apart: bool = True
     row_bytes: int = 65_536
+    max_job_bytes: int = 128 << 20
 
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -12,6 +12,7 @@
 from trefoilroad_jobs import configuration as configurations
 from trefoilroad_jobs import dispatcher as dispatchers
 from trefoilroad_jobs import intake as intakes
+from trefoilroad_jobs import job_budget
 from trefoilroad_jobs import leadership as leaderships
 from trefoilroad_jobs import ledger as ledgers
 from trefoilroad_jobs import limits
@@ -149,14 +150,20 @@
         self._ledger: ledgers.Ledger | None = None
         self._leader_watches: list[watch.Watch] = []
         self._admission_control = admission.AdmissionControl(timers=timers)
-        self.intake = intakes.Intake(store=store,
-                                     timers=timers,
-                                     metrics=metrics,
-                                     ask_leader=self._ask_leader,
-                                     read_store_ms=self._read_store_ms,
-                                     relay=self._relay,
-                                     admission_control=self._admission_control,
-                                     on_row_written=self._notify_leader)
+        self._job_budget = job_budget.JobBudget(max_bytes=bounds.max_job_bytes)
+        # Budgets of the other nodes, each of which may become the leader.
+        self._follower_budgets: dict[str, int] = {}
+        self.intake = intakes.Intake(
+            store=store,
+            timers=timers,
+            metrics=metrics,
+            ask_leader=self._ask_leader,
+            read_store_ms=self._read_store_ms,
+            relay=self._relay,
+            admission_control=self._admission_control,
+            budget=self._job_budget,
+            list_teams=lambda: self.configuration.teams,
+            on_row_written=self._notify_leader)
         self._leadership = leaderships.Leadership(
             node_id=node_id,
             link=link,
@@ -320,6 +327,7 @@
     def _start_leading(self, takeover: leaderships.Takeover) -> None:
         self._links.set_addresses(set())
         self._followers = {}
+        self._follower_budgets = {}
         ledger = ledgers.Ledger(store=self._store,
                                 timers=self._timers,
                                 epoch=takeover.epoch,
@@ -477,7 +485,12 @@
         if self._dispatcher is None or self._ledger is None:
             link = self._leadership.leader.link
             if link:
-                self._links.send(link, {"type": "hello", "link": self._link})
+                self._links.send(
+                    link, {
+                        "type": "hello",
+                        "link": self._link,
+                        "job_bytes": self._bounds.max_job_bytes
+                    })
             return
         now_s = self._timers.read_clock()
         silent = [
@@ -486,6 +499,7 @@
         ]
         for link in silent:
             del self._followers[link]
+            self._follower_budgets.pop(link, None)
         if silent:
             self._links.set_addresses(set(self._followers))
         heartbeat: node_links.Message = {
@@ -504,6 +518,14 @@
                 for service, service_capacities in capacities.items()
             }
             self._admission_control.update_worker_capacities(capacities)
+            held = self._dispatcher.describe_held_jobs(
+                min([
+                    self._bounds.max_job_bytes,
+                    *self._follower_budgets.values()
+                ]))
+            heartbeat["held"] = list(held)
+            self._job_budget.update(held)
+            self._metrics.set_gauge("jobs.held_bytes", held.total_bytes)
         self._links.broadcast(heartbeat)
 
     def handle_message(self, message: node_links.Message) -> None:
@@ -518,7 +540,7 @@
         """
         kind = message["type"]
         if kind == "hello":
-            self._handle_hello(str(message["link"]))
+            self._handle_hello(str(message["link"]), message.get("job_bytes"))
         elif kind == "beat":
             self._leadership.handle_heartbeat(int(message["epoch"]),
                                               int(message["head"]),
@@ -546,15 +568,23 @@
         if epoch < self.epoch or not self._waiting_counts.handle_heartbeat(
                 epoch, dict(message["pending"]), float(message["age_s"])):
             return
+        if "held" in message:
+            # A leader of an earlier release does not send it.
+            max_bytes, total_bytes, large_bytes, team_bytes = message["held"]
+            self._job_budget.update(
+                job_budget.HeldJobs(int(max_bytes), int(total_bytes),
+                                    int(large_bytes), dict(team_bytes)))
         self._admission_control.update_worker_capacities({
             service: [
                 workload.Demand(*capacity) for capacity in service_capacities
             ] for service, service_capacities in message["shapes"].items()
         })
 
-    def _handle_hello(self, link: str) -> None:
+    def _handle_hello(self, link: str, max_job_bytes: int | None) -> None:
         if self._dispatcher is None:
             return
+        if max_job_bytes is not None:
+            self._follower_budgets[link] = int(max_job_bytes)
         is_known = link in self._followers
         self._followers[link] = self._timers.read_clock()
         if not is_known:
--- a/packages/jobs/src/trefoilroad_jobs/progress.py
+++ b/packages/jobs/src/trefoilroad_jobs/progress.py
@@ -304,6 +304,15 @@
         """When it was accepted, on this leader's clock, in seconds."""
         return self.seen_s - self.age_s
 
+    def release_payload(self) -> None:
+        """Drops the payload of a job that has ended."""
+        self.workload = self.workload._replace(payload="")
+
+    def release_steps(self) -> None:
+        """Drops the steps of a job that has ended, and their progress."""
+        self.workload = self.workload._replace(steps=())
+        self.steps = {}
+
     def get_step(self, occurrence: int, number: int) -> StepProgress:
         """Returns the progress of a step; creates it if there is none."""
         step = self.steps.get((occurrence, number))
