Bound the runs of a worker

Three jobs of 200 bytes whose tasks need nothing took the leader to 201 MB of 96 and its worker's reports to thousands of lines, as any number of such tasks fits on a worker. A worker gets at most 4,000 runs at a time, and all workers together at most 1,000 bytes a run within the budget of jobs, but 128 runs each in any case, two for each of its cores.

The test of the rounds fails on the code before.

--- a/packages/jobs/src/trefoilroad_jobs/limits.py
+++ b/packages/jobs/src/trefoilroad_jobs/limits.py
@@ -2,9 +2,15 @@
 
 from typing import NamedTuple
 
+from trefoilroad_jobs import placement
+
 # Failures beyond this number do not change the delay of a retry. A long-running
 # task may fail without limit, and 2**1024 does not fit into a float.
 MAX_RETRY_DOUBLINGS = 64
+# Memory of the leader for a run.
+RUN_BYTES = 1_000
+# Two runs for each core of a worker.
+MIN_RUNS = 128
 
 
 class Limits(NamedTuple):
@@ -94,6 +100,14 @@
     row_bytes: int = 65_536
     max_job_bytes: int = 128 << 20
 
+    def compute_max_runs(self, workers: int) -> int:
+        """Returns how many runs each of a number of workers may have.
+
+        All of them together take at most the memory that is for jobs.
+        """
+        share = self.max_job_bytes // RUN_BYTES // max(1, workers)
+        return min(placement.MAX_RUNS_PER_WORKER, max(MIN_RUNS, share))
+
     def compute_retry_delay_s(self, failures: int) -> float:
         """Returns the delay of the retry after a number of failed runs."""
         doublings = min(failures - 1, MAX_RETRY_DOUBLINGS)
--- a/packages/jobs/src/trefoilroad_jobs/placement.py
+++ b/packages/jobs/src/trefoilroad_jobs/placement.py
@@ -20,6 +20,10 @@
 
 # Count that stands for "any number" of tasks without demand on one worker.
 UNLIMITED_TASKS = 1_000
+# Most runs on a worker, however little they need. Each takes memory of the
+# leader and a line in each report. A worker has 64 cores, so that only tasks of
+# less than a sixtieth of a core are held up.
+MAX_RUNS_PER_WORKER = 4_000
 
 
 class Access(enum.Enum):
@@ -46,12 +50,14 @@
         speed_class: Class of its speed: 0 is usual, higher ones are slower.
         withheld: How it may be used if it is withheld, else None.
         images: Images of its runs; empty if no images disturb each other.
+        free_runs: How many more runs it may get, whatever they need.
         blocked: Free resources that are not part of `room`, as they are kept
             for a gang.
     """
 
-    __slots__ = ("blocked", "capacity", "failing", "images", "labels", "rack",
-                 "room", "speed_class", "withheld", "worker_id")
+    __slots__ = ("blocked", "capacity", "failing", "free_runs", "images",
+                 "labels", "rack", "room", "speed_class", "withheld",
+                 "worker_id")
 
     def __init__(self,
                  *,
@@ -63,7 +69,8 @@
                  failing: bool = False,
                  speed_class: int = 0,
                  withheld: Access | None = None,
-                 images: frozenset[str] = frozenset()):
+                 images: frozenset[str] = frozenset(),
+                 free_runs: int = MAX_RUNS_PER_WORKER):
         self.worker_id = worker_id
         self.rack = rack
         self.labels = labels
@@ -73,6 +80,7 @@
         self.speed_class = speed_class
         self.withheld = withheld
         self.images = images
+        self.free_runs = free_runs
         self.blocked: Demand = NO_DEMAND
 
     def block(self, demand: Demand) -> None:
@@ -90,7 +98,8 @@
                          failing=self.failing,
                          speed_class=self.speed_class,
                          withheld=self.withheld,
-                         images=self.images)
+                         images=self.images,
+                         free_runs=self.free_runs)
 
 
 class PlacementRequest(NamedTuple):
@@ -175,8 +184,9 @@
     Returns:
         The worker of each task that could be placed.
     """
-    fitting = [(candidate, count) for candidate in candidates if (
-        count := _count_on_candidate(request, candidate, candidate.room)) > 0]
+    fitting = [(candidate, count) for candidate in candidates if (count := min(
+        candidate.free_runs,
+        _count_on_candidate(request, candidate, candidate.room))) > 0]
     fitting.sort(key=lambda entry:
                  (request.rank_speed(entry[0].speed_class), entry[0].room.
                   accelerators, entry[0].room.milli_cores, entry[0].worker_id))
--- a/packages/jobs/src/trefoilroad_jobs/planner.py
+++ b/packages/jobs/src/trefoilroad_jobs/planner.py
@@ -535,6 +535,7 @@
         candidate = candidates.get(worker_id)
         if candidate is not None:
             candidate.room = candidate.room.minus(unit.step.occupied)
+            candidate.free_runs -= 1
             if unit.avoided_images:
                 candidate.images |= {unit.step.image}
 
--- a/packages/jobs/src/trefoilroad_jobs/rounds.py
+++ b/packages/jobs/src/trefoilroad_jobs/rounds.py
@@ -411,6 +411,8 @@
             service, inputs.now_s, inputs.evacuated)
         service_trials = self._trials[service]
         service_trials.retain(withheld)
+        max_runs = self._bounds.compute_max_runs(
+            len(inputs.fleet.tracked_workers))
         for tracked in inputs.fleet.list_tracked_workers(service):
             worker = tracked.worker
             if (not tracked.registered or worker.draining or
@@ -435,7 +437,8 @@
                     failing=tracked.has_failed(inputs.now_s),
                     speed_class=self._speeds.get_class(worker.worker_id),
                     withheld=access,
-                    images=images))
+                    images=images,
+                    free_runs=max_runs - len(tracked.claims)))
         return candidates
 
     # Possible victims.
--- a/packages/jobs/tests/test_rounds.py
+++ b/packages/jobs/tests/test_rounds.py
@@ -151,3 +151,17 @@
     run_s = [step.estimate_ms / 1000.0 for step in steps]
     assert rounds._estimate_remaining_s(job_workload,
                                         run_s) == [4.0, 8.0, 2.5, 3.0, 0.5]
+
+
+def test_tasks_without_demand_are_bounded():
+    """Guards against runs that fill the leader and the reports of a worker."""
+    bounds = limits.Limits(max_job_bytes=500_000)
+    site = sites.Site(node_count=1, worker_count=2, bounds=bounds)
+    site.run(2.0)
+    nothing = workload.Demand(0, 0, 0)
+    for number in range(3):
+        site.submit(f"{number:016x}", tasks=1000, demand=nothing, run_s=60.0)
+    site.run(3.0)
+    tracked = site.find_leader().node._dispatcher._fleet.tracked_workers
+    counts = [len(worker.claims) for worker in tracked.values()]
+    assert max(counts) == bounds.compute_max_runs(2) == 250
