Forget the names of tasks whose runs have ended

A leader kept the name of each task that ever ran, some 300 bytes, for as long as it led. A run that has ended has no claim, and a report of it is handled as one of an unknown task, so its name is not needed. The test fails on the code before.

--- a/packages/jobs/src/trefoilroad_jobs/runs.py
+++ b/packages/jobs/src/trefoilroad_jobs/runs.py
@@ -589,6 +589,9 @@
         """Removes the claim of a run that has provably ended and reports it."""
         tracked = self._fleet.tracked_workers[claim.worker_id]
         tracked.remove_claim(claim)
+        # A report of it has no effect any more, and the names of all tasks that
+        # ever ran would fill the memory of a leader that lives long.
+        self._keys_by_name.pop(self._workers.format_name(claim.key), None)
         sent_s = max(claim.unanswered_start_s,
                      claim.longest_lease_end_s - self._longest_lease_s)
         if self._timers.read_clock() - sent_s < LATE_CALL_S:
--- a/packages/jobs/tests/test_dispatcher.py
+++ b/packages/jobs/tests/test_dispatcher.py
@@ -108,3 +108,13 @@
         dispatched._round_duration_s = duration_s
         site.run(0.1)
     assert len(planned_s) <= 5.0 * dispatcher.MAX_ROUND_SHARE / duration_s + 1
+
+
+def test_names_of_ended_tasks_are_forgotten(site):
+    """Guards against a leader that grows with each task that ever ran."""
+    dispatcher = site.find_leader().node._dispatcher
+    site.submit("0" * 16, demand=sites.SMALL_DEMAND, run_s=0.5, tasks=20)
+    site.run(0.3)
+    assert len(dispatcher._runs._keys_by_name) == 20
+    site.run(5.0)
+    assert not dispatcher._runs._keys_by_name
