--- a/packages/node/tests/test_listener.py
+++ b/packages/node/tests/test_listener.py
@@ -398,3 +398,101 @@
     socks[0].send(b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
     time.sleep(0.05)
     assert site.read(socks[0]).startswith(b"HTTP/1.1 200 ")
+
+
+def test_body_over_the_limit_is_refused_at_the_byte_that_exceeds_it(site):
+    """Guards against a body that is kept whatever its head says."""
+    site.guard._check_head = lambda *_: None
+    sock = site.connect()
+    sent = _build_post(900_000, b"x" * 250_000)
+
+    def send_all():
+        nonlocal sent
+        with contextlib.suppress(BlockingIOError):
+            sent = sent[sock.send(sent):]
+        return not sent
+
+    site.run(send_all)
+    assert site.read(sock).startswith(b"HTTP/1.1 413 ")
+
+
+def test_connections_beyond_their_shares_are_paused_before_any_is_refused(site):
+    """Guards against requests that are refused in a moment of pressure."""
+    site.timers.read_clock = lambda: 1000.0
+    socks = [site.connect() for _ in range(7)]
+    for sock in socks:
+        sock.send(_build_post(190_000))
+    for _ in range(60):
+        for sock in socks:
+            with contextlib.suppress(BlockingIOError):
+                sock.send(b"x" * 4_000)
+        site.root.tick(0.001)
+    assert site.guard._budget.paused_connections
+    assert "test_refused_memory_total" not in site.metrics.render()
+    assert site.guard._budget.used_bytes < BOUNDS.budget_bytes
+
+
+def test_refused_connection_that_stays_silent_is_closed(site, monkeypatch):
+    """Guards against descriptors of clients that keep what was refused."""
+    monkeypatch.setattr(listener, "LINGER_S", 0.2)
+    sock = site.connect()
+    sock.send(_build_post(900_000))
+    assert site.read(sock).startswith(b"HTTP/1.1 413 ")
+    site.run(lambda: not site.tcp.open_connections)
+
+
+def test_reads_are_small_while_much_is_not_handled(site):
+    """Guards against a thousand large reads before the first is handled."""
+    sizes = []
+    fire = site.tcp.fire
+
+    def record(event, *args):
+        if event.name == "read":
+            sizes.append(len(event.args[1]))
+        return fire(event, *args)
+
+    site.tcp.fire = record
+    sock = site.connect()
+    sock.send(_build_post(100_000, b"x" * 15_000))
+    site.run(lambda: sum(sizes) > 15_000)
+    assert max(sizes) > listener.SMALL_READ_BYTES
+    del sizes[:]
+    site.tcp._unhandled_bytes = 2 * listener.MAX_UNHANDLED_BYTES
+    sock.send(b"x" * 15_000)
+    site.run(lambda: sum(sizes) >= 15_000)
+    assert max(sizes) <= listener.SMALL_READ_BYTES
+
+
+def test_receive_buffer_of_a_connection_is_the_one_of_the_bounds(site):
+    """Guards against buffers of the kernel that grow to some megabytes."""
+    site.connect()
+    site.run(lambda: site.guard.open_connections)
+    server_sock, = site.guard._connections
+    size = server_sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    # The kernel doubles it for its own records.
+    assert size <= 2 * BOUNDS.receive_buffer_bytes
+
+
+def test_nothing_is_read_between_a_refusal_and_its_sending(site):
+    """Guards against data that is kept for a request that is refused."""
+    sock = site.connect()
+    site.run(lambda: site.guard.open_connections)
+    server_sock, = site.guard._connections
+    site.tcp._refused[server_sock] = float("inf")
+    sock.send(_build_post(100_000, b"x" * 1000))
+    site.run(lambda: server_sock in site.tcp._paused)
+    assert not site.guard._connections[server_sock].request_bytes
+
+
+def test_refused_connections_give_way_to_new_ones(site):
+    """Guards against refused clients that hold all descriptors."""
+    now_s = site.timers.read_clock()
+    site.timers.read_clock = lambda: now_s
+    for _ in range(BOUNDS.max_connections):
+        sock = site.connect()
+        sock.send(_build_post(900_000))
+        assert site.read(sock).startswith(b"HTTP/1.1 413 ")
+    assert site.tcp.lingering_connections == BOUNDS.max_connections
+    sock = site.connect()
+    sock.send(_build_post(4, b"body"))
+    assert site.read(sock).startswith(b"HTTP/1.1 200 ")
