Test budget and rounds with each mechanism taken out

Mutants of this work that passed: jobs of one moment, steps of ended large jobs, the smallest budget of all nodes, and what is kept for a job that a full round leaves out.

--- a/packages/jobs/tests/test_job_budget.py
+++ b/packages/jobs/tests/test_job_budget.py
@@ -166,3 +166,38 @@
     node.intake._find_status = lambda _, on_done: on_done(None)
     node.intake.submit(_build(1), outcomes.append)
     assert [reply.outcome for reply in outcomes] == [intake.Outcome.UNKNOWN]
+
+
+def test_jobs_of_one_moment_count_before_the_leader_has_seen_them(site):
+    """Guards against a burst between two heartbeats of the leader."""
+    ids = [f"{number:016x}" for number in range(200)]
+    for job_id in ids:
+        site.submit(job_id, demand=ONE, run_s=30.0)
+    site.run(1.0)
+    held = site.find_leader().node._dispatcher.describe_held_jobs(0)
+    assert held.total_bytes <= 100_000
+    assert 10 < len(site.find_leader().node._dispatcher.jobs) < 100
+
+
+def test_large_job_drops_its_steps_once_it_has_ended(site):
+    """Guards against large jobs that are kept whole until they are removed."""
+    tiny = workload.Demand(25, 100, 0)
+    site.submit("1" * 16, tasks=400, demand=tiny, run_s=0.3)
+    site.submit("2" * 16, demand=ONE, run_s=0.3)
+    site.run(5.0)
+    jobs = site.find_leader().node._dispatcher.jobs
+    assert site.ask_state("1" * 16) == "completed"
+    assert jobs["1" * 16].workload.steps == ()
+    assert not jobs["1" * 16].steps
+    assert jobs["2" * 16].workload.steps
+
+
+def test_smallest_budget_of_all_nodes_applies_everywhere(site):
+    """Guards against jobs that the next leader has no memory for."""
+    leader = site.find_leader().node
+    leader._handle_hello("small", 5_000)
+    site.run(1.0)
+    held = [each.node._job_budget._held for each in site.nodes.values()]
+    assert [each.max_bytes for each in held] == [5_000] * len(site.nodes)
+    site.run(10.0)
+    assert leader._job_budget._held.max_bytes == 100_000
--- a/packages/jobs/tests/test_planner.py
+++ b/packages/jobs/tests/test_planner.py
@@ -835,3 +835,23 @@
             break
     assert started_s is not None
     assert patience.HELD_ROOM_S <= started_s < MAX_IDLE_S
+
+
+def test_hold_of_a_job_that_is_left_out_is_kept():
+    """Guards against holds and waits that end as a round is full."""
+    subject = planner.Planner(order=ordering.WorthDensityOrder())
+    unit = _unit("late")
+    hold = planner.CapacityHold(workers=("w0",),
+                                overdue_s=5.0,
+                                until_s=5.0,
+                                preempted=True)
+    for deferred, kept in (({"late"}, True), (set(), False)):
+        subject._holds[unit.key] = hold
+        subject._held_patience.measure(unit.key, 0.0)
+        subject.plan([],
+                     _candidates(),
+                     lambda: reclaim.RunningTasks(ending=(), victims=()),
+                     1.0,
+                     deferred=deferred)
+        assert (unit.key in subject._holds) == kept
+        assert (unit.key in subject._held_patience._since_s) == kept
