Keep uploads that the node itself has paused

A caller whose upload the node did not read for a moment, as memory was short, lost it: the pause counted as time without progress, so that the connection was the first to be closed for a new one, and a planned stop closed it as idle. Paused connections are now the last to be closed for a new one, and not idle at a planned stop; the refusals after a second of pressure bound how long they stay. Both tests fail on the code before.

--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -151,13 +151,14 @@
         self.unsent_bytes = 0
         self.unsent_since_s = now_s
 
-    def is_idle(self, now_s: float) -> bool:
+    def is_idle(self, now_s: float, *, is_paused: bool = False) -> bool:
         """Returns whether it can be closed without the loss of a request.
 
         Args:
             now_s: Current time in seconds.
+            is_paused: Whether it is not read, so that nothing can come.
         """
-        if self.response is not None:
+        if self.response is not None or is_paused:
             return False
         return (self.request_started_s is None or
                 now_s - self.last_read_s > PARTIAL_REQUEST_TIMEOUT_S)
@@ -241,7 +242,9 @@
         self._draining = True
         now_s = self._timers.read_clock()
         for sock, connection in self._connections.items():
-            if connection.is_idle(now_s) and not connection.closing:
+            is_paused = self._budget.is_paused(sock)
+            if (connection.is_idle(now_s, is_paused=is_paused) and
+                    not connection.closing):
                 connection.closing = True
                 self.fire(net_events.close(sock), self.channel)
 
--- a/packages/node/src/trefoilroad_node/request_budget.py
+++ b/packages/node/src/trefoilroad_node/request_budget.py
@@ -167,7 +167,8 @@
         """Returns connections to close before one more is accepted.
 
         Requests that stand come first, then connections that never had a
-        request, then idle ones. Several are returned at once, so that a flood
+        request, then idle ones, and last those that are paused, as they cannot
+        progress. Several are returned at once, so that a flood
         of connections does not have all of them compared each time.
 
         Args:
@@ -179,15 +180,20 @@
         if (count < self.bounds.max_connections or
                 now_s < self._next_eviction_s):
             return []
-        candidates = [(_rank_eviction(holding, now_s), number, key)
-                      for number, (key,
-                                   holding) in enumerate(self._holdings.items())
-                      if _can_evict(holding, now_s)]
+        candidates = [
+            (key in self._paused, _rank_eviction(holding, now_s), number, key)
+            for number, (key, holding) in enumerate(self._holdings.items())
+            if _can_evict(holding, now_s)
+        ]
         if not candidates:
             self._next_eviction_s = now_s + EVICTION_RETRY_S
         candidates.sort()
         batch = max(1, self.bounds.max_connections // 16)
-        return [key for _, _, key in candidates[:batch]]
+        return [key for *_, key in candidates[:batch]]
+
+    def is_paused(self, key: Hashable) -> bool:
+        """Returns whether a connection is not read now."""
+        return key in self._paused
 
     def open(self, key: Hashable, now_s: float, *,
              extra_connections: int) -> bool:
--- a/packages/node/tests/test_listener.py
+++ b/packages/node/tests/test_listener.py
@@ -496,3 +496,23 @@
     sock = site.connect()
     sock.send(_build_post(4, b"body"))
     assert site.read(sock).startswith(b"HTTP/1.1 200 ")
+
+
+def test_planned_stop_leaves_a_paused_upload_open(site):
+    """Guards against an upload that is cut off as the node did not read it."""
+    now_s = [1000.0]
+    site.timers.read_clock = lambda: now_s[0]
+    socks = [site.connect() for _ in range(7)]
+    for sock in socks:
+        sock.send(_build_post(190_000))
+    while not site.guard._budget.paused_connections:
+        for sock in socks:
+            with contextlib.suppress(BlockingIOError):
+                sock.send(b"x" * 4_000)
+        site.root.tick(0.001)
+    paused = list(site.guard._budget._paused)
+    now_s[0] += guards.PARTIAL_REQUEST_TIMEOUT_S + 0.1
+    site.guard.drain()
+    for _ in range(10):
+        site.root.tick(0.001)
+    assert all(sock.fileno() >= 0 for sock in paused)
--- a/packages/node/tests/test_request_budget.py
+++ b/packages/node/tests/test_request_budget.py
@@ -182,6 +182,27 @@
     assert budget.find_evictions(10.0, extra_connections=0) == []
 
 
+def test_paused_upload_is_the_last_to_be_replaced():
+    """Guards against uploads that pay for the node's own pause."""
+    budget = request_budget.RequestBudget(bounds=BOUNDS._replace(
+        max_connections=3))
+    paused, idle, large = _open(budget, 3)
+    budget.charge(idle, 10, 0.0)
+    budget.begin_work(idle, 0, 0.0)
+    budget.finish_work(idle, 0.0)
+    budget.charge(paused, 1_400_000, 0.0)
+    budget.charge(large, 1_400_000, 0.0)
+    assert not budget.may_read(paused, 0.0)
+    assert budget.is_paused(paused)
+    closed = []
+    for _ in range(3):
+        victim, = budget.find_evictions(10.0, extra_connections=0)
+        closed.append(victim)
+        budget.forget(victim)
+        assert budget.open(f"new {victim}", 10.0, extra_connections=0)
+    assert closed == [large, idle, paused]
+
+
 def test_caller_that_pauses_between_two_parts_is_not_replaced():
     """Guards against ordinary callers that are closed for new connections."""
     budget = request_budget.RequestBudget(bounds=BOUNDS._replace(
