Leave room for small jobs of a team with many long ones

A crowd of jobs with payloads of 4,000 bytes filled the half of the budget that is for all teams and the share of its own team, so that ordinary jobs of that team were refused too. Half of a team's share is now for its small jobs, up to 8 KiB. A job counts as large from 64 KiB on, as one of ten steps is ordinary. The test of the same team's job fails on the code before.

--- a/packages/jobs/src/trefoilroad_jobs/job_budget.py
+++ b/packages/jobs/src/trefoilroad_jobs/job_budget.py
@@ -7,9 +7,10 @@
 The leader counts what it holds and sends the sums with its heartbeats, so that
 each node refuses a job before it is written. Half of the budget is for all
 teams together. Beyond it each team has an equal share of the other half, so
-that one team cannot keep the others from handing in jobs. Large jobs have a
-quarter of the budget, so that they leave room for ordinary ones; one large job
-is accepted in any case if there is no other.
+that one team cannot keep the others from handing in jobs; half of the share is
+for small jobs, so that a crowd with long texts leaves room for those of the
+same team. Large jobs have a quarter of the budget; one of them is accepted in
+any case if there is no other.
 """
 
 from collections.abc import Collection
@@ -33,8 +34,10 @@
 # tasks that are done, and part of a checkpoint.
 TASK_BYTES = 64
 DEPENDENCY_BYTES = 8
-# An ordinary job with the longest payload costs less.
-LARGE_JOB_BYTES = 16 << 10
+# A job of some 900 tasks or of 30 steps costs less.
+LARGE_JOB_BYTES = 64 << 10
+# A job with two steps and a payload of some hundred bytes costs less.
+SMALL_JOB_BYTES = 8 << 10
 
 
 def compute_max_bytes(memory_mb: float) -> int:
@@ -72,12 +75,14 @@
         total_bytes: Memory of all jobs.
         large_bytes: Memory of the large jobs.
         team_bytes: Memory of the jobs of each team.
+        small_bytes: Memory of the small jobs of each team.
     """
 
     max_bytes: int
     total_bytes: int
     large_bytes: int
     team_bytes: Mapping[str, int]
+    small_bytes: Mapping[str, int]
 
 
 class JobCosts:
@@ -87,6 +92,7 @@
         self.total_bytes = 0
         self.large_bytes = 0
         self.team_bytes: dict[str, int] = {}
+        self.small_bytes: dict[str, int] = {}
         self._costs: dict[str, int] = {}
 
     def set(self, job_id: str, team: str, cost: int) -> None:
@@ -96,9 +102,8 @@
             self._costs[job_id] = cost
         self.total_bytes += cost - before
         self.large_bytes += _get_large(cost) - _get_large(before)
-        total = self.team_bytes.pop(team, 0) + cost - before
-        if total:
-            self.team_bytes[team] = total
+        _add(self.team_bytes, team, cost - before)
+        _add(self.small_bytes, team, _get_small(cost) - _get_small(before))
 
     def get(self, job_id: str) -> int:
         """Returns what a job takes."""
@@ -107,7 +112,7 @@
     def describe(self, max_bytes: int) -> HeldJobs:
         """Returns the sums beside a budget."""
         return HeldJobs(max_bytes, self.total_bytes, self.large_bytes,
-                        dict(self.team_bytes))
+                        dict(self.team_bytes), dict(self.small_bytes))
 
 
 class JobBudget:
@@ -123,7 +128,7 @@
         Args:
             max_bytes: Budget of this node.
         """
-        self._held = HeldJobs(max_bytes, 0, 0, {})
+        self._held = HeldJobs(max_bytes, 0, 0, {}, {})
         self._accepted = JobCosts()
 
     def update(self, held: HeldJobs) -> None:
@@ -156,8 +161,12 @@
             return ""
         team_bytes = (self._held.team_bytes.get(job.team, 0) +
                       self._accepted.team_bytes.get(job.team, 0))
-        share_bytes = max_bytes // 2 // max(1, len(teams))
-        if team_bytes + cost <= share_bytes:
+        half_share_bytes = max_bytes // 4 // max(1, len(teams))
+        if team_bytes + cost <= half_share_bytes:
+            return ""
+        small_bytes = (self._held.small_bytes.get(job.team, 0) +
+                       self._accepted.small_bytes.get(job.team, 0))
+        if (cost <= SMALL_JOB_BYTES and small_bytes + cost <= half_share_bytes):
             return ""
         return "jobs take the memory that is for them"
 
@@ -167,5 +176,16 @@
     return cost > LARGE_JOB_BYTES
 
 
+def _get_small(cost: int) -> int:
+    return cost if cost <= SMALL_JOB_BYTES else 0
+
+
+def _add(sums: dict[str, int], key: str, difference: int) -> None:
+    """Adds to a sum; a sum of 0 is not kept."""
+    total = sums.pop(key, 0) + difference
+    if total:
+        sums[key] = total
+
+
 def _get_large(cost: int) -> int:
     return cost if is_large(cost) else 0
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -570,10 +570,12 @@
             return
         if "held" in message:
             # A leader of an earlier release does not send it.
-            max_bytes, total_bytes, large_bytes, team_bytes = message["held"]
+            max_bytes, total_bytes, large_bytes, *by_team = message["held"]
+            team_bytes, small_bytes = by_team
             self._job_budget.update(
                 job_budget.HeldJobs(int(max_bytes), int(total_bytes),
-                                    int(large_bytes), dict(team_bytes)))
+                                    int(large_bytes), dict(team_bytes),
+                                    dict(small_bytes)))
         self._admission_control.update_worker_capacities({
             service: [
                 workload.Demand(*capacity) for capacity in service_capacities
--- a/packages/jobs/tests/test_job_budget.py
+++ b/packages/jobs/tests/test_job_budget.py
@@ -1,5 +1,6 @@
 """Tests of the job_budget module, and of what a leader keeps."""
 
+import itertools
 import sys
 
 import pytest
@@ -12,6 +13,8 @@
 
 MAX_BYTES = 1 << 20
 TEAMS = ("flood", "other")
+# Each job of a test has an id of its own.
+NUMBERS = itertools.count()
 ONE = workload.Demand(1000, 1000, 1)
 
 
@@ -32,7 +35,7 @@
 def _fill(budget, **fields):
     """Accepts jobs until one is refused; returns their number."""
     for number in range(100_000):
-        job = _build(number, **fields)
+        job = _build(next(NUMBERS), **fields)
         cost = job_budget.compute_cost(job, 100)
         if budget.find_shortage(job, cost, TEAMS):
             return number
@@ -41,7 +44,7 @@
 
 
 def _is_accepted(budget, **fields):
-    job = _build(10**6, **fields)
+    job = _build(next(NUMBERS), **fields)
     return not budget.find_shortage(job, job_budget.compute_cost(job, 100),
                                     TEAMS)
 
@@ -58,7 +61,8 @@
     """Guards against shares whose sum exceeds the budget."""
     budget = job_budget.JobBudget(max_bytes=MAX_BYTES)
     for team in TEAMS:
-        _fill(budget, team=team)
+        for payload in ("x" * 4000, "text"):
+            assert _fill(budget, team=team, payload=payload) > 10
     assert budget._accepted.total_bytes <= MAX_BYTES
 
 
@@ -70,6 +74,16 @@
     assert _is_accepted(budget)
 
 
+def test_long_texts_leave_room_for_small_jobs_of_their_team():
+    """Guards against a crowd that keeps the ordinary jobs of its team out."""
+    budget = job_budget.JobBudget(max_bytes=MAX_BYTES)
+    _fill(budget, payload="x" * 4000)
+    assert not _is_accepted(budget, payload="x" * 4000)
+    assert _fill(budget, payload="text") > 10
+    assert budget._accepted.total_bytes <= MAX_BYTES
+    assert _is_accepted(budget, payload="x" * 4000, team="other")
+
+
 @pytest.mark.parametrize("fields", [
     {
         "tasks": workload.MAX_TASKS
@@ -92,10 +106,11 @@
     budget = job_budget.JobBudget(max_bytes=MAX_BYTES)
     _fill(budget)
     assert not _is_accepted(budget)
-    budget.update(job_budget.HeldJobs(MAX_BYTES, 0, 0, {}))
+    budget.update(job_budget.HeldJobs(MAX_BYTES, 0, 0, {}, {}))
     assert _is_accepted(budget)
     budget.update(
-        job_budget.HeldJobs(MAX_BYTES, MAX_BYTES, 0, {"flood": MAX_BYTES}))
+        job_budget.HeldJobs(MAX_BYTES, MAX_BYTES, 0, {"flood": MAX_BYTES},
+                            {"flood": MAX_BYTES}))
     assert not _is_accepted(budget)
 
 
@@ -127,7 +142,7 @@
     assert all(job.workload.payload == "" for job in dispatcher.jobs.values())
     site.run(60.0)
     assert not dispatcher.jobs
-    assert dispatcher.describe_held_jobs(0) == (0, 0, 0, {})
+    assert dispatcher.describe_held_jobs(0) == (0, 0, 0, {}, {})
     assert not dispatcher._row_bytes
 
 
@@ -161,7 +176,7 @@
 def test_refusal_is_not_promised_while_the_store_is_not_read(site):
     """Guards against a refusal of a job that an earlier call had accepted."""
     node = site.find_leader().node
-    node._job_budget.update(job_budget.HeldJobs(0, 1, 1, {"team": 1}))
+    node._job_budget.update(job_budget.HeldJobs(0, 1, 1, {"team": 1}, {}))
     outcomes = []
     node.intake._find_status = lambda _, on_done: on_done(None)
     node.intake.submit(_build(1), outcomes.append)
@@ -182,7 +197,7 @@
 def test_large_job_drops_its_steps_once_it_has_ended(site):
     """Guards against large jobs that are kept whole until they are removed."""
     tiny = workload.Demand(25, 100, 0)
-    site.submit("1" * 16, tasks=400, demand=tiny, run_s=0.3)
+    site.submit("1" * 16, tasks=1200, demand=tiny, run_s=0.3)
     site.submit("2" * 16, demand=ONE, run_s=0.3)
     site.run(5.0)
     jobs = site.find_leader().node._dispatcher.jobs
