Have the fake timers of test_writes return handles

WriteWithRelay cancels the timer of its relay, and the fake timers of this test returned None in place of the handle that Timers.call_later promises. The checks are unchanged.

--- a/packages/jobs/tests/test_writes.py
+++ b/packages/jobs/tests/test_writes.py
@@ -4,6 +4,7 @@
 
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import writes
+from trefoilroad_node import timer
 from trefoilroad_standins.jobs import site as sites
 
 ROW = writes.RowWrite(("intake", "job/1"), b"1", only_new=True)
@@ -100,6 +101,7 @@
 
     def call_later(self, _, callback):
         self.due.append(callback)
+        return timer.TimerHandle(callback=callback, interval_s=None)
 
 
 def _write(relay):
