Keep links in use when the number of links is at its limit

Callers did not see it; the load of the leader is what they may see.

Cause: a node accepted 256 links at most and closed the one that it had read longest ago for each new one. With more nodes than that, each closed link was dialled again within a second and closed another.

At the limit, a link that is open and was heard within 2 s is never closed for a new one, which is refused instead.

Measured: test_new_links_do_not_close_links_in_use fails on the code before and passes now; it guards a quantity that does not depend on the machine.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -45,9 +45,15 @@
 LINK_IDLE_TIMEOUT_S = 5.0
 # A handshake of another node has some 300 bytes.
 MAX_HANDSHAKE_BYTES = 16 << 10
-# More than twice the nodes of the largest deployment, as links that a node has
-# lost are closed only after a while.
+# Default limit of accepted links, where the number of descriptors is not known.
 MAX_LINKS = 256
+MIN_LINKS = 16
+# Part of the sockets that accepted links may take. The leader dials each of
+# their nodes too, and half of the sockets are for callers.
+LINK_SHARE = 4
+# An open link without data for this time may be closed for a new one. Nodes
+# send a heartbeat twice a second.
+MIN_EVICTION_AGE_S = 2.0
 # Default limit of all incomplete messages on accepted links. The largest usual
 # ones carry a job, 262,144 bytes.
 MAX_HELD_BYTES = 16 << 20
@@ -63,6 +69,16 @@
 OnMessage = Callable[[Message], None]
 
 
+def compute_max_links(*, max_descriptors: int) -> int:
+    """Returns how many links a process may accept.
+
+    Args:
+        max_descriptors: Maximum number of descriptors of the process.
+    """
+    sockets = max_descriptors - request_budget.FILE_DESCRIPTORS
+    return max(MIN_LINKS, sockets // LINK_SHARE)
+
+
 def decode_message(data: bytes) -> Message:
     """Decodes a message from another node.
 
@@ -286,7 +302,8 @@
                  on_message: OnMessage,
                  timers: timer.Timers,
                  byte_counter: traffic.ByteCounter,
-                 max_held_bytes: int = MAX_HELD_BYTES):
+                 max_held_bytes: int = MAX_HELD_BYTES,
+                 max_links: int = MAX_LINKS):
         """Binds the address.
 
         Args:
@@ -296,9 +313,11 @@
             timers: Schedules the closing of idle links.
             byte_counter: Counts the bytes received.
             max_held_bytes: Limit of all incomplete messages in bytes.
+            max_links: Maximum number of accepted links.
         """
         super().__init__()
         self._max_held_bytes = max_held_bytes
+        self._max_links = max_links
         self._held_bytes: dict[Any, int] = {}
         self._total_held_bytes = 0
         host, _, port = listen.rpartition(":")
@@ -326,15 +345,33 @@
 
     @circuits.handler("connect")
     def _on_connect(self, sock: Any, *_: Any) -> None:
-        if len(self._protocols) >= MAX_LINKS:
-            # Nodes send twice a second, so the oldest is the least needed.
-            oldest = min(self._last_read_s, key=self._last_read_s.__getitem__)
-            self._drop(oldest, "too many links")
+        if len(self._protocols) >= self._max_links:
+            unused = self._find_unused()
+            self._drop(sock if unused is None else unused, "too many links")
+            if unused is None:
+                return
         self._held_bytes[sock] = 0
         self._protocols[sock] = ws_server.ServerProtocol(
             max_size=MAX_MESSAGE_BYTES)
         self._last_read_s[sock] = self._timers.read_clock()
 
+    def _find_unused(self) -> Any | None:
+        """Returns the oldest link that is not open or silent, or None.
+
+        A link in use is never closed for a new one: its node would dial again
+        at once and close another.
+        """
+        now_s = self._timers.read_clock()
+        for sock in sorted(self._last_read_s,
+                           key=self._last_read_s.__getitem__):
+            if self._server.has_unhandled_data(sock):
+                continue
+            is_open = self._protocols[sock].state is protocol.State.OPEN
+            silent_s = now_s - self._last_read_s[sock]
+            if not is_open or silent_s >= MIN_EVICTION_AGE_S:
+                return sock
+        return None
+
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock: Any) -> None:
         self._forget(sock)
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -61,7 +61,9 @@
 class _Site:
     """An acceptor on a loop that the test drives."""
 
-    def __init__(self, max_held_bytes=links.MAX_HELD_BYTES):
+    def __init__(self,
+                 max_held_bytes=links.MAX_HELD_BYTES,
+                 max_links=links.MAX_LINKS):
         self.root = circuits.BaseComponent()
         pollers.EPoll().register(self.root)
         # Without it, `tick` polls no sockets.
@@ -73,7 +75,8 @@
                                        on_message=self.messages.append,
                                        timers=timers,
                                        byte_counter=traffic.ByteCounter(),
-                                       max_held_bytes=max_held_bytes)
+                                       max_held_bytes=max_held_bytes,
+                                       max_links=max_links)
         self.acceptor.register(self.root)
         self.sockets = []
 
@@ -166,10 +169,9 @@
     assert site.acceptor._total_held_bytes == 0
 
 
-def test_number_of_links_is_bounded(build_site, monkeypatch):
+def test_number_of_links_is_bounded(build_site):
     """Guards against links that take all descriptors."""
-    monkeypatch.setattr(links, "MAX_LINKS", 4)
-    site = build_site()
+    site = build_site(max_links=4)
     for _ in range(10):
         site.connect()
     sock = site.connect("secret")
@@ -178,6 +180,52 @@
     site.run(lambda: site.messages)
 
 
+def test_new_links_do_not_close_links_in_use(build_site):
+    """Guards against nodes that close each other's links without end.
+
+    With more nodes than links each new link closed one in use, whose node
+    dialled again a second later.
+    """
+    site = build_site(max_links=4)
+    used = [site.connect("secret") for _ in range(4)]
+    late = [site.connect() for _ in range(3)]
+    site.run(lambda: all(_is_closed(sock) for sock in late))
+    assert not any(_is_closed(sock) for sock in used)
+    message = {"type": "hello"}
+    for sock in used:
+        site.send(sock, _encode_frame(cbor2.dumps(message)))
+    site.run(lambda: site.messages == [message] * 4)
+
+
+def test_new_link_replaces_a_silent_one(build_site):
+    """Guards against links of lost nodes that keep others out."""
+    site = build_site(max_links=4)
+    lost, *_ = [site.connect("secret") for _ in range(4)]
+    oldest = next(iter(site.acceptor._last_read_s))
+    site.acceptor._last_read_s[oldest] -= links.MIN_EVICTION_AGE_S
+    sock = site.connect("secret")
+    assert _is_closed(lost)
+    site.send(sock, _encode_frame(cbor2.dumps({"type": "hello"})))
+    site.run(lambda: site.messages)
+
+
+def test_number_of_links_follows_the_descriptors():
+    """Guards against a limit below the number of nodes of a large fleet."""
+    assert links.compute_max_links(max_descriptors=1638) >= 300
+    assert links.compute_max_links(max_descriptors=4100) >= 900
+    assert links.compute_max_links(max_descriptors=0) > 0
+
+
+def _is_closed(sock):
+    """Returns whether the other side has closed a non-blocking socket."""
+    try:
+        return not sock.recv(1 << 16)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class _Caller:
     """Outgoing links on a loop that the test drives."""
 
