Do not read the jobs a second time at a takeover

Cause: the leader read the table of jobs and then started its watch with another reading of the whole table. Over the link of the VM that took as long again and held up the first transactions: intake reading and commit timed out together, 1.2 s after the recovery, and the next node took over and did the same.

Change: the watch goes on from the version that was read.

--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -257,7 +257,8 @@
                      wait_s: float,
                      on_snapshot: watch.OnRows,
                      on_change: watch.OnRows,
-                     on_fresh: watch.OnFresh | None = None) -> watch.Watch:
+                     on_fresh: watch.OnFresh | None = None,
+                     after: int | None = None) -> watch.Watch:
         table_watch = watch.Watch(table=table,
                                   store=self._store,
                                   timers=self._timers,
@@ -265,7 +266,8 @@
                                   wait_s=wait_s,
                                   on_snapshot=on_snapshot,
                                   on_change=on_change,
-                                  on_fresh=on_fresh)
+                                  on_fresh=on_fresh,
+                                  after=after)
         table_watch.begin()
         return table_watch
 
@@ -404,20 +406,30 @@
                 _log.exception("jobs cannot be loaded", error=repr(error))
                 self._leadership.step_down("jobs cannot be loaded")
                 return
-            self._follow_jobs(dispatcher)
+            self._follow_jobs(dispatcher, intake_rows[0].version)
 
         self._follow_workers(dispatcher)
         read()
 
-    def _follow_jobs(self, dispatcher: dispatchers.Dispatcher) -> None:
-        """Watches the table of jobs; rows seen before have no effect."""
+    def _follow_jobs(self, dispatcher: dispatchers.Dispatcher,
+                     after: int) -> None:
+        """Watches the table of jobs; rows seen before have no effect.
+
+        Args:
+            dispatcher: Gets the rows.
+            after: Version up to which the rows have been read. A second reading
+                of a large table would hold up the first transactions.
+        """
 
         def on_rows(rows: ports.Rows) -> None:
             dispatcher.apply_intake_rows(rows.rows)
 
         self._leader_watches.append(
-            self._start_watch(tables.INTAKE, INTAKE_WATCH_WAIT_S, on_rows,
-                              on_rows))
+            self._start_watch(tables.INTAKE,
+                              INTAKE_WATCH_WAIT_S,
+                              on_rows,
+                              on_rows,
+                              after=after))
 
     def _follow_workers(self, dispatcher: dispatchers.Dispatcher) -> None:
         workers: dict[str, ports.Worker] = {}
--- a/packages/jobs/src/trefoilroad_jobs/watch.py
+++ b/packages/jobs/src/trefoilroad_jobs/watch.py
@@ -36,7 +36,8 @@
                  wait_s: float,
                  on_snapshot: OnRows,
                  on_change: OnRows,
-                 on_fresh: OnFresh | None = None):
+                 on_fresh: OnFresh | None = None,
+                 after: int | None = None):
         """Creates a watch; `begin` starts it.
 
         Args:
@@ -45,11 +46,14 @@
             timers: Source of time.
             rng: Source of jitter.
             wait_s: Longest wait for a change in seconds.
-            on_snapshot: Gets all rows, at the start and after the store has
-                dropped the changes since the last result.
+            on_snapshot: Gets all rows, at the start unless `after` is given,
+                and after the store has dropped the changes since the last
+                result.
             on_change: Gets changed rows.
             on_fresh: Gets the new `fresh_s` and the version of the store after
                 each result, also one without rows.
+            after: Version up to which the rows are known, None if they have
+                not been read.
         """
         self.fresh_s = float("-inf")
         self._table = table
@@ -60,13 +64,13 @@
         self._on_snapshot = on_snapshot
         self._on_change = on_change
         self._on_fresh = on_fresh
-        self._version: int | None = None
+        self._version = after
         self._failures = 0
         self._rejections = 0
         self._closed = False
 
     def begin(self) -> None:
-        """Requests the content of the table."""
+        """Requests the content of the table, or its changes if it is known."""
         self._request_rows()
 
     @property
