Limit the silence of large responses of the store, not their length

Callers saw, in a trial on links of 10 Mbit/s with three times the load and all nodes without power at the end, that jobs stood for good (LOST 585, RECOVER 1) while statuses took up to 2.5 s, 28 of them without an answer: each new leader had to read all jobs and was replaced before it could write.

Cause: each page of a table and each list of changes had 1.2 s in all, its wait behind the other pages included. Up to eight pages of 1 MB shared the link with the transactions of the node; after one failure all pages were read anew beside those still on their way. What is read grows with the jobs, the limit did not.

--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -374,6 +374,8 @@
                                      on_done=on_intake_rows)
 
         def on_intake_rows(result: Any) -> None:
+            if dispatcher is not self._dispatcher:
+                return
             if not isinstance(result, ports.Rows):
                 _log.warning("jobs cannot be read", reason=str(result))
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
@@ -383,6 +385,8 @@
             self._store.read_all(table=tables.LEASES, on_done=on_lease_rows)
 
         def on_lease_rows(result: Any) -> None:
+            if dispatcher is not self._dispatcher:
+                return
             if not isinstance(result, ports.Rows):
                 _log.warning("leases cannot be read", reason=str(result))
                 self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -19,6 +19,9 @@
 # of the store has at most 500 rows of 65,536 bytes, 44 MB in base64.
 MAX_REPLY_BYTES = 64 << 20
 MAX_HELD_BYTES = 128 << 20
+# A request with a limit of silence is ended after so many checks in a row that
+# found no new data; they are made this often within the limit.
+SILENT_CHECKS = 2
 # Connections to an address that is not called for this long are closed. Longer
 # than the 60 s after which a leader calls a worker that has no runs.
 MIN_UNUSED_S = 150.0
@@ -61,6 +64,10 @@
         sent_number: Event number of the sending, 0 until then.
         ended: Whether the result has been reported.
         timeout: Timer that ends the exchange.
+        silence_check: Timer of the next check for silence, if it has any.
+        received_number: Event number of the last data of the response, as of
+            the last check for silence; 0 if there was none.
+        silent_checks: Number of checks in a row that found no new data.
     """
 
     def __init__(self, *, data: bytes, on_done: OnDone):
@@ -70,14 +77,18 @@
         self.sent_number = 0
         self.ended = False
         self.timeout: timer.TimerHandle | None = None
+        self.silence_check: timer.TimerHandle | None = None
+        self.received_number = 0
+        self.silent_checks = 0
 
     def end(self, result: Reply | NoReply) -> None:
         """Reports the result, unless one has been reported."""
         if self.ended:
             return
         self.ended = True
-        if self.timeout is not None:
-            self.timeout.cancel()
+        for timer_handle in (self.timeout, self.silence_check):
+            if timer_handle is not None:
+                timer_handle.cancel()
         self.on_done(result)
 
 
@@ -160,6 +171,24 @@
         """Returns whether it waits for the response of an exchange."""
         return self._exchange is exchange
 
+    def is_silent(self, exchange: Exchange) -> bool:
+        """Checks whether the peer has sent nothing for some time.
+
+        Args:
+            exchange: The exchange that the connection carries.
+
+        Returns:
+            Whether this and the checks before it found no new data.
+        """
+        has_response = exchange.sent and self.has_received_since(exchange)
+        number = self._received_number if has_response else 0
+        if number == exchange.received_number:
+            exchange.silent_checks += 1
+        else:
+            exchange.received_number = number
+            exchange.silent_checks = 0
+        return exchange.silent_checks >= SILENT_CHECKS
+
     def has_received_since(self, exchange: Exchange) -> bool:
         """Returns whether the peer was heard after a request was sent.
 
@@ -316,7 +345,8 @@
              body: bytes,
              timeout_s: float,
              on_done: OnDone,
-             headers: Mapping[str, str] | None = None) -> None:
+             headers: Mapping[str, str] | None = None,
+             max_silence_s: float | None = None) -> None:
         """Sends a request, or queues it until a connection is free.
 
         Args:
@@ -327,6 +357,10 @@
             timeout_s: Limit in seconds from this call to the complete response.
             on_done: Called once with a Reply or a NoReply.
             headers: Additional headers of this request.
+            max_silence_s: Limit in seconds of the time without any data while
+                the request has a connection, None for none. A large response
+                may then take long over a slow link, and a lost connection is
+                still found soon.
         """
         try:
             data = self._encode(address, method, path, body, headers or {})
@@ -341,6 +375,9 @@
         self._schedule_unused_check()
         exchange.timeout = self._timers.call_later(
             timeout_s, lambda: self._time_out(pool, exchange))
+        if max_silence_s is not None:
+            self._schedule_silence_check(pool, exchange,
+                                         max_silence_s / SILENT_CHECKS)
         pool.queue.append(exchange)
         self._send_queued(address, pool)
 
@@ -416,6 +453,20 @@
         pool.connections.append(connection)
         return connection
 
+    def _schedule_silence_check(self, pool: ConnectionPool, exchange: Exchange,
+                                interval_s: float) -> None:
+        exchange.silence_check = self._timers.call_later(
+            interval_s, lambda: self._check_silence(pool, exchange, interval_s))
+
+    def _check_silence(self, pool: ConnectionPool, exchange: Exchange,
+                       interval_s: float) -> None:
+        if any(
+                connection.carries(exchange) and connection.is_silent(exchange)
+                for connection in pool.connections):
+            self._time_out(pool, exchange)
+        elif not exchange.ended:
+            self._schedule_silence_check(pool, exchange, interval_s)
+
     def _time_out(self, pool: ConnectionPool, exchange: Exchange) -> None:
         for connection in pool.connections:
             if connection.carries(exchange):
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -261,6 +261,118 @@
     assert len(connector.streams) == 2
 
 
+class _SteppedTimers(timer.Timers):
+    """Timers that the test drives."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self._due = []
+
+    def read_clock(self):
+        return self.now_s
+
+    def call_later(self, delay_s, callback):
+        handle = timer.TimerHandle(callback=callback, interval_s=None)
+        self._due.append((self.now_s + delay_s, handle))
+        return handle
+
+    def call_every(self, interval_s, callback):
+        raise NotImplementedError
+
+    def run(self, seconds):
+        """Runs all timers that are due within some time."""
+        end_s = self.now_s + seconds
+        while due := [entry for entry in self._due if entry[0] <= end_s]:
+            entry = min(due, key=lambda entry: entry[0])
+            self._due.remove(entry)
+            self.now_s = entry[0]
+            entry[1].callback()
+        self.now_s = end_s
+
+
+def _build_stepped_client(**options):
+    connector = _Connector()
+    timers = _SteppedTimers()
+    client = httpclient.HttpClient(connector=connector,
+                                   timers=timers,
+                                   headers={},
+                                   byte_counter=traffic.ByteCounter(),
+                                   **options)
+    return client, connector, timers
+
+
+def _call_with_silence_limit(client, results):
+    client.send(address="127.0.0.1:9",
+                method="GET",
+                path="/",
+                body=b"",
+                timeout_s=20.0,
+                max_silence_s=1.2,
+                on_done=results.append)
+
+
+def test_response_that_comes_slowly_is_awaited():
+    """Guards against a large response that never comes over a slow link."""
+    client, connector, timers = _build_stepped_client()
+    results = []
+    _call_with_silence_limit(client, results)
+    stream, = connector.streams
+    stream.listener.handle_connected()
+    stream.listener.handle_data(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+    for _ in range(10):
+        timers.run(1.0)
+        assert results == []
+        stream.listener.handle_data(b"x")
+    assert results == [httpclient.Reply(200, b"x" * 10)]
+
+
+@pytest.mark.parametrize("data", [b"", b"HTTP/1.1 200 OK\r\n"],
+                         ids=["nothing", "a part"])
+def test_silence_ends_a_call(data):
+    """Guards against a lost connection that is awaited as a slow one."""
+    client, connector, timers = _build_stepped_client()
+    results = []
+    _call_with_silence_limit(client, results)
+    stream, = connector.streams
+    stream.listener.handle_connected()
+    if data:
+        stream.listener.handle_data(data)
+    timers.run(2.0)
+    assert results == [httpclient.NoReply(True, "timeout")]
+    assert stream.closed
+
+
+def test_silence_ends_a_call_that_cannot_connect():
+    """Guards against a dark server that is awaited for longer than a call."""
+    client, connector, timers = _build_stepped_client()
+    results = []
+    _call_with_silence_limit(client, results)
+    assert len(connector.streams) == 1
+    connector.streams[0].connected = False
+    timers.run(1.3)
+    assert len(results) == 1
+
+
+def test_wait_for_a_connection_is_no_silence():
+    """Guards against a call that fails as another one takes long."""
+    client, connector, timers = _build_stepped_client(max_connections=1)
+    results = []
+    _call_with_silence_limit(client, results)
+    _call_with_silence_limit(client, results)
+    stream, = connector.streams
+    stream.listener.handle_connected()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+    for first in (True, False):
+        stream.listener.handle_data(head)
+        for _ in range(5):
+            timers.run(1.0)
+            stream.listener.handle_data(b"x")
+        timers.run(0.0)
+        assert len(results) == (1 if first else 2)
+    assert {result.status for result in results} == {200}
+
+
 class _SilentServer(circuits.BaseComponent):
     """Server that stops to answer on chosen connections.
 
