Count links between nodes and what closes them

Cause: `link not opened` and `link lost` name one link.

Change: gauges links.dialled, links.dialled_open and links.accepted_open; counters links.accepted and links.closed_CAUSE. `link closed` has the number of links and at most 5 lines a second; left_out is the number of lines left out since the last one. LineLimit in line_limit.py bounds them.

--- a/packages/node/src/trefoilroad_node/links.py
+++ b/packages/node/src/trefoilroad_node/links.py
@@ -22,7 +22,9 @@
 from websockets import uri as ws_uri
 
 from trefoilroad_core import errors
+from trefoilroad_node import line_limit
 from trefoilroad_node import listener
+from trefoilroad_node import metrics as metrics_module
 from trefoilroad_node import request_budget
 from trefoilroad_node import streams
 from trefoilroad_node import timer
@@ -56,6 +58,8 @@
 # The other node sends only control frames on a link that it has accepted: a
 # pong for each ping.
 MAX_CONTROL_BYTES = 16 << 10
+# Lines for closed links in a second.
+MAX_CLOSED_LINES_PER_S = 5
 
 _log = structlog.get_logger()
 
@@ -286,7 +290,8 @@
                  on_message: OnMessage,
                  timers: timer.Timers,
                  byte_counter: traffic.ByteCounter,
-                 max_held_bytes: int = MAX_HELD_BYTES):
+                 max_held_bytes: int = MAX_HELD_BYTES,
+                 metrics: metrics_module.Metrics | None = None):
         """Binds the address.
 
         Args:
@@ -296,8 +301,14 @@
             timers: Schedules the closing of idle links.
             byte_counter: Counts the bytes received.
             max_held_bytes: Limit of all incomplete messages in bytes.
+            metrics: Sink of metrics; none if absent.
         """
         super().__init__()
+        self._metrics = metrics or metrics_module.NullMetrics()
+        self._line_limit = line_limit.LineLimit(
+            max_lines=MAX_CLOSED_LINES_PER_S)
+        # Idle links whose closing has been counted.
+        self._idle: set[Any] = set()
         self._max_held_bytes = max_held_bytes
         self._held_bytes: dict[Any, int] = {}
         self._total_held_bytes = 0
@@ -326,10 +337,11 @@
 
     @circuits.handler("connect")
     def _on_connect(self, sock: Any, *_: Any) -> None:
+        self._metrics.count("links.accepted")
         if len(self._protocols) >= MAX_LINKS:
             # Nodes send twice a second, so the oldest is the least needed.
             oldest = min(self._last_read_s, key=self._last_read_s.__getitem__)
-            self._drop(oldest, "too many links")
+            self._drop(oldest, "too many links", "too_many")
         self._held_bytes[sock] = 0
         self._protocols[sock] = ws_server.ServerProtocol(
             max_size=MAX_MESSAGE_BYTES)
@@ -343,9 +355,16 @@
         self._total_held_bytes -= self._held_bytes.pop(sock, 0)
         self._protocols.pop(sock, None)
         self._last_read_s.pop(sock, None)
-
-    def _drop(self, sock: Any, reason: str) -> None:
-        _log.warning("link closed", reason=reason)
+        self._idle.discard(sock)
+
+    def _drop(self, sock: Any, reason: str, cause: str) -> None:
+        self._metrics.count(f"links.closed_{cause}")
+        left_out = self._line_limit.admit(self._timers.read_clock())
+        if left_out is not None:
+            _log.warning("link closed",
+                         reason=reason,
+                         links=len(self._protocols),
+                         left_out=left_out)
         self._forget(sock)
         self._server.drop(sock)
 
@@ -362,10 +381,10 @@
         self._held_bytes[sock] = held_bytes
         if (link.state is protocol.State.CONNECTING and
                 held_bytes > MAX_HANDSHAKE_BYTES):
-            self._drop(sock, "the handshake is too large")
+            self._drop(sock, "the handshake is too large", "handshake_size")
         elif self._total_held_bytes > self._max_held_bytes:
             largest = max(self._held_bytes, key=self._held_bytes.__getitem__)
-            self._drop(largest, "too much of incomplete messages")
+            self._drop(largest, "too much of incomplete messages", "held_bytes")
 
     @circuits.handler("read")
     def _on_read(self, sock: Any, data: bytes) -> None:
@@ -415,10 +434,17 @@
             link.fail(frames.CloseCode.INVALID_DATA, "malformed message")
 
     def _close_idle(self) -> None:
+        self._metrics.set_gauge(
+            "links.accepted_open",
+            sum(link.state is protocol.State.OPEN
+                for link in self._protocols.values()))
         self._server.resume_accepting()
         now_s = self._timers.read_clock()
         for sock, last_s in list(self._last_read_s.items()):
             if now_s - last_s > LINK_IDLE_TIMEOUT_S:
+                if sock not in self._idle:
+                    self._idle.add(sock)
+                    self._metrics.count("links.closed_idle")
                 self.fire(net_events.close(sock), self.channel)
 
 
@@ -441,8 +467,13 @@
 class WebsocketLinks(Links):
     """Outgoing links over websockets, redialled when they are down."""
 
-    def __init__(self, *, secret: str, connector: streams.Connector,
-                 timers: timer.Timers, byte_counter: traffic.ByteCounter):
+    def __init__(self,
+                 *,
+                 secret: str,
+                 connector: streams.Connector,
+                 timers: timer.Timers,
+                 byte_counter: traffic.ByteCounter,
+                 metrics: metrics_module.Metrics | None = None):
         """Starts to check links and to redial those that are down.
 
         Args:
@@ -450,7 +481,9 @@
             connector: Opens the connections.
             timers: Schedules the checks.
             byte_counter: Counts the bytes sent.
+            metrics: Sink of metrics; none if absent.
         """
+        self._metrics = metrics or metrics_module.NullMetrics()
         self._secret = secret
         self._connector = connector
         self._timers = timers
@@ -487,5 +520,9 @@
             dialler.send(message)
 
     def _check_links(self) -> None:
+        self._metrics.set_gauge("links.dialled", len(self._diallers))
+        self._metrics.set_gauge(
+            "links.dialled_open",
+            sum(dialler.is_open for dialler in self._diallers.values()))
         for dialler in self._diallers.values():
             dialler.check()
--- a/packages/node/tests/test_links.py
+++ b/packages/node/tests/test_links.py
@@ -19,6 +19,7 @@
 
 from trefoilroad_core import errors
 from trefoilroad_node import links
+from trefoilroad_node import registry
 from trefoilroad_node import streams
 from trefoilroad_node import timer
 from trefoilroad_node import traffic
@@ -58,6 +59,12 @@
     assert link.codes == [frames.CloseCode.INVALID_DATA]
 
 
+def _read_metric(metrics, name):
+    lines = dict(
+        line.split(" ") for line in metrics.render().split("\n") if line)
+    return float(lines.get(f"trefoilroad_links_{name}", -1))
+
+
 class _Site:
     """An acceptor on a loop that the test drives."""
 
@@ -68,15 +75,20 @@
         self.root._running = True
         timers = timer.TimerService(rng=random.Random(1)).register(self.root)
         self.messages = []
+        self.metrics = registry.Registry()
         self.acceptor = links.Acceptor(listen="127.0.0.1:0",
                                        secret="secret",
                                        on_message=self.messages.append,
                                        timers=timers,
                                        byte_counter=traffic.ByteCounter(),
-                                       max_held_bytes=max_held_bytes)
+                                       max_held_bytes=max_held_bytes,
+                                       metrics=self.metrics)
         self.acceptor.register(self.root)
         self.sockets = []
 
+    def read_metric(self, name):
+        return _read_metric(self.metrics, name)
+
     def run(self, until):
         """Runs the loop until a condition holds."""
         deadline_s = time.monotonic() + 5.0
@@ -178,6 +190,44 @@
     site.run(lambda: site.messages)
 
 
+def test_closed_links_are_counted_and_few_lines_tell(build_site, monkeypatch):
+    """Guards against links that close each other and fill the log."""
+    monkeypatch.setattr(links, "MAX_LINKS", 2)
+    monkeypatch.setattr(links, "MAX_CLOSED_LINES_PER_S", 1)
+    site = build_site()
+    started_s = time.monotonic()
+    with structlog.testing.capture_logs() as lines:
+        for number in range(1, 41):
+            site.connect()
+            site.run(lambda count=number: site.read_metric("accepted_total") ==
+                     count)
+    assert site.read_metric("closed_too_many_total") == 38
+    closed = [line for line in lines if line["event"] == "link closed"]
+    assert 1 <= len(closed) <= 1 + time.monotonic() - started_s
+    assert closed[0]["links"] == 2
+
+
+def test_closed_links_are_counted_by_cause(build_site):
+    """Guards against causes that are told apart only by lines left out."""
+    site = build_site(max_held_bytes=100_000)
+    site.send(site.connect("secret"), _encode_frame(b"x" * 200_000, 3_000_000))
+    site.run(lambda: site.read_metric("closed_held_bytes_total") == 1)
+    site.send(site.connect(),
+              b"GET /link HTTP/1.1\r\n" + (b"X: " + b"y" * 7000 + b"\r\n") * 3)
+    site.run(lambda: site.read_metric("closed_handshake_size_total") == 1)
+
+
+def test_idle_link_is_counted_once_and_no_longer_open(build_site, monkeypatch):
+    """Guards against gauges that keep links which are gone."""
+    monkeypatch.setattr(links, "LINK_IDLE_TIMEOUT_S", 0.2)
+    site = build_site()
+    site.connect("secret")
+    site.run(lambda: site.read_metric("accepted_open") == 1)
+    site.run(lambda: site.read_metric("closed_idle_total") == 1)
+    site.run(lambda: site.read_metric("accepted_open") == 0)
+    assert site.read_metric("closed_idle_total") == 1
+
+
 class _Caller:
     """Outgoing links on a loop that the test drives."""
 
@@ -196,11 +246,12 @@
                              timers=self.timers,
                              byte_counter=traffic.ByteCounter())
 
-    def make_links(self):
+    def make_links(self, metrics=None):
         return links.WebsocketLinks(secret="secret",
                                     connector=self.connector,
                                     timers=self.timers,
-                                    byte_counter=traffic.ByteCounter())
+                                    byte_counter=traffic.ByteCounter(),
+                                    metrics=metrics)
 
     def make_acceptor(self, port):
         acceptor = links.Acceptor(listen=f"127.0.0.1:{port}",
@@ -272,6 +323,21 @@
     }
 
 
+def test_dialled_links_are_counted(build_peer, monkeypatch):
+    """Guards against a node without its links that looks like a sound one."""
+    monkeypatch.setattr(links, "REDIAL_INTERVAL_S", 0.05)
+    caller = _Caller()
+    metrics = registry.Registry()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        refused = f"127.0.0.1:{server.getsockname()[1]}"
+    peer = build_peer(answers=True)
+    outgoing = caller.make_links(metrics)
+    outgoing.set_addresses({refused, peer.address})
+    _run_with_peer(caller, peer,
+                   lambda: _read_metric(metrics, "dialled_open") == 1)
+    assert _read_metric(metrics, "dialled") == 2
+
+
 def test_handshake_without_answer_is_given_up(monkeypatch):
     """Guards against a link that waits forever for a node that is frozen."""
     monkeypatch.setattr(links, "OPEN_TIMEOUT_S", 0.1)
