--- a/packages/node/src/trefoilroad_node/timer.py
+++ b/packages/node/src/trefoilroad_node/timer.py
@@ -89,6 +89,7 @@
         self._rng = rng
         self._sequence_numbers = itertools.count()
         self._heap: list[tuple[float, int, TimerHandle]] = []
+        self._largest_delay_s = 0.0
 
     def read_clock(self) -> float:
         """See Timers.read_clock; includes the time while the VM was suspended.
@@ -110,6 +111,11 @@
         self._schedule(self.read_clock() + delay_s, timer_handle)
         return timer_handle
 
+    def take_largest_delay(self) -> float:
+        """Returns the largest delay of a call in seconds, and resets it."""
+        delay_s, self._largest_delay_s = self._largest_delay_s, 0.0
+        return delay_s
+
     def _schedule(self, due_s: float, timer_handle: TimerHandle) -> None:
         heapq.heappush(self._heap,
                        (due_s, next(self._sequence_numbers), timer_handle))
@@ -117,6 +123,10 @@
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
         now_s = self.read_clock()
+        if self._heap:
+            # The first one is the latest.
+            self._largest_delay_s = max(self._largest_delay_s,
+                                        now_s - self._heap[0][0])
         while self._heap and self._heap[0][0] <= now_s:
             _, _, timer_handle = heapq.heappop(self._heap)
             self._run(timer_handle, now_s)
