Count and time status requests, and log those without an answer

Change: status_lookups.py has the histogram status.answer and counters of the source of each answer, of why the leader gave no status and of what left a request unanswered. `status unknown` and `status late` (over 1 s) name the request, each step with its time and failure, the epoch of the leader and whether this node leads; at most 5 lines a second each. They replace `job state cannot be read`, `progress of a job cannot be read` and `job state cannot be decoded`, which had no bound. Answers and decisions are as before.

--- a/packages/jobs/src/trefoilroad_jobs/intake.py
+++ b/packages/jobs/src/trefoilroad_jobs/intake.py
@@ -12,6 +12,7 @@
 from trefoilroad_jobs import job_budget
 from trefoilroad_jobs import ports
 from trefoilroad_jobs import progress
+from trefoilroad_jobs import status_lookups
 from trefoilroad_jobs import tables
 from trefoilroad_jobs import workload
 from trefoilroad_jobs import writes
@@ -70,8 +71,7 @@
     """State and team of a job.
 
     Attributes:
-        state: State of the job; empty if there is no such job or the leader
-            that was asked does not know it.
+        state: State of the job; empty if there is no such job.
         team: Team of the job.
     """
 
@@ -81,6 +81,7 @@
 
 OnReply = Callable[[Reply], None]
 OnJobStatus = Callable[[JobStatus | None], None]
+OnLeaderStatus = Callable[[JobStatus | status_lookups.NoLeaderStatus], None]
 
 
 class Submission:
@@ -112,7 +113,8 @@
 
     def __init__(self, *, store: ports.Store, timers: timer.Timers,
                  metrics: sinks.Metrics,
-                 ask_leader: Callable[[str, OnJobStatus], None],
+                 ask_leader: Callable[[str, OnLeaderStatus], None],
+                 read_leader: Callable[[], status_lookups.Leader],
                  read_store_ms: Callable[[], float], relay: writes.Relay,
                  admission_control: admission.AdmissionControl,
                  budget: job_budget.JobBudget,
@@ -124,8 +126,9 @@
             store: The store.
             timers: Source of time.
             metrics: Sink of metrics.
-            ask_leader: Asks the leader for the status of a job; gives None if
-                the leader has no answer.
+            ask_leader: Asks the leader for the status of a job; gives the
+                reason if the leader has no answer.
+            read_leader: Returns the leader as known to this node.
             read_store_ms: Returns the store's clock in milliseconds.
             relay: Asks the leader to write a row.
             admission_control: Finds jobs that can never run.
@@ -145,6 +148,9 @@
         self._list_teams = list_teams
         self._on_row_written = on_row_written
         self._final: dict[str, JobStatus] = {}
+        self._lookups = status_lookups.StatusLookups(timers=timers,
+                                                     metrics=metrics,
+                                                     read_leader=read_leader)
 
     # Submission.
 
@@ -302,17 +308,22 @@
 
         Gives None if neither the leader nor the store answers.
         """
+        lookup = self._lookups.begin(job_id)
         remembered = self._final.get(job_id)
         if remembered is not None:
+            lookup.answer(status_lookups.Source.REMEMBERED)
             on_done(remembered)
             return
 
-        def on_leader_status(status: JobStatus | None) -> None:
-            if status is not None and status.state:
+        def on_leader_status(
+                status: JobStatus | status_lookups.NoLeaderStatus) -> None:
+            if isinstance(status, JobStatus):
+                lookup.answer_from_leader()
                 self._remember(job_id, status)
                 on_done(status)
             else:
-                self._read_rows(job_id, on_done)
+                lookup.miss_leader(status)
+                self._read_rows(job_id, lookup, on_done)
 
         self._ask_leader(job_id, on_leader_status)
 
@@ -323,49 +334,51 @@
         if len(self._final) > MAX_REMEMBERED_JOBS:
             del self._final[next(iter(self._final))]
 
-    def _read_rows(self, job_id: str, on_done: OnJobStatus) -> None:
+    def _read_rows(self, job_id: str, lookup: status_lookups.Lookup,
+                   on_done: OnJobStatus) -> None:
         """Reads the status of a job from the store."""
         accepted: list[workload.Workload] = []
 
-        def give_up(error: ValueError) -> None:
-            _log.error("job state cannot be decoded",
-                       request=job_id,
-                       error=str(error))
+        def give_up(step: str, failure: str, *, unreadable: bool) -> None:
+            lookup.give_up(step, failure, unreadable=unreadable)
             on_done(None)
 
         def on_job_row(result: ports.RowsResult) -> None:
             if not isinstance(result, ports.Rows):
-                _log.warning("job state cannot be read",
-                             request=job_id,
-                             reason=getattr(result, "reason", ""))
-                on_done(None)
+                give_up("job row",
+                        getattr(result, "reason", "history lost"),
+                        unreadable=False)
             elif not result.rows or result.rows[0].value is None:
+                lookup.end_step("job row")
+                lookup.answer(status_lookups.Source.STORE)
                 on_done(JobStatus("", ""))
             else:
                 try:
                     accepted.append(
                         workload.decode_workload(result.rows[0].value))
                 except ValueError as error:
-                    give_up(error)
+                    give_up("job row", str(error), unreadable=True)
                     return
+                lookup.end_step("job row")
                 self._store.read(table=tables.PROGRESS,
                                  key=job_id,
                                  on_done=on_progress_row)
 
         def on_progress_row(result: ports.RowsResult) -> None:
             if not isinstance(result, ports.Rows):
-                _log.warning("progress of a job cannot be read",
-                             request=job_id,
-                             reason=getattr(result, "reason", ""))
-                on_done(None)
+                give_up("progress row",
+                        getattr(result, "reason", "history lost"),
+                        unreadable=False)
                 return
             state = progress.JobState.QUEUED
             if result.rows and result.rows[0].value is not None:
                 try:
                     state = progress.decode_state(result.rows[0].value)
                 except ValueError as error:
-                    give_up(error)
+                    give_up("progress row", str(error), unreadable=True)
                     return
+            lookup.end_step("progress row")
+            lookup.answer(status_lookups.Source.STORE)
             status = JobStatus(str(state), accepted[0].team)
             self._remember(job_id, status)
             on_done(status)
--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -19,6 +19,7 @@
 from trefoilroad_jobs import ordering
 from trefoilroad_jobs import planner
 from trefoilroad_jobs import ports
+from trefoilroad_jobs import status_lookups
 from trefoilroad_jobs import tables
 from trefoilroad_jobs import waiting_counts
 from trefoilroad_jobs import watch
@@ -158,6 +159,8 @@
             timers=timers,
             metrics=metrics,
             ask_leader=self._ask_leader,
+            read_leader=lambda: status_lookups.Leader(
+                self.epoch, self._dispatcher is not None),
             read_store_ms=self._read_store_ms,
             relay=self._relay,
             admission_control=self._admission_control,
@@ -632,23 +635,25 @@
         self._timers.call_later(timeout_s, give_up)
         return True
 
-    def _ask_leader(self, job_id: str, on_status: intakes.OnJobStatus) -> None:
+    def _ask_leader(self, job_id: str,
+                    on_status: intakes.OnLeaderStatus) -> None:
         if self._dispatcher is not None:
             on_status(self._find_own_status(job_id))
             return
 
         def on_reply(reply: node_links.Message | None) -> None:
             if reply is None:
-                on_status(None)
-            else:
-                on_status(
-                    intakes.JobStatus(str(reply["state"]), str(reply["team"])))
+                on_status(status_lookups.NoLeaderStatus.SILENT)
+                return
+            status = intakes.JobStatus(str(reply["state"]), str(reply["team"]))
+            on_status(status if status.state else status_lookups.NoLeaderStatus.
+                      JOB_UNKNOWN)
 
         if not self._request({
                 "type": "ask",
                 "job": job_id
         }, STATUS_TIMEOUT_S, on_reply):
-            on_status(None)
+            on_status(status_lookups.NoLeaderStatus.LINK_DOWN)
 
     def _relay(self, row: writes.RowWrite, on_done: ports.OnCommit) -> None:
         """Has the leader write a row that this node could not write."""
@@ -699,7 +704,7 @@
 
     def _answer_status_request(self, message: node_links.Message) -> None:
         status = self._find_own_status(str(message["job"]))
-        if status is None:
+        if not isinstance(status, intakes.JobStatus):
             status = intakes.JobStatus("", "")
         self._links.send(
             str(message["link"]), {
@@ -709,19 +714,24 @@
                 "team": status.team
             })
 
-    def _find_own_status(self, job_id: str) -> intakes.JobStatus | None:
+    def _find_own_status(
+            self,
+            job_id: str) -> intakes.JobStatus | status_lookups.NoLeaderStatus:
         """Returns the status of a job if this node leads and knows it.
 
-        Returns None too if the leadership was not confirmed recently.
+        Returns the reason otherwise, or if the leadership was not confirmed
+        recently.
         """
         if self._dispatcher is None or self._ledger is None:
-            return None
+            return status_lookups.NoLeaderStatus.JOB_UNKNOWN
         age_s = self._timers.read_clock() - self._ledger.confirmed_s
-        if not self._dispatcher.ready or age_s > leaderships.MAX_CONFIRM_AGE_S:
-            return None
+        if not self._dispatcher.ready:
+            return status_lookups.NoLeaderStatus.NOT_READY
+        if age_s > leaderships.MAX_CONFIRM_AGE_S:
+            return status_lookups.NoLeaderStatus.UNCONFIRMED
         state = self._dispatcher.get_state(job_id)
         if state is None:
-            return None
+            return status_lookups.NoLeaderStatus.JOB_UNKNOWN
         team = self._dispatcher.jobs[job_id].workload.team
         return intakes.JobStatus(str(state), team)
 
