Log unreadable rows of status requests apart from a store that is out

Cause: while the store refuses all calls, the bound on `status unknown` could leave out the only line about a row that can never be decoded.

--- a/packages/jobs/src/trefoilroad_jobs/status_lookups.py
+++ b/packages/jobs/src/trefoilroad_jobs/status_lookups.py
@@ -13,7 +13,7 @@
 
 # A status that takes longer is logged; callers wait for 3 s.
 LATE_S = 1.0
-# Lines of late and of unanswered requests in a second, of each kind.
+# Lines in a second about late requests, unanswered ones, and unreadable rows.
 MAX_LINES_PER_S = 5
 
 _log = structlog.get_logger()
@@ -134,6 +134,8 @@
         self._metrics = metrics
         self._read_leader = read_leader
         self._unanswered_limit = line_limit.LineLimit(max_lines=MAX_LINES_PER_S)
+        # A store that is down leaves no line for rows that fail for good.
+        self._unreadable_limit = line_limit.LineLimit(max_lines=MAX_LINES_PER_S)
         self._late_limit = line_limit.LineLimit(max_lines=MAX_LINES_PER_S)
 
     def begin(self, job_id: str) -> Lookup:
@@ -153,12 +155,15 @@
         if lookup.source is None:
             cause = _name_cause(lookup)
             self._metrics.count(f"status.unanswered_{cause}")
-            left_out = self._unanswered_limit.admit(now_s)
+            limit = (self._unreadable_limit
+                     if lookup.row_unreadable else self._unanswered_limit)
+            left_out = limit.admit(now_s)
             if left_out is not None:
-                _log.warning("status unknown",
-                             request=lookup.job_id,
-                             cause=cause,
-                             **_describe(lookup, took_s, left_out))
+                log = _log.error if lookup.row_unreadable else _log.warning
+                log("status unknown",
+                    request=lookup.job_id,
+                    cause=cause,
+                    **_describe(lookup, took_s, left_out))
             return
         self._metrics.count(f"status.from_{lookup.source.value}")
         if took_s <= LATE_S:
--- a/packages/jobs/tests/test_status_lookups.py
+++ b/packages/jobs/tests/test_status_lookups.py
@@ -139,6 +139,7 @@
     assert outcome is intake.Outcome.UNKNOWN
     assert counters["unanswered_row_unreadable"] == 1
     assert line["cause"] == "row_unreadable"
+    assert line["log_level"] == "error"
     assert line["tried"][-1]["step"] == step
     assert line["tried"][-1]["failure"]
 
@@ -165,3 +166,25 @@
     assert len(lines) == status_lookups.MAX_LINES_PER_S
     _, _, (line,) = case.show(case.follower)
     assert line["left_out"] == 100 - status_lookups.MAX_LINES_PER_S
+
+
+def test_unreadable_row_is_told_beside_a_store_that_is_out(case):
+    """Guards against a permanent fault whose line is left out for others."""
+    case.leader.host.frozen = True
+    read = case.follower.store.read
+
+    def read_altered(*, table, key, on_done):
+        if key.endswith(JOB):
+            on_done(ports.Rows([ports.Row(key, b"\xff", 1)], 1, 0.0))
+        else:
+            read(table=table, key=key, on_done=on_done)
+
+    case.follower.store.read = read_altered
+    case.follower.store.refused = True
+    for number in range(1, 100):
+        case.site.show(f"{number:016x}", case.follower.name)
+    _, counters, lines = case.show(case.follower)
+    assert counters["unanswered_store_failed_silent"] == 99
+    causes = [line["cause"] for line in lines]
+    assert causes.count("row_unreadable") == 1
+    assert len(causes) == 1 + status_lookups.MAX_LINES_PER_S
