Add a judge of the states of accepted jobs that nodes give

Cause: users lost "some 14 s after the end of traffic every accepted job is asked for; one got no answer in time". The checkers asked one node at most, and a state was only compared with a set of names.

The count of failed runs moves from the observer to the judge.

--- a/packages/standins/src/trefoilroad_standins/jobs/observer.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/observer.py
@@ -4,6 +4,7 @@
 
 from trefoilroad_standins.jobs import idleness
 from trefoilroad_standins.jobs import site as sites
+from trefoilroad_standins.jobs import statuses
 from trefoilroad_standins.jobs import waiting
 
 # Time between two looks at the state of the workers and nodes.
@@ -163,7 +164,10 @@
                             worker_state.capacity)
             for worker_state in site.worker_states.values()
         ]
-        failed_s = self._find_failed_jobs()
+        failed_s = statuses.find_failed_jobs(
+            {
+                job_id: job.steps for job_id, job in site.workloads.items()
+            }, site.history, sites.QUEUE.max_failures)
         jobs = [
             idleness.Job(job_id,
                          job.steps,
@@ -179,20 +183,3 @@
                                disruptions=self.disruptions,
                                traffic_end_s=traffic_end_s,
                                end_s=site.clock.now_s)
-
-    def _find_failed_jobs(self) -> dict[str, float]:
-        """Returns when jobs failed, as a task had failed too often."""
-        failed_s: dict[str, float] = {}
-        failed_runs: dict[tuple[str, int, str], set[int]] = {}
-        for event in self._site.history:
-            if event.kind != "failed":
-                continue
-            job_id, step, task = idleness.parse_name(event.name)
-            if self._site.workloads[job_id].steps[step].gang:
-                # The members of a gang share its runs.
-                task = ""
-            runs = failed_runs.setdefault((job_id, step, task), set())
-            runs.add(event.run)
-            if len(runs) >= sites.QUEUE.max_failures:
-                failed_s.setdefault(job_id, event.at_s)
-        return failed_s
--- a/packages/standins/src/trefoilroad_standins/jobs/open_connections.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/open_connections.py
@@ -35,6 +35,22 @@
     ended_s: float
 
 
+class Response(NamedTuple):
+    """A response of a node.
+
+    Attributes:
+        status: HTTP status.
+        stays_open: Whether the connection can be used again.
+        retry_after_s: Content of Retry-After in seconds, 0 if absent.
+        body: Its body.
+    """
+
+    status: int
+    stays_open: bool
+    retry_after_s: float
+    body: bytes
+
+
 class Caller:
     """Calls one node on one connection at a time, again and again.
 
@@ -85,9 +101,7 @@
         body = b""
         if method == "POST":
             body = json.dumps({"spec": "text", "steps": [STEP]}).encode()
-        data = (f"{method} {self._prefix}{job_id} HTTP/1.1\r\nHost: soak\r\n"
-                f"Authorization: Bearer {self._key}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        data = encode_request(method, self._prefix + job_id, self._key, body)
         if self._rng.random() < 0.2:
             middle = len(data) // 2
             writer.write(data[:middle])
@@ -102,23 +116,49 @@
         # If there is none, the request is recorded as one without a response.
         with contextlib.suppress(OSError, ValueError, IndexError, TimeoutError,
                                  asyncio.IncompleteReadError):
-            status, stays_open = await asyncio.wait_for(_read_response(reader),
-                                                        RESPONSE_TIMEOUT_S)
+            response = await asyncio.wait_for(read_response(reader),
+                                              RESPONSE_TIMEOUT_S)
+            status, stays_open = response.status, response.stays_open
         ended_s = loop.time()
         self.exchanges.append(
             Exchange(job_id, method, status, ended_s - sent_s, ended_s))
         return stays_open
 
 
-async def _read_response(reader: asyncio.StreamReader) -> tuple[int, bool]:
-    """Returns the status and whether the connection stays open."""
+async def read_response(reader: asyncio.StreamReader) -> Response:
+    """Reads a response with a length.
+
+    Raises:
+        ValueError: It is no valid response.
+        IndexError: The same.
+        asyncio.IncompleteReadError: The connection ended before it did.
+    """
     status = int((await reader.readline()).split()[1])
-    length, stays_open = 0, True
+    length, stays_open, retry_after_s = 0, True, 0.0
     while (line := await reader.readline()).strip():
         name, _, value = line.decode().lower().partition(":")
         if name == "content-length":
             length = int(value)
         elif name == "connection":
             stays_open = "close" not in value
-    await reader.readexactly(length)
-    return status, stays_open
+        elif name == "retry-after":
+            retry_after_s = float(value)
+    return Response(status, stays_open, retry_after_s, await
+                    reader.readexactly(length))
+
+
+def encode_request(method: str,
+                   path: str,
+                   key: str,
+                   body: bytes = b"") -> bytes:
+    """Returns a request as it is sent.
+
+    Args:
+        method: HTTP method.
+        path: Path of the call.
+        key: Key of the caller's team.
+        body: Body of the request.
+    """
+    return (f"{method} {path} HTTP/1.1\r\nHost: soak\r\n"
+            f"Authorization: Bearer {key}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
