Ask every node for every accepted job at the end of schedules

Cause: FaultSchedule asked one node for its jobs, one after the other, and LeaderSeries and RestartSeries asked none. No schedule ended with the loss of all nodes right after a job was accepted.

--- a/packages/standins/src/trefoilroad_standins/jobs/fault_schedule.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/fault_schedule.py
@@ -5,6 +5,7 @@
 import random
 
 from trefoilroad_jobs import workload
+from trefoilroad_standins.jobs import closing
 from trefoilroad_standins.jobs import idleness
 from trefoilroad_standins.jobs import observer as observers
 from trefoilroad_standins.jobs import site as sites
@@ -35,6 +36,7 @@
         Args:
             seed: Seed of the schedule and of the site.
         """
+        self._seed = seed
         self.rng = random.Random(seed)
         self.site = sites.Site(seed=seed,
                                node_count=3,
@@ -67,11 +69,13 @@
         idle_jobs = self.observer.find_idle_jobs(1.0 + FAULT_PHASE_S +
                                                  LOST_CALL_DELAY_S +
                                                  idleness.CALM_S)
-        return [
+        violations = [
             *self._check_outcome(),
             *[finding.text for finding in idle_jobs],
             *self.observer.find_wrong_answers(),
+            *closing.run(self.site, self._seed, self._record),
         ]
+        return violations + self.site.find_violations()
 
     def _record(self, text: str) -> None:
         self.log.append(f"{self.site.clock.now_s:.3f} {text}")
@@ -307,7 +311,7 @@
     # Checks.
 
     def _check_outcome(self) -> list[str]:
-        violations = self.site.find_violations()
+        violations: list[str] = []
         through = self._pick_node()
         assert through is not None
         for job_id, accepted in self._accepted_by_job.items():
--- a/packages/standins/src/trefoilroad_standins/jobs/leader_series.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/leader_series.py
@@ -10,6 +10,7 @@
 import random
 
 from trefoilroad_jobs import workload
+from trefoilroad_standins.jobs import closing
 from trefoilroad_standins.jobs import idleness
 from trefoilroad_standins.jobs import observer as observers
 from trefoilroad_standins.jobs import site as sites
@@ -49,6 +50,7 @@
                 workers can keep them from running.
         """
         self._plain = plain
+        self._seed = seed
         self._rng = random.Random(seed)
         self._racks = self._rng.randint(2, MAX_RACKS)
         labels = {
@@ -94,11 +96,16 @@
                       self.site.clock.now_s)
         findings = self.observer.find_idle_jobs(traffic_end_s)
         return [
-            *self.site.find_violations(),
             *[finding.text for finding in findings],
             *self.observer.find_wrong_answers(),
+            *self._close(),
         ]
 
+    def _close(self) -> list[str]:
+        """Plays the end of the schedule and checks the whole history."""
+        violations = closing.run(self.site, self._seed, self._record)
+        return violations + self.site.find_violations()
+
     def _schedule_at(self, at_s: float, callback: Callable[[], None]) -> None:
         self.site.clock.schedule(at_s - self.site.clock.now_s, callback)
 
--- a/packages/standins/src/trefoilroad_standins/jobs/restart_series.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/restart_series.py
@@ -54,10 +54,7 @@
             self._schedule_round(number,
                                  first_round_s + number * ROUND_INTERVAL_S)
         self.site.run(END_S - self.site.clock.now_s)
-        return [
-            *self.site.find_violations(),
-            *self.observer.find_wrong_answers(),
-        ]
+        return self.observer.find_wrong_answers() + self._close()
 
     def _schedule_round(self, number: int, from_s: float) -> None:
         rack = f"r{self._rng.randrange(self._racks)}"
