Ask every node for every accepted job in soaks and series

Cause: the soak asked one random node at a time, again and again for 30 s, so that a node without an answer was passed over; the series asked for idle jobs only. Neither lost all nodes right after a job was accepted.

Change: soaks (planned ones too) and series ask all nodes that were not killed for good for all accepted jobs, at once.

--- a/packages/standins/src/trefoilroad_standins/jobs/node_process.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/node_process.py
@@ -11,6 +11,8 @@
 from trefoilroad_standins.jobs import proxy as proxies
 
 STOP_GRACE_S = 6.0
+# Options of the interpreter that runs a node.
+PROGRAM = ("-P", "-m", "trefoilroad_platform")
 # Below the range from which the kernel chooses ports for other processes.
 PORT_RANGE = (20_000, 32_000)
 
@@ -146,9 +148,7 @@
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-P",
-                "-m",
-                "trefoilroad_platform",
+                *PROGRAM,
                 env=os.environ | {"TREFOILROAD_BOOT": str(self._settings)},
                 stdout=log,
                 stderr=log)
--- a/packages/standins/src/trefoilroad_standins/jobs/series.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/series.py
@@ -30,6 +30,8 @@
 from trefoilroad_standins.jobs import node_process
 from trefoilroad_standins.jobs import proxy as proxies
 from trefoilroad_standins.jobs import soak
+from trefoilroad_standins.jobs import status_calls
+from trefoilroad_standins.jobs import statuses
 from trefoilroad_standins.jobs import workers as worker_module
 
 WORKERS_PER_RACK = 12
@@ -180,7 +182,8 @@
             self._record(f"traffic has ended, {accepted} jobs of "
                          f"{len(self._jobs)} accepted")
             await asyncio.sleep(self._plan.settle_s)
-            return await self._judge(end_s)
+            wrong_answers = await self._ask_statuses()
+            return wrong_answers + await self._judge(end_s)
         finally:
             lag_task.cancel()
             await self._stop_all()
@@ -398,6 +401,28 @@
 
     # Checks.
 
+    async def _ask_statuses(self) -> list[str]:
+        """Asks all nodes that were not killed for all accepted jobs.
+
+        Returns:
+            One line for each wrong answer.
+        """
+        answers = await status_calls.ask_all(
+            [
+                node for node in self._processes.values()
+                if node.exit_code != -signal.SIGKILL
+            ], {
+                job.job_id: self._prefixes[job.job_id] + job.job_id
+                for job in self._jobs
+                if job.accepted_s is not None
+            }, soak.API_KEY, lambda: self._fleet.clock.now_s)
+        longest_s = max([answer.took_s for answer in answers], default=0.0)
+        self._record(f"{len(answers)} statuses asked for, the slowest took "
+                     f"{longest_s:.2f} s")
+        jobs = statuses.make_jobs(self._jobs, self._fleet.history,
+                                  soak.MAX_ATTEMPTS)
+        return statuses.find_wrong_answers(jobs, answers)
+
     async def _judge(self, traffic_end_s: float) -> list[str]:
         history = self._fleet.history
         record = idleness.Record(workers=[
--- a/packages/standins/src/trefoilroad_standins/jobs/soak.py
+++ b/packages/standins/src/trefoilroad_standins/jobs/soak.py
@@ -23,12 +23,17 @@
 
 from trefoilroad_jobs import leadership
 from trefoilroad_jobs import tables
+from trefoilroad_jobs import workload
+from trefoilroad_standins.jobs import closing
 from trefoilroad_standins.jobs import count_observer
 from trefoilroad_standins.jobs import fleet_server
+from trefoilroad_standins.jobs import idleness
 from trefoilroad_standins.jobs import node_process
 from trefoilroad_standins.jobs import odd_rows
 from trefoilroad_standins.jobs import open_connections
 from trefoilroad_standins.jobs import proxy as proxies
+from trefoilroad_standins.jobs import status_calls
+from trefoilroad_standins.jobs import statuses
 from trefoilroad_standins.jobs import waiting
 from trefoilroad_standins.jobs import workers as worker_module
 
@@ -60,6 +65,9 @@
 # are in touch 3 s later, and jobs must be counted 5 s after their acceptance.
 COUNT_RECOVERY_S = 12.0
 SUBMIT_TIMEOUT_S = 10.0
+MAX_ATTEMPTS = 3
+# The step of a job of one task, as open_connections.STEP describes it.
+DEFAULT_STEP = workload.Step(1, workload.Demand(4000, 4000, 1))
 API_KEY = "soak-key"
 QUEUE_PREFIX = "/jobs/"
 
@@ -71,7 +79,7 @@
         "prefix": QUEUE_PREFIX,
         "service": "service",
         "priority": 1,
-        "maxAttempts": 3,
+        "maxAttempts": MAX_ATTEMPTS,
         "slackFactor": 3.0,
         "targetDurationMs": 1000
     }],
@@ -130,16 +138,10 @@
                 data = body
             else:
                 data = json.dumps(body).encode() if body is not None else b""
-            writer.write(f"{method} {path} HTTP/1.1\r\nHost: soak\r\n"
-                         f"Authorization: Bearer {key}\r\n"
-                         f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
-            status = int((await reader.readline()).split()[1])
-            length = 0
-            while (line := await reader.readline()).strip():
-                name, _, value = line.decode().partition(":")
-                if name.lower() == "content-length":
-                    length = int(value)
-            return status, json.loads(await reader.readexactly(length))
+            writer.write(
+                open_connections.encode_request(method, path, key, data))
+            response = await open_connections.read_response(reader)
+            return response.status, json.loads(response.body)
         finally:
             writer.close()
 
@@ -169,6 +171,7 @@
         # Separate, so that the other faults of a seed stay the same.
         self._extra_rng = random.Random(f"extra {seed}")
         self._count_rng = random.Random(f"count {seed}")
+        self._closing_rng = random.Random(f"closing {seed}")
         self._folder = folder
         self._fleet = fleet_server.FleetServer(worker_count=WORKER_COUNT)
         self._nodes: list[node_process.NodeProcess] = []
@@ -176,6 +179,9 @@
         self._submissions: dict[str, SubmissionResult] = {}
         self._accepted_s: dict[str, float] = {}
         self._cancelled_s: dict[str, float] = {}
+        self._cancel_confirmed_s: dict[str, float] = {}
+        self._steps: dict[str, workload.Step] = {}
+        self._statuses: list[statuses.Answer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._callers: list[open_connections.Caller] = []
         self._caller_tasks: list[asyncio.Task[None]] = []
@@ -216,7 +222,13 @@
             await asyncio.sleep(repaired_s + COUNT_RECOVERY_S -
                                 self._fleet.clock.now_s)
             observation.cancel()
-            return violations + counts.find_wrong_answers(self._list_jobs())
+            violations += counts.find_wrong_answers(self._list_jobs())
+            await asyncio.sleep(repaired_s + statuses.ASKED_AFTER_S -
+                                self._fleet.clock.now_s)
+            await self._ask_statuses()
+            violations += await self._kill_all_after_acceptance()
+            await self._ask_statuses()
+            return violations + self._find_faults()
         finally:
             await self._stop_all()
 
@@ -238,7 +250,9 @@
                     for number in range(JOB_COUNT)
                 ])
             await self._stop_callers()
-            return self._find_unanswered() + await self._check_outcome()
+            violations = self._find_unanswered() + await self._check_outcome()
+            await self._ask_statuses()
+            return violations + self._find_faults()
         finally:
             await self._stop_all()
 
@@ -333,38 +347,36 @@
         job_id = f"{number:016x}"
         gang = self._rng.random() < 0.4
         self._fleet.run_s[job_id] = self._rng.uniform(0.3, 3.0)
-        body = {
-            "spec":
-                "text",
-            "steps": [{
-                "count": self._rng.randint(1, 6),
-                "cpu": 4000,
-                "memMb": 4000,
-                "gpu": 1,
-                "estimatedMs": 1500,
-                "gang": gang
-            }]
+        count = self._rng.randint(1, 6)
+        self._steps[job_id] = DEFAULT_STEP._replace(tasks=count, gang=gang)
+        step = open_connections.STEP | {
+            "count": count,
+            "estimatedMs": 1500,
+            "gang": gang
         }
+        body = {"spec": "text", "steps": [step]}
         self._record(f"submit {job_id}")
-        statuses = []
+        codes = []
         for _ in range(4):
             node = self._rng.choice(self._nodes)
             status, _ = await call(node.port, "POST", QUEUE_PREFIX + job_id,
                                    body)
-            statuses.append(status)
+            codes.append(status)
             if status == 200:
                 self._accepted_s[job_id] = self._fleet.clock.now_s
                 break
             await asyncio.sleep(0.3)
-        self._submissions[job_id] = SubmissionResult(accepted=200 in statuses,
-                                                     refused=set(statuses)
+        self._submissions[job_id] = SubmissionResult(accepted=200 in codes,
+                                                     refused=set(codes)
                                                      <= {429, 503})
-        if statuses[-1] == 200 and self._rng.random() < 0.2:
+        if codes[-1] == 200 and self._rng.random() < 0.2:
             await asyncio.sleep(self._rng.uniform(0, 2))
             self._cancelled_s[job_id] = self._fleet.clock.now_s
             node = self._rng.choice(self._nodes)
             status, _ = await call(node.port, "DELETE", QUEUE_PREFIX + job_id)
             self._record(f"cancel {job_id}: {status}")
+            if status == 200:
+                self._cancel_confirmed_s[job_id] = self._fleet.clock.now_s
             if status == 410:
                 self._record(f"FAULT accepted {job_id} is unknown")
 
@@ -567,8 +579,85 @@
                       for event in self._fleet.history)
             if result.refused and ran:
                 violations.append(f"{job_id} was refused and ran")
-        violations += [line for line in self.log if "FAULT" in line]
-        return violations + worker_module.find_violations(self._fleet.history)
+        return violations + [line for line in self.log if "FAULT" in line]
+
+    async def _ask_statuses(self) -> None:
+        """Asks all nodes for all accepted jobs."""
+        self._statuses += await status_calls.ask_all(
+            self._nodes,
+            {job_id: QUEUE_PREFIX + job_id for job_id in self._accepted_s},
+            API_KEY, lambda: self._fleet.clock.now_s)
+
+    async def _kill_all_after_acceptance(self) -> list[str]:
+        """Kills all nodes once a job is accepted, and starts them again.
+
+        Waits until callers ask for statuses.
+
+        Returns:
+            A line if no job was accepted.
+        """
+        rng = self._closing_rng
+        delay_s = rng.choice((0.0, rng.uniform(*closing.KILL_DELAY_S)))
+        restarts_s = [rng.uniform(*closing.RESTART_S) for _ in self._nodes]
+        submissions = []
+        for number in range(closing.JOB_COUNT):
+            job_id = f"c{number:015x}"
+            count = rng.randint(1, closing.MAX_TASKS)
+            self._steps[job_id] = DEFAULT_STEP._replace(tasks=count)
+            self._fleet.run_s[job_id] = rng.uniform(*closing.RUN_S)
+            submissions.append(
+                asyncio.create_task(
+                    self._submit_once(job_id, rng.choice(self._nodes), count)))
+        for submission in asyncio.as_completed(submissions):
+            if await submission:
+                break
+        else:
+            return ["no job was accepted after the repair of all faults"]
+        await asyncio.sleep(delay_s)
+        killed_s = self._fleet.clock.now_s
+        self._record(f"all killed {delay_s:.2f} s after an acceptance")
+        for node in self._nodes:
+            node.send_signal(signal.SIGKILL)
+        await asyncio.gather(
+            *submissions, *[
+                self._restart(node, restart_s)
+                for node, restart_s in zip(self._nodes, restarts_s, strict=True)
+            ])
+        await asyncio.sleep(killed_s + statuses.ASKED_AFTER_S -
+                            self._fleet.clock.now_s)
+        return []
+
+    async def _submit_once(self, job_id: str, node: node_process.NodeProcess,
+                           count: int) -> bool:
+        """Returns whether a job of a number of tasks was accepted."""
+        step = open_connections.STEP | {"count": count}
+        status, _ = await call(node.port, "POST", QUEUE_PREFIX + job_id, {
+            "spec": "text",
+            "steps": [step]
+        })
+        if status == 200:
+            self._accepted_s[job_id] = self._fleet.clock.now_s
+        return status == 200
+
+    async def _restart(self, node: node_process.NodeProcess,
+                       delay_s: float) -> None:
+        await node.stop(signal.SIGKILL)
+        await asyncio.sleep(delay_s)
+        await node.start()
+
+    def _find_faults(self) -> list[str]:
+        """Returns a line for each wrong status and wrong run of a task."""
+        jobs = [
+            idleness.Job(job_id, (self._steps.get(job_id, DEFAULT_STEP),),
+                         accepted_s,
+                         cancelled_s=self._cancelled_s.get(job_id),
+                         ended_s=self._cancel_confirmed_s.get(job_id))
+            for job_id, accepted_s in self._accepted_s.items()
+        ]
+        history = self._fleet.history
+        return statuses.find_wrong_answers(
+            statuses.make_jobs(jobs, history, MAX_ATTEMPTS),
+            self._statuses) + worker_module.find_violations(history)
 
 
 def run_seed(seed: int,
