Refuse texts of reports that cannot be encoded

Callers could see the state "running" for ever, for all jobs, and new jobs that never began.

Cause: a checkpoint with half of a surrogate pair passed decode_report. Its encoding then raised in Ledger._take_changes with each transaction, so that the leader wrote nothing any more, the head row included. The next leader got the same report and failed in the same way.

--- a/packages/jobs/src/trefoilroad_jobs/ledger.py
+++ b/packages/jobs/src/trefoilroad_jobs/ledger.py
@@ -12,7 +12,8 @@
 The store may refuse a transaction for what it contains, a row that is too long
 for instance. Its changes are then sent apart, and one that is refused on its
 own is set aside: the callbacks that depend on it wait, all others go on, and it
-is tried again after growing delays.
+is tried again after growing delays. The same holds for a change that cannot be
+encoded.
 """
 
 from collections.abc import Callable
@@ -312,7 +313,15 @@
                 return
             if row_count >= changes.MAX_BATCH_ROWS:
                 return
-            change = self._encoder.encode(subject, source)
+            try:
+                change = self._encoder.encode(subject, source)
+            except Exception as error:
+                # One row must not stop the head row and all others.
+                del queue[subject]
+                self._set_change_aside(
+                    changes.Change(subject, source, {}, []),
+                    f"cannot be encoded: {type(error).__name__}: {error}")
+                continue
             if not change.fits(0, 0):
                 del queue[subject]
                 self._set_change_aside(change, "too long for a transaction")
--- a/packages/jobs/tests/test_ledger.py
+++ b/packages/jobs/tests/test_ledger.py
@@ -320,6 +320,52 @@
     assert done == [other.job_id, huge.job_id]
 
 
+def test_job_that_cannot_be_encoded_stops_no_other(ledger, store, timers):
+    """Guards against one text that stops all writes of each leader.
+
+    The head row was not written either, so the lead passed from node to node.
+    """
+    bad, other = _make_job("c" * 16), _make_job("d" * 16)
+    bad.get_step(0, 0).checkpoints[0] = "\ud800"
+    done = []
+    for job in (bad, other):
+        ledger.mark_dirty(job)
+        ledger.call_after(lambda job=job: done.append(job.job_id),
+                          _subject(job))
+    timers.run(0.5)
+    assert done == [other.job_id]
+    assert ledger.list_set_aside() == [bad]
+    calls = len(store.calls)
+    timers.run(10.0)
+    assert len(store.calls) >= calls + 20
+    del bad.get_step(0, 0).checkpoints[0]
+    ledger.mark_dirty(bad)
+    timers.run(changes.RETRY_MAX_S)
+    assert done == [other.job_id, bad.job_id]
+    assert store.rows[_subject(bad)] == progress.encode_progress(bad)
+    assert not ledger.list_set_aside()
+
+
+def test_deferred_row_that_cannot_be_encoded_stops_no_other(
+        ledger, store, timers):
+    """Guards against a row without callbacks that stops all writes."""
+
+    class _Bad(changes.RowSource):
+
+        def encode_row(self):
+            raise ValueError("out of range")
+
+    other = _make_job("d" * 16)
+    ledger.write_row_deferred(tables.COUNTS_ROW, _Bad())
+    ledger.mark_dirty(other)
+    timers.run(5.0)
+    assert store.rows[_subject(other)] == progress.encode_progress(other)
+    assert tables.COUNTS_ROW not in store.rows
+    calls = len(store.calls)
+    timers.run(10.0)
+    assert len(store.calls) >= calls + 20
+
+
 def test_refused_removal_holds_what_waits_for_it(ledger, store, timers):
     """Guards against leases that are given beside a row that denies them."""
     name = tables.get_worker_lease_row_name("w00")
