Answer requests whose callback is lost

Callers got no answer to such a request and to none of the later ones on its connection. No way into it is known in today's code.

Cause: HttpServer guarded `dispatch` only. If a callback of the store, a link or a timer raised on its way to `respond`, the request stayed open, and the guard drops what comes on a connection with an open request.

One check for the oldest open request is planned at a time, so that answered requests leave no timers. The response goes through the request's own `respond`, which ignores later calls as before.

Before (the tests with the new option left out): four of the five in test_httpserver.py failed, as no 504 came and the request stayed open, and test_caller_whose_callback_is_lost_gets_an_answer read nothing in 3.35 s. All pass now. test_answered_requests_leave_no_timers passes on both; it guards the cost of the fix.

--- a/packages/node/src/trefoilroad_node/httpserver.py
+++ b/packages/node/src/trefoilroad_node/httpserver.py
@@ -16,6 +16,8 @@
 import structlog
 
 from trefoilroad_node import listener
+from trefoilroad_node import metrics as metrics_module
+from trefoilroad_node import timer
 
 _log = structlog.get_logger()
 
@@ -36,6 +38,43 @@
 
 Respond = Callable[[Response], None]
 
+# Whether the request has been carried out is not known.
+TIMEOUT_RESPONSE = Response(504, {"error": "no answer in time"},
+                            {"Retry-After": "1"})
+
+
+class RequestTimeout(NamedTuple):
+    """Longest time until a request gets a response.
+
+    It is a backstop for requests whose callback is lost, and lies above all
+    other limits.
+
+    Attributes:
+        timers: Clock and timers.
+        metrics: Counts the requests, as "CHANNEL.requests_timed_out".
+        timeout_s: The time in seconds.
+        response: Response that they get.
+    """
+
+    timers: timer.Timers
+    metrics: metrics_module.Metrics
+    timeout_s: float
+    response: Response = TIMEOUT_RESPONSE
+
+
+class _OpenRequest(NamedTuple):
+    """A request without a response.
+
+    Attributes:
+        method: HTTP method.
+        path: Path of the URL.
+        started_s: When it was dispatched, in seconds; 0 without a timeout.
+    """
+
+    method: str
+    path: str
+    started_s: float
+
 
 class QuietServer(servers.BaseServer):
     """Server on a bounded listener and without circuits.web's banner."""
@@ -66,24 +105,32 @@
 
     channel = "web"
 
-    def __init__(self, *, listen: str, channel: str | None = None):
+    def __init__(self,
+                 *,
+                 listen: str,
+                 channel: str | None = None,
+                 request_timeout: RequestTimeout | None = None):
         """Binds the address.
 
         Args:
             listen: "host:port".
             channel: Channel of its events; must differ between servers.
+            request_timeout: Longest time until a response; None for no limit.
         """
         super().__init__(channel=channel or self.channel)
         host, _, port = listen.rpartition(":")
         self._server = QuietServer((host, int(port)), channel=self.channel)
         self._server.register(self)
-        self._open_responds: set[Respond] = set()
+        self._request_timeout = request_timeout
+        # In the order of their start.
+        self._open_requests: dict[Respond, _OpenRequest] = {}
+        self._timeout_check_planned = False
         self.stopping = False
 
     @property
     def open_requests(self) -> int:
         """Number of requests without a response yet."""
-        return len(self._open_responds)
+        return len(self._open_requests)
 
     def stop_listening(self) -> None:
         """Refuses new connections; may be repeated."""
@@ -93,7 +140,7 @@
 
     def answer_open_requests(self, result: Response) -> None:
         """Gives a response to all requests without one."""
-        for respond in list(self._open_responds):
+        for respond in list(self._open_requests):
             respond(result)
 
     @property
@@ -126,11 +173,10 @@
         event.stop()
 
         def respond(result: Response) -> None:
-            if respond in self._open_responds:
-                self._open_responds.remove(respond)
+            if self._open_requests.pop(respond, None) is not None:
                 self._send(request, response, result)
 
-        self._open_responds.add(respond)
+        self._open_request(respond, request)
         try:
             self.dispatch(request, respond)
         except Exception as error:
@@ -140,6 +186,38 @@
         # True makes circuits.web wait for the response event.
         return True
 
+    def _open_request(self, respond: Respond, request: Any) -> None:
+        timeout = self._request_timeout
+        started_s = timeout.timers.read_clock() if timeout else 0.0
+        self._open_requests[respond] = _OpenRequest(request.method,
+                                                    request.path, started_s)
+        # One check for all requests: a timer for each would stay in the timer
+        # service long after its request has been answered.
+        if timeout and not self._timeout_check_planned:
+            self._plan_timeout_check(timeout, timeout.timeout_s)
+
+    def _plan_timeout_check(self, timeout: RequestTimeout,
+                            delay_s: float) -> None:
+        self._timeout_check_planned = True
+        timeout.timers.call_later(delay_s, lambda: self._check_timeout(timeout))
+
+    def _check_timeout(self, timeout: RequestTimeout) -> None:
+        """Gives a response to the requests that have been open for too long."""
+        self._timeout_check_planned = False
+        now_s = timeout.timers.read_clock()
+        while self._open_requests:
+            respond, entry = next(iter(self._open_requests.items()))
+            remaining_s = entry.started_s + timeout.timeout_s - now_s
+            if remaining_s > 0:
+                self._plan_timeout_check(timeout, remaining_s)
+                return
+            _log.error("request not answered in time",
+                       method=entry.method,
+                       path=entry.path,
+                       age_s=round(now_s - entry.started_s, 3))
+            timeout.metrics.count(f"{self.channel}.requests_timed_out")
+            respond(timeout.response)
+
     @circuits.handler("httperror", priority=10)
     def _on_httperror(self, event: Any, request: Any, response: Any, *_: Any,
                       **__: Any) -> None:
