Close idle connections when no other can be accepted

New callers got silence from a node whose descriptors were all in use, while idle connections of others stayed for up to 120 s. Its readiness check on an open connection went on to succeed.

Cause: when accept failed for lack of descriptors, the listener paused and tried again every 2 s, but nothing was closed. Connections were closed for new ones only at the bound of the listener, which does not know what the workers, the store and the links hold.

On such a failure the guard closes connections without progress, in the order and with the ages of those at the bound, and the listener accepts on. It is done once for each turn, as a lack of the whole machine would otherwise close all. The status listeners close callers' idle connections if they have none of their own.

Before: four new tests of test_listener.py failed (no answer to a new caller in 5 s in two of them, no connection closed, no other listener asked); all pass now.

--- a/packages/node/src/trefoilroad_node/guards.py
+++ b/packages/node/src/trefoilroad_node/guards.py
@@ -1,6 +1,7 @@
 """Limits on incoming connections and HTTP requests."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import http
 import io
@@ -197,7 +198,8 @@
                  max_body_bytes: int,
                  bounds: request_budget.Bounds | None = None,
                  get_body_limit: Callable[[], int] = lambda: 0,
-                 report: refusals.Report | None = None):
+                 report: refusals.Report | None = None,
+                 make_more_room: Callable[[], bool] = lambda: False):
         """Attaches to the channel of a server.
 
         Args:
@@ -209,6 +211,8 @@
             get_body_limit: Returns a smaller limit of a body in bytes, which
                 may change; 0 for none.
             report: Counts what is refused.
+            make_more_room: Closes connections of other listeners if there is no
+                descriptor for one more, and returns whether it closed any.
         """
         super().__init__(channel=channel)
         self._http = server
@@ -217,6 +221,7 @@
         self._timers = timers
         self._max_body_bytes = max_body_bytes
         self._get_body_limit = get_body_limit
+        self._make_more_room = make_more_room
         self._connections: dict[Any, Connection] = {}
         self._draining = False
         self._check_is_due = False
@@ -282,8 +287,23 @@
                 >= self._budget.bounds.max_connections and
                 self._listener.drop_oldest_lingering()):
             return
-        for sock in self._budget.find_evictions(now_s,
-                                                extra_connections=lingering):
+        self._evict(
+            self._budget.find_evictions(now_s, extra_connections=lingering))
+
+    def make_room(self) -> bool:
+        """See listener.Gate.make_room."""
+        # A paused listener accepts again with the next check.
+        self._check_later()
+        if self._listener.drop_oldest_lingering():
+            return True
+        now_s = self._timers.read_clock()
+        return (self._evict(self._budget.rank_evictions(now_s)) or
+                self._make_more_room())
+
+    def _evict(self, socks: Iterable[Any]) -> bool:
+        """Closes connections without a request; returns whether any was."""
+        is_any_closed = False
+        for sock in socks:
             connection = self._connections[sock]
             if self._listener.has_unhandled_data(sock):
                 continue
@@ -292,6 +312,8 @@
             self._count(refusals.Cause.EVICTED)
             self._discard(sock)
             self._listener.drop(sock)
+            is_any_closed = True
+        return is_any_closed
 
     @circuits.handler("disconnect", priority=10)
     def _on_disconnect(self, sock: Any) -> None:
--- a/packages/node/src/trefoilroad_node/listener.py
+++ b/packages/node/src/trefoilroad_node/listener.py
@@ -44,6 +44,14 @@
         Otherwise it is paused until Listener.resume is called.
         """
 
+    @abc.abstractmethod
+    def make_room(self) -> bool:
+        """Closes connections as none can be accepted for lack of descriptors.
+
+        Returns:
+            Whether any was closed.
+        """
+
 
 class Listener(sockets.TCPServer):
     """TCP server of circuits with bounds.
@@ -246,6 +254,7 @@
             chunks[0] = first + chunks[0]
 
     def _accept(self) -> None:
+        may_make_room = self.gate is not None
         for _ in range(ACCEPT_BATCH):
             try:
                 sock, _address = self._sock.accept()
@@ -253,6 +262,12 @@
                 return
             except OSError as error:
                 if error.errno in _OUT_OF_RESOURCES:
+                    self.accept_failures += 1
+                    # Once only: a lack of the whole machine does not end if
+                    # all idle connections are closed.
+                    if may_make_room and self.gate and self.gate.make_room():
+                        may_make_room = False
+                        continue
                     self._pause_accepting()
                     return
                 # The connection has ended before it was accepted.
@@ -261,7 +276,6 @@
 
     def _pause_accepting(self) -> None:
         """Stops accepting; the poller would report the socket for ever."""
-        self.accept_failures += 1
         self._accepting = False
         self._poller.removeReader(self._sock)
 
--- a/packages/node/src/trefoilroad_node/request_budget.py
+++ b/packages/node/src/trefoilroad_node/request_budget.py
@@ -177,8 +177,19 @@
                 counted here.
         """
         count = len(self._holdings) + extra_connections
-        if (count < self.bounds.max_connections or
-                now_s < self._next_eviction_s):
+        if count < self.bounds.max_connections:
+            return []
+        return self.rank_evictions(now_s)
+
+    def rank_evictions(self, now_s: float) -> list[Hashable]:
+        """Returns connections to close first if there is no room for another.
+
+        The order is that of find_evictions.
+
+        Args:
+            now_s: Current time in seconds.
+        """
+        if now_s < self._next_eviction_s:
             return []
         candidates = [
             (key in self._paused, _rank_eviction(holding, now_s), number, key)
--- a/packages/node/tests/test_listener.py
+++ b/packages/node/tests/test_listener.py
@@ -239,6 +239,116 @@
     site.run(lambda: site.guard.open_connections)
 
 
+class _Exhaustible:
+    """Listening socket of a process whose descriptors run out.
+
+    Attributes:
+        failures: How often no connection could be accepted.
+    """
+
+    def __init__(self, sock, has_descriptor):
+        self.failures = 0
+        self._sock = sock
+        self._has_descriptor = has_descriptor
+
+    def accept(self):
+        if not self._has_descriptor():
+            self.failures += 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return self._sock.accept()
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def __eq__(self, other):
+        return other in (id(self), self._sock)
+
+    def __hash__(self):
+        return hash(self._sock)
+
+
+def _limit_descriptors(site, count):
+    """Lets the server hold some connections at a time, as with an rlimit."""
+    site.run(lambda: site.tcp._poller is not None)
+    real = site.tcp._sock
+    site.tcp._sock = _Exhaustible(real,
+                                  lambda: site.tcp.open_connections < count)
+    site.tcp._poller.discard(real)
+    site.tcp._poller.addReader(site.tcp, site.tcp._sock)
+
+
+def _ask(site, sock):
+    sock.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    return site.read(sock)
+
+
+def test_idle_connections_give_way_when_descriptors_run_out(site):
+    """Guards against callers that are not accepted beside idle ones.
+
+    Idle connections stay for 120 s, and the bound of connections was not
+    reached, as others held the descriptors.
+    """
+    now_s = [1000.0]
+    site.timers.read_clock = lambda: now_s[0]
+    _limit_descriptors(site, 5)
+    socks = [site.connect() for _ in range(5)]
+    for sock in socks:
+        assert _ask(site, sock).startswith(b"HTTP/1.1 200 ")
+    now_s[0] += 3.0
+    assert _ask(site, site.connect()).startswith(b"HTTP/1.1 200 ")
+    assert site.guard.open_connections == 5
+    assert "test_refused_evicted_total 1" in site.metrics.render()
+
+
+def test_recent_connections_are_kept_when_descriptors_run_out(site):
+    """Guards against callers that lose their connections to each other.
+
+    Meanwhile the loop is not busy, and room is looked for again soon.
+    """
+    now_s = [1000.0]
+    site.timers.read_clock = lambda: now_s[0]
+    _limit_descriptors(site, 5)
+    for _ in range(5):
+        assert _ask(site, site.connect()).startswith(b"HTTP/1.1 200 ")
+    caller = site.connect()
+    caller.send(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    for _ in range(50):
+        site.root.tick(0.001)
+    assert site.guard.open_connections == 5
+    assert site.tcp._sock.failures == 1
+    # Two steps: the check that accepts again, and the age of the idle ones.
+    now_s[0] += 2.0
+    assert site.read(caller).startswith(b"HTTP/1.1 200 ")
+
+
+def test_lack_of_the_machine_does_not_close_all_connections(site):
+    """Guards against connections closed in vain, as other processes lack."""
+    now_s = [1000.0]
+    site.timers.read_clock = lambda: now_s[0]
+    has_descriptor = [8]
+    _limit_descriptors(site, 8)
+    site.tcp._sock._has_descriptor = lambda: has_descriptor[0]
+    for _ in range(5):
+        assert _ask(site, site.connect()).startswith(b"HTTP/1.1 200 ")
+    now_s[0] += 3.0
+    has_descriptor[0] = 0
+    site.connect()
+    site.run(lambda: site.tcp._sock.failures)
+    for _ in range(20):
+        site.root.tick(0.001)
+    assert site.guard.open_connections == 4
+
+
+def test_lack_at_one_listener_closes_idle_connections_of_another(site):
+    """Guards against status checks that fail beside idle callers."""
+    asked = []
+    site.guard._make_more_room = lambda: bool(asked.append(1))
+    _limit_descriptors(site, 0)
+    site.connect()
+    site.run(lambda: site.tcp._sock.failures)
+    assert asked == [1]
+
+
 def test_crowd_leaves_room_for_new_connections(site):
     """Guards against connections beyond the descriptors of the process."""
     now_s = 1000.0
