Keep descriptors for callers beside connections to workers

Callers could find no descriptor left at a leader and got silence for all of the 3 s that they wait.

Cause: half of the sockets are promised to callers, but connections to workers were opened until 128 of all descriptors were left, and the first one to each worker and links to other nodes until none was left.

In test_httpclient.py the stand-in for `may_connect` takes the new argument; what is checked is the same.

--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -279,7 +279,7 @@
                  max_reply_bytes: int = MAX_REPLY_BYTES,
                  max_held_bytes: int = MAX_HELD_BYTES,
                  min_unused_s: float = MIN_UNUSED_S,
-                 may_connect: Callable[[], bool] = lambda: True):
+                 may_connect: Callable[[int], bool] = lambda count: True):
         """Creates a client without connections.
 
         Args:
@@ -292,8 +292,9 @@
             max_held_bytes: Maximum size of all incomplete replies.
             min_unused_s: Connections to an address that is not called are
                 closed after once to twice this time, in seconds.
-            may_connect: Returns whether there are descriptors for more than
-                one connection to an address.
+            may_connect: Returns whether there are descriptors for one more
+                connection to an address that has this number of them, 1 or
+                more.
         """
         self._max_connections = max_connections
         self._reply_bounds = ReplyBounds(max_reply_bytes=max_reply_bytes,
@@ -404,7 +405,8 @@
                 return connection
         if len(pool.connections) >= self._max_connections:
             return None
-        if pool.connections and not self._may_connect():
+        count = len(pool.connections)
+        if count and not self._may_connect(count):
             return None
         connection = Connection(
             reply_bounds=self._reply_bounds,
--- a/packages/node/src/trefoilroad_node/streams.py
+++ b/packages/node/src/trefoilroad_node/streams.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+from collections.abc import Callable
 import errno
 import socket
 from typing import Any
@@ -74,9 +75,22 @@
 
     channel = "streams"
 
-    def __init__(self, *, poller: pollers.BasePoller):
-        super().__init__()
+    def __init__(self,
+                 *,
+                 poller: pollers.BasePoller,
+                 channel: str | None = None,
+                 may_open: Callable[[], bool] = lambda: True):
+        """Creates a connector without connections.
+
+        Args:
+            poller: Poller of the event loop.
+            channel: Channel of its events; must differ between connectors.
+            may_open: Returns whether there is a descriptor for one more
+                connection.
+        """
+        super().__init__(channel=channel or self.channel)
         self._poller = poller
+        self._may_open = may_open
         self._streams: dict[socket.socket, Stream] = {}
 
     @property
@@ -97,13 +111,17 @@
             The stream; data can be written before it is connected.
 
         Raises:
-            OSError: If the host is not an IP address, or there is no socket.
+            OSError: If the host is not an IP address, or there is no socket or
+                no descriptor left for one.
             ValueError: If the host is not text that can be an address.
             OverflowError: If the port is out of range.
         """
         # Without this check, a host name would block the loop while it is
         # resolved.
         socket.inet_pton(socket.AF_INET, host)
+        if not self._may_open():
+            raise OSError(errno.EMFILE,
+                          "the last descriptors are for accepted connections")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -253,7 +253,7 @@
 
 def test_one_connection_is_opened_when_descriptors_are_short():
     """Guards against calls that are never sent for lack of descriptors."""
-    client, connector = _build_bounded_client(may_connect=lambda: False)
+    client, connector = _build_bounded_client(may_connect=lambda count: False)
     results = []
     for _ in range(3):
         _call(client, results)
