Count the silence of a response from when its request is sent

Callers could see a node without its configuration for longer than needed.

Cause, found by the review: the checks began with the call. A request that had waited for a connection, or whose connection was established late, was given up after half of its limit: a page after 0.6 s, the watch of the configuration after 1.1 s, though the store may wait for 1.0 s.

Change: the checks begin when the request gets its connection, and the interval in which the connection is established does not count.

--- a/packages/node/src/trefoilroad_node/httpclient.py
+++ b/packages/node/src/trefoilroad_node/httpclient.py
@@ -64,14 +64,17 @@
         sent_number: Event number of the sending, 0 until then.
         ended: Whether the result has been reported.
         timeout: Timer that ends the exchange.
+        max_silence_s: Limit of the time without any data, None for none.
         silence_check: Timer of the next check for silence, if it has any.
         received_number: Event number of the last data of the response, as of
             the last check for silence; 0 if there was none.
         silent_checks: Number of checks in a row that found no new data.
     """
 
-    def __init__(self, *, data: bytes, on_done: OnDone):
+    def __init__(self, *, data: bytes, on_done: OnDone,
+                 max_silence_s: float | None):
         self.data = data
+        self.max_silence_s = max_silence_s
         self.on_done = on_done
         self.sent = False
         self.sent_number = 0
@@ -214,6 +217,9 @@
     def handle_connected(self) -> None:
         """See streams.Listener.handle_connected."""
         self._received_number = next(self._event_numbers)
+        if self._exchange is not None:
+            # A part of the current interval has passed before it was sent.
+            self._exchange.silent_checks = -1
         self._write()
 
     def handle_data(self, data: bytes) -> None:
@@ -370,15 +376,14 @@
             self._timers.call_later(0, lambda: on_done(no_reply))
             return
         self._byte_counter.sent_bytes += len(data)
-        exchange = Exchange(data=data, on_done=on_done)
+        exchange = Exchange(data=data,
+                            on_done=on_done,
+                            max_silence_s=max_silence_s)
         pool = self._pools.setdefault(address, ConnectionPool())
         pool.recently_used = True
         self._schedule_unused_check()
         exchange.timeout = self._timers.call_later(
             timeout_s, lambda: self._time_out(pool, exchange))
-        if max_silence_s is not None:
-            self._schedule_silence_check(pool, exchange,
-                                         max_silence_s / SILENT_CHECKS)
         pool.queue.append(exchange)
         self._send_queued(address, pool)
 
@@ -429,6 +434,7 @@
                 return
             exchange = pool.queue.popleft()
             if not exchange.ended:
+                self._schedule_silence_check(pool, exchange)
                 connection.send(exchange)
 
     def _get_idle_connection(self, address: str,
@@ -455,19 +461,20 @@
         pool.connections.append(connection)
         return connection
 
-    def _schedule_silence_check(self, pool: ConnectionPool, exchange: Exchange,
-                                interval_s: float) -> None:
-        exchange.silence_check = self._timers.call_later(
-            interval_s, lambda: self._check_silence(pool, exchange, interval_s))
+    def _schedule_silence_check(self, pool: ConnectionPool,
+                                exchange: Exchange) -> None:
+        if exchange.max_silence_s is not None:
+            exchange.silence_check = self._timers.call_later(
+                exchange.max_silence_s / SILENT_CHECKS,
+                lambda: self._check_silence(pool, exchange))
 
-    def _check_silence(self, pool: ConnectionPool, exchange: Exchange,
-                       interval_s: float) -> None:
+    def _check_silence(self, pool: ConnectionPool, exchange: Exchange) -> None:
         if any(
                 connection.carries(exchange) and connection.is_silent(exchange)
                 for connection in pool.connections):
             self._time_out(pool, exchange)
         elif not exchange.ended:
-            self._schedule_silence_check(pool, exchange, interval_s)
+            self._schedule_silence_check(pool, exchange)
 
     def _time_out(self, pool: ConnectionPool, exchange: Exchange) -> None:
         for connection in pool.connections:
--- a/packages/node/tests/test_httpclient.py
+++ b/packages/node/tests/test_httpclient.py
@@ -373,6 +373,34 @@
     assert {result.status for result in results} == {200}
 
 
+@pytest.mark.parametrize("is_late", ["connection", "request"])
+def test_silence_counts_from_when_a_request_is_sent(is_late):
+    """Guards against a request that is given up before its limit.
+
+    It was when it had waited for its connection, or for another request.
+    """
+    client, connector, timers = _build_stepped_client(max_connections=1)
+    results = []
+    if is_late == "request":
+        _call(client, results)
+    _call_with_silence_limit(client, results)
+    stream, = connector.streams
+    if is_late == "request":
+        stream.listener.handle_connected()
+    timers.run(0.59)
+    if is_late == "request":
+        stream.listener.handle_data(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        timers.run(0.0)
+        results.clear()
+    else:
+        stream.listener.handle_connected()
+    timers.run(1.15)
+    assert results == []
+    timers.run(1.0)
+    assert results == [httpclient.NoReply(True, "timeout")]
+
+
 class _SilentServer(circuits.BaseComponent):
     """Server that stops to answer on chosen connections.
 
