Repeat only the table whose reading has failed at a takeover

Callers could wait longer for their jobs after a takeover.

Cause, found by the review: a failure while leases or progress were read began the reading anew with all jobs, so that what is repeated grows with the jobs.

Change: each table is read again alone; the watch begins at the version of the jobs in any case.

--- a/packages/jobs/src/trefoilroad_jobs/node.py
+++ b/packages/jobs/src/trefoilroad_jobs/node.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 import itertools
 import random
-from typing import Any
 
 import structlog
 
@@ -371,42 +370,34 @@
         intake_rows: list[ports.Rows] = []
         lease_rows: list[ports.Rows] = []
 
-        def read() -> None:
-            if dispatcher is self._dispatcher:
-                dispatcher.record_read(tables.INTAKE)
-                self._store.read_all(table=tables.INTAKE,
-                                     on_done=on_intake_rows)
-
-        def on_intake_rows(result: Any) -> None:
+        def read(table: str, on_rows: Callable[[ports.Rows], None],
+                 failure: str) -> None:
+            """Reads a table, again after each failure."""
             if dispatcher is not self._dispatcher:
                 return
-            if not isinstance(result, ports.Rows):
-                _log.warning("jobs cannot be read", reason=str(result))
-                self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
-                return
-            intake_rows[:] = [result]
-            dispatcher.record_read(tables.LEASES)
-            self._store.read_all(table=tables.LEASES, on_done=on_lease_rows)
 
-        def on_lease_rows(result: Any) -> None:
-            if dispatcher is not self._dispatcher:
-                return
-            if not isinstance(result, ports.Rows):
-                _log.warning("leases cannot be read", reason=str(result))
-                self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
-                return
-            lease_rows[:] = [result]
-            dispatcher.record_read(tables.PROGRESS)
-            self._store.read_all(table=tables.PROGRESS,
-                                 on_done=on_progress_rows)
+            def handle_result(result: ports.RowsResult) -> None:
+                if dispatcher is not self._dispatcher:
+                    return
+                if isinstance(result, ports.Rows):
+                    on_rows(result)
+                    return
+                _log.warning(failure, reason=str(result))
+                self._timers.call_later(watch.WATCH_RETRY_BASE_S,
+                                        lambda: read(table, on_rows, failure))
 
-        def on_progress_rows(result: Any) -> None:
-            if dispatcher is not self._dispatcher:
-                return
-            if not isinstance(result, ports.Rows):
-                _log.warning("progress cannot be read", reason=str(result))
-                self._timers.call_later(watch.WATCH_RETRY_BASE_S, read)
-                return
+            dispatcher.record_read(table)
+            self._store.read_all(table=table, on_done=handle_result)
+
+        def on_intake_rows(rows: ports.Rows) -> None:
+            intake_rows.append(rows)
+            read(tables.LEASES, on_lease_rows, "leases cannot be read")
+
+        def on_lease_rows(rows: ports.Rows) -> None:
+            lease_rows.append(rows)
+            read(tables.PROGRESS, on_progress_rows, "progress cannot be read")
+
+        def on_progress_rows(result: ports.Rows) -> None:
             try:
                 dispatcher.load(intake_rows[0], lease_rows[0], result)
             except Exception as error:
@@ -417,7 +408,7 @@
             self._follow_jobs(dispatcher, intake_rows[0].version)
 
         self._follow_workers(dispatcher)
-        read()
+        read(tables.INTAKE, on_intake_rows, "jobs cannot be read")
 
     def _follow_jobs(self, dispatcher: dispatchers.Dispatcher,
                      after: int) -> None:
--- a/packages/jobs/tests/test_large_takeovers.py
+++ b/packages/jobs/tests/test_large_takeovers.py
@@ -1,5 +1,8 @@
 """Tests of takeovers when the tables of the jobs are large."""
 
+import pytest
+
+from trefoilroad_jobs import ports
 from trefoilroad_jobs import tables
 from trefoilroad_standins.jobs import site as sites
 
@@ -37,17 +40,69 @@
     assert len(reads[site.find_leader().name]) == 1
 
 
-def test_jobs_accepted_while_a_new_leader_reads_are_seen():
+@pytest.mark.parametrize("table", [tables.LEASES, tables.PROGRESS])
+def test_jobs_accepted_while_a_new_leader_reads_are_seen(table):
     """Guards against a gap between the reading of the jobs and the watch."""
     site = sites.Site()
     site.run(1.0)
     leader = site.find_leader().name
-    name = min(site.nodes.keys() - {leader})
+    names = sorted(site.nodes.keys() - {leader})
+
+    def accept_job_before_reading(site_node):
+        read_all = site_node.store.read_all
+
+        def accept_and_read(**options):
+            if options["table"] == table:
+                site.submit("1" * 16, run_s=0.2, through=names[0])
+                site.clock.schedule(0.05, lambda: read_all(**options))
+            else:
+                read_all(**options)
+
+        site_node.store.read_all = accept_and_read
+
+    for name in names:
+        accept_job_before_reading(site.nodes[name])
+    # The new leader must not learn of the job from the node that accepts it.
+    site.cut_links.add(frozenset(names))
     site.kill(leader)
-    for number in range(40):
-        site.submit(f"{number:016x}", run_s=0.2, through=name)
-        site.run(0.1)
     site.run(10.0)
-    for number in range(40):
-        assert site.ask_state(f"{number:016x}", through=name) == "completed"
+    assert site.ask_state("1" * 16, through=names[0]) == "completed"
     assert site.find_violations() == []
+
+
+@pytest.mark.parametrize("failing", [tables.LEASES, tables.PROGRESS])
+def test_failure_of_a_later_table_repeats_that_table_alone(failing):
+    """Guards against jobs that are read again for each failure."""
+    site = sites.Site()
+    site.run(1.0)
+    failures = {
+        name: _fail_reads(node, failing, 3) for name, node in site.nodes.items()
+    }
+    reads = {
+        name: _count_reads(node, tables.INTAKE)
+        for name, node in site.nodes.items()
+    }
+    site.kill(site.find_leader().name)
+    site.run(5.0)
+    name = site.find_leader().name
+    assert site.find_leader().node._dispatcher.ready
+    assert len(failures[name]) == 3
+    assert len(reads[name]) == 1
+
+
+def _fail_reads(site_node, table, count):
+    """Lets the first readings of a table fail; returns a list of them."""
+    failed = []
+    read_all = site_node.store.read_all
+
+    def fail_or_read(**options):
+        if options["table"] == table and len(failed) < count:
+            failed.append(table)
+            failure = ports.StoreFailed("timeout", maybe_written=False)
+            site_node.host.clock.schedule(0.01, lambda: options["on_done"]
+                                          (failure))
+        else:
+            read_all(**options)
+
+    site_node.store.read_all = fail_or_read
+    return failed
