--- a/packages/jobs/src/trefoilroad_jobs/changes.py
+++ b/packages/jobs/src/trefoilroad_jobs/changes.py
@@ -19,9 +19,8 @@
 # The store accepts 1 MB in a call; the encoding of values on the wire adds a
 # third.
 MAX_BATCH_BYTES = 600_000
-# Changes share a transaction up to this size. A larger one may take so long
-# over the link of a small VM that its leader is replaced, as after 1.5 s without
-# a transaction; 200 kB on the wire take 0.3 s at 5 Mbit/s.
+# Changes share a transaction up to this size, 0.3 s at 5 Mbit/s. A larger one
+# may take longer than the time after which a silent leader is replaced.
 SHARED_BATCH_BYTES = 150_000
 # Delays after which a change that the store refuses is tried again, alone.
 RETRY_BASE_S = 1.0
