Keep the broken node of a test silent

The frontend answers a request whose callback is lost with 504 after 2.85 s, so test_soaks_find_one_node_with_wrong_answers did not see the silence that its broken node stands for. The limit of that node is 60 s in the test.

--- a/packages/jobs/tests/test_status_checks.py
+++ b/packages/jobs/tests/test_status_checks.py
@@ -93,6 +93,7 @@
 import runpy
 
 from trefoilroad_jobs import intake
+from trefoilroad_platform import frontend
 
 show = intake.Intake.show
 REPLIES = {
@@ -111,6 +112,8 @@
 
 if pathlib.Path(os.environ["TREFOILROAD_BOOT"]).stem in NAMES:
     intake.Intake.show = show_wrongly
+    # Otherwise a request without a response gets 504 within 3 s.
+    frontend.REQUEST_TIMEOUT_S = 60.0
 runpy.run_module("trefoilroad_platform", run_name="__main__")
 """
 REASONS = {
